--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,74 @@
+// Package outcome defines the typed result that every request ends with.
+package outcome
+
+import "time"
+
+// Kind is what is known about the execution of a request.
+type Kind string
+
+// Kinds of outcomes.
+const (
+	// Done means that a backend server ran the request and the answer is whole.
+	Done Kind = "done"
+	// NotRun means that no backend server ran the request and none ever will
+	// under the same identity.
+	NotRun Kind = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Kind = "unknown"
+)
+
+// Reason is a stable word that tells why a request ended as it did. Each one
+// has a row in docs/OPERATIONS.md.
+type Reason string
+
+// Reasons of outcomes.
+const (
+	ReasonOK            Reason = "ok"
+	ReasonLate          Reason = "late"           // the deadline cannot be met
+	ReasonQueueFull     Reason = "queue-full"     // the queue holds all that can be served in time
+	ReasonNoOwner       Reason = "no-owner"       // no entry host owns the pool at present
+	ReasonNoServer      Reason = "no-server"      // the pool has no usable backend server
+	ReasonNoConfig      Reason = "no-config"      // the entry host has no configuration yet
+	ReasonShiftCap      Reason = "shift-cap"      // a cap on shifts of traffic is used up
+	ReasonBusy          Reason = "busy"           // edge admission: every region refuses the rank
+	ReasonLeaving       Reason = "leaving"        // the entry host is shutting down
+	ReasonBadRequest    Reason = "bad-request"    // malformed request
+	ReasonTooLarge      Reason = "too-large"      // the body exceeds the service's limit
+	ReasonNoService     Reason = "no-service"     // the service is not configured
+	ReasonNoRank        Reason = "no-rank"        // the rank is not configured
+	ReasonForeign       Reason = "foreign-id"     // the identity is bound to another incarnation
+	ReasonExpired       Reason = "expired-id"     // the identity's window has passed
+	ReasonRepeat        Reason = "repeat"         // the identity was used before
+	ReasonLedgerFull    Reason = "ledger-full"    // no room to record the identity
+	ReasonShed          Reason = "shed"           // the backend server refused before starting
+	ReasonConnect       Reason = "connect"        // no connection to the backend server
+	ReasonBroken        Reason = "broken"         // the connection broke after the request was sent
+	ReasonTimeout       Reason = "timeout"        // the deadline passed while the request was running
+	ReasonCanceled      Reason = "canceled"       // the caller went away
+	ReasonHostLost      Reason = "host-lost"      // the entry host that may run the identity has ended
+	ReasonIncomplete    Reason = "incomplete"     // the answer was cut short
+	ReasonWrongRequest  Reason = "wrong-request"  // the answer belongs to another request
+	ReasonInternalError Reason = "internal-error" // a fault of the entry host before sending
+)
+
+// Outcome is the result of one request.
+type Outcome struct {
+	Kind   Kind
+	Reason Reason
+	// RetryAfter is when a refused request may be tried again, under a new
+	// identity. It is zero when a retry would not help.
+	RetryAfter time.Duration
+}
+
+// Refuse returns a NotRun outcome.
+func Refuse(reason Reason, retryAfter time.Duration) Outcome {
+	return Outcome{Kind: NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+// Uncertain returns an Unknown outcome.
+func Uncertain(reason Reason) Outcome {
+	return Outcome{Kind: Unknown, Reason: reason}
+}
+
+// Success returns a Done outcome.
+func Success() Outcome { return Outcome{Kind: Done, Reason: ReasonOK} }
