--- /dev/null
+++ b/internal/adapter/backend/client.go
@@ -0,0 +1,185 @@
+// Package backend sends requests to backend servers over HTTP and tells apart
+// what is known about their execution.
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/httpapi"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+// Limits of the connections to one backend server.
+const (
+	dialTimeout     = time.Second
+	idleTimeout     = 90 * time.Second
+	maxHeaderBytes  = 64 << 10
+	defaultMaxConns = 32
+)
+
+// Request is one attempt to run a request on a backend server.
+type Request struct {
+	// Address is the server's "IP:port".
+	Address string
+	Method  string
+	// Path is the path with query, starting with "/".
+	Path   string
+	Header http.Header
+	// Body is read once. ContentLength is -1 when unknown.
+	Body          io.Reader
+	ContentLength int64
+	RequestID     string
+	// Left is the time until the deadline.
+	Left time.Duration
+	// MaxConns bounds the connections of this process to the server.
+	MaxConns int
+	// Idempotent allows the transport to repeat the request on a connection
+	// that the server closed while idle.
+	Idempotent bool
+}
+
+// Answer is the result of an attempt. Response is nil unless Outcome.Kind is
+// Done; the caller must read and close its body.
+type Answer struct {
+	Outcome  outcome.Outcome
+	Response *http.Response
+	// Shed tells that the server refused the request before starting it.
+	Shed bool
+	// Draining tells that the server announced that it is leaving.
+	Draining bool
+}
+
+// Client holds connections to backend servers. It is safe for concurrent use.
+type Client struct {
+	mu         sync.RWMutex
+	transports map[string]*http.Transport
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client { return &Client{transports: map[string]*http.Transport{}} }
+
+// Close ends idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.transports {
+		t.CloseIdleConnections()
+	}
+	c.transports = map[string]*http.Transport{}
+}
+
+func (c *Client) transport(address string, maxConns int) *http.Transport {
+	c.mu.RLock()
+	t, ok := c.transports[address]
+	c.mu.RUnlock()
+	if ok {
+		return t
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok = c.transports[address]; ok {
+		return t
+	}
+	if maxConns <= 0 {
+		maxConns = defaultMaxConns
+	}
+	t = &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:        maxConns,
+		MaxIdleConnsPerHost:    maxConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+	c.transports[address] = t
+	return t
+}
+
+// onceBody hides the type of an empty body, so that the transport never
+// repeats the request on another connection by itself.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// Do sends the request and waits for the header of the answer. ctx carries the
+// deadline and the caller's cancellation.
+func (c *Client) Do(ctx context.Context, r Request) Answer {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { sent.Store(true) },
+	})
+	req, err := c.newRequest(ctx, r)
+	if err != nil {
+		return Answer{Outcome: outcome.Refuse(outcome.ReasonBadRequest, 0)}
+	}
+	resp, err := c.transport(r.Address, r.MaxConns).RoundTrip(req)
+	if err != nil {
+		return Answer{Outcome: failed(ctx, err, sent.Load())}
+	}
+	return inspect(resp, r.RequestID)
+}
+
+func (c *Client) newRequest(ctx context.Context, r Request) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if r.Header != nil {
+		req.Header = r.Header
+	}
+	req.Header.Set(httpapi.HeaderRequestID, r.RequestID)
+	req.Header.Set(httpapi.HeaderDeadline, strconv.FormatInt(max(1, r.Left.Milliseconds()), 10))
+	if r.Body != nil {
+		req.Body, req.ContentLength = onceBody{r.Body}, r.ContentLength
+	} else if !r.Idempotent {
+		req.Body = onceBody{http.NoBody}
+	}
+	return req, nil
+}
+
+// failed classifies an attempt that got no answer. Only a request of which
+// nothing was written is certain not to have run.
+func failed(ctx context.Context, err error, sent bool) outcome.Outcome {
+	if !sent {
+		if ctx.Err() != nil {
+			return outcome.Refuse(outcome.ReasonLate, 0)
+		}
+		return outcome.Refuse(outcome.ReasonConnect, 0)
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.Uncertain(outcome.ReasonTimeout)
+	case errors.Is(err, context.Canceled):
+		return outcome.Uncertain(outcome.ReasonCanceled)
+	default:
+		return outcome.Uncertain(outcome.ReasonBroken)
+	}
+}
+
+// inspect checks that the answer belongs to the request. A backend server that
+// echoes the request identity is checked by it.
+func inspect(resp *http.Response, id string) Answer {
+	a := Answer{Draining: resp.Header.Get(httpapi.HeaderDraining) != ""}
+	if echo := resp.Header.Get(httpapi.HeaderRequestID); echo != "" && echo != id {
+		_ = resp.Body.Close()
+		a.Outcome = outcome.Uncertain(outcome.ReasonWrongRequest)
+		return a
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(httpapi.HeaderNotStarted) != "" {
+		_ = resp.Body.Close()
+		a.Shed = true
+		a.Outcome = outcome.Refuse(outcome.ReasonShed, 0)
+		return a
+	}
+	a.Outcome, a.Response = outcome.Success(), resp
+	return a
+}
--- /dev/null
+++ b/internal/adapter/rpc/client.go
@@ -0,0 +1,147 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/galenabeam/galenabeam/internal/peer"
+)
+
+// dialTimeout bounds connecting to a peer. It exceeds three inter-region round
+// trips.
+const dialTimeout = 2 * time.Second
+
+// Client calls other entry hosts. It keeps one connection per address and
+// connects again on the next call after a connection has ended. It implements
+// peer.Caller.
+type Client struct {
+	tls *tls.Config
+
+	mu    sync.Mutex
+	conns map[string]*clientConn
+	done  bool
+}
+
+type clientConn struct {
+	ready chan struct{} // closed when conn or err is set
+	conn  *jsonrpc2.Conn
+	err   error
+}
+
+var _ peer.Caller = (*Client)(nil)
+
+// NewClient returns a client. tlsConfig is nil for plain text.
+func NewClient(tlsConfig *tls.Config) *Client {
+	return &Client{tls: tlsConfig, conns: map[string]*clientConn{}}
+}
+
+// Call implements peer.Caller.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	return classify(conn.Call(ctx, method, params, result), address, method)
+}
+
+// Notify implements peer.Caller.
+func (c *Client) Notify(ctx context.Context, address, method string, params any) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	return classify(conn.Notify(ctx, method, params), address, method)
+}
+
+func classify(err error, address, method string) error {
+	if err == nil {
+		return nil
+	}
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		if answered.Code == jsonrpc2.CodeInvalidParams {
+			return trace.BadParameter("%s at %s: %s", method, address, answered.Message)
+		}
+		return trace.Errorf("%s at %s: %s", method, address, answered.Message)
+	}
+	return fmt.Errorf("%w: %s at %s: %v", peer.ErrUnreachable, method, address, err)
+}
+
+// Close ends all connections. Calls in progress fail with ErrUnreachable.
+func (c *Client) Close() {
+	c.mu.Lock()
+	conns := c.conns
+	c.conns, c.done = map[string]*clientConn{}, true
+	c.mu.Unlock()
+	for _, cc := range conns {
+		<-cc.ready
+		if cc.conn != nil {
+			_ = cc.conn.Close()
+		}
+	}
+}
+
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	if c.done {
+		c.mu.Unlock()
+		return nil, fmt.Errorf("%w: client is closed", peer.ErrUnreachable)
+	}
+	cc, ok := c.conns[address]
+	if !ok {
+		cc = &clientConn{ready: make(chan struct{})}
+		c.conns[address] = cc
+		go c.dial(address, cc)
+	}
+	c.mu.Unlock()
+	select {
+	case <-cc.ready:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: connecting to %s: %v", peer.ErrUnreachable, address, ctx.Err())
+	}
+	if cc.err != nil {
+		return nil, fmt.Errorf("%w: connecting to %s: %v", peer.ErrUnreachable, address, cc.err)
+	}
+	return cc.conn, nil
+}
+
+func (c *Client) dial(address string, cc *clientConn) {
+	defer close(cc.ready)
+	d := net.Dialer{Timeout: dialTimeout}
+	var nc net.Conn
+	if c.tls != nil {
+		nc, cc.err = (&tls.Dialer{NetDialer: &d, Config: c.tls}).Dial("tcp", address)
+	} else {
+		nc, cc.err = d.Dial("tcp", address)
+	}
+	if cc.err != nil {
+		c.forget(address, cc)
+		return
+	}
+	cc.conn = jsonrpc2.NewConn(context.Background(), newStream(nc, 0), refuseAll{}, quiet())
+	go func() {
+		<-cc.conn.DisconnectNotify()
+		c.forget(address, cc)
+	}()
+}
+
+func (c *Client) forget(address string, cc *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == cc {
+		delete(c.conns, address)
+	}
+}
+
+// refuseAll ignores calls of the server: calls go from client to server only.
+type refuseAll struct{}
+
+func (refuseAll) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- /dev/null
+++ b/internal/adapter/rpc/stream.go
@@ -0,0 +1,74 @@
+package rpc
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// MaxFrameBytes bounds one message. A larger one ends the connection.
+const MaxFrameBytes = 4 << 20
+
+// errFrameTooLarge ends a connection that announces a frame above MaxFrameBytes.
+var errFrameTooLarge = errors.New("rpc: frame too large")
+
+// boundedCodec frames messages by a varint length and refuses long ones before
+// it reads them.
+type boundedCodec struct{ jsonrpc2.VarintObjectCodec }
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	n, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if n > MaxFrameBytes {
+		return errFrameTooLarge
+	}
+	frame := make([]byte, n)
+	if _, err := io.ReadFull(stream, frame); err != nil {
+		return err
+	}
+	return json.Unmarshal(frame, v)
+}
+
+// timedConn ends a connection that stays silent, or that does not take what is
+// written to it.
+type timedConn struct {
+	net.Conn
+	idle time.Duration
+}
+
+// writeTimeout bounds one write to a peer.
+const writeTimeout = 5 * time.Second
+
+func (c timedConn) Read(p []byte) (int, error) {
+	if c.idle > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+func (c timedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func newStream(c net.Conn, idle time.Duration) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(timedConn{Conn: c, idle: idle}, boundedCodec{})
+}
+
+// quiet keeps the library from writing to the standard logger: broken
+// connections are normal and are counted by the caller.
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) }
