--- /dev/null
+++ b/internal/ledger/id.go
@@ -0,0 +1,92 @@
+// Package ledger records the identities of accepted requests and their
+// outcomes, so that a non-idempotent request runs at most once and a request
+// answered "not run" never runs.
+//
+// A Ledger is a state machine without locks; its caller serializes access.
+// Times are durations since the monotonic origin of the process.
+package ledger
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/galenabeam/galenabeam/internal/host"
+)
+
+// ErrBadID tells that a text is not a request identity.
+var ErrBadID = errors.New("ledger: malformed request identity")
+
+// ID identifies one request. Only the named incarnation may ever run it.
+type ID struct {
+	Incarnation host.Incarnation
+	// Window numbers the time window of the incarnation in which the identity
+	// was made.
+	Window uint32
+	Random [16]byte
+}
+
+// NewID makes an identity with 128 bits read from random, for example
+// crypto/rand.Reader.
+func NewID(incarnation host.Incarnation, window uint32, random io.Reader) (ID, error) {
+	id := ID{Incarnation: incarnation, Window: window}
+	if _, err := io.ReadFull(random, id.Random[:]); err != nil {
+		return ID{}, fmt.Errorf("ledger: read random bits: %w", err)
+	}
+	return id, nil
+}
+
+// String returns "<incarnation>.<window>.<random>" with two decimal numbers
+// and 32 lower-case hexadecimal digits.
+func (id ID) String() string {
+	text := make([]byte, 0, 64)
+	text = strconv.AppendUint(text, uint64(id.Incarnation), 10)
+	text = append(text, '.')
+	text = strconv.AppendUint(text, uint64(id.Window), 10)
+	text = append(text, '.')
+	return string(hex.AppendEncode(text, id.Random[:]))
+}
+
+// ParseID reads the text form of an identity. It accepts only the form that
+// String prints; other texts give an error that wraps ErrBadID.
+func ParseID(text string) (ID, error) {
+	var id ID
+	first, rest, ok := strings.Cut(text, ".")
+	if !ok {
+		return ID{}, malformed(text, "want <incarnation>.<window>.<random>")
+	}
+	second, third, ok := strings.Cut(rest, ".")
+	if !ok {
+		return ID{}, malformed(text, "want <incarnation>.<window>.<random>")
+	}
+	incarnation, err := strconv.ParseUint(first, 10, 64)
+	if err != nil || incarnation == 0 {
+		return ID{}, malformed(text, "the incarnation is not a positive number")
+	}
+	window, err := strconv.ParseUint(second, 10, 32)
+	if err != nil {
+		return ID{}, malformed(text, "the window is not a 32-bit number")
+	}
+	if len(third) != 2*len(id.Random) {
+		return ID{}, malformed(text, "the random part is not 32 hexadecimal digits")
+	}
+	if _, err := hex.Decode(id.Random[:], []byte(third)); err != nil {
+		return ID{}, malformed(text, "the random part is not 32 hexadecimal digits")
+	}
+	id.Incarnation, id.Window = host.Incarnation(incarnation), uint32(window)
+	if id.String() != text {
+		return ID{}, malformed(text, "not in canonical form")
+	}
+	return id, nil
+}
+
+func malformed(text, why string) error {
+	const shown = 80 // bytes of a malformed identity that an error repeats
+	if len(text) > shown {
+		text = text[:shown]
+	}
+	return fmt.Errorf("%w %q: %s", ErrBadID, text, why)
+}
