--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,26 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a region that does not find itself, against deaths caused by
+// message loss alone, and against late detection.
+func TestRegionFormsAndDetects(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(1, 1, 40, network{loss: 0.05, delay: time.Millisecond})
+	s.runUntil(30 * time.Second)
+	g.Expect(s.disagreements()).To(BeEmpty())
+	s.crash(s.nodes[7])
+	s.runUntil(60 * time.Second)
+	g.Expect(s.disagreements()).To(BeEmpty())
+	g.Expect(s.falseDeaths).To(BeEmpty())
+	g.Expect(s.detected[s.nodes[7].info.ID]).To(HaveLen(39))
+	s.startProcess(s.nodes[7])
+	s.runUntil(90 * time.Second)
+	g.Expect(s.disagreements()).To(BeEmpty())
+	g.Expect(s.falseDeaths).To(BeEmpty())
+}
