--- /dev/null
+++ b/internal/adapter/storehttp/client.go
@@ -0,0 +1,235 @@
+// Package storehttp is the client of the platform's key-value service over
+// HTTP and JSON. It implements store.Store.
+package storehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/store"
+	"github.com/galenabeam/galenabeam/internal/store/storewire"
+)
+
+// Defaults of Config.
+const (
+	DefaultTimeout = 2 * time.Second
+	DefaultWait    = 20 * time.Second
+)
+
+// maxIdleConnections covers the waiting watches and a few other calls.
+const maxIdleConnections = 4
+
+// Config sets up a client.
+type Config struct {
+	// URL is the base address of the service, for example "http://10.0.0.1:7400".
+	URL string
+	// Client names this client in the header Store-Client.
+	Client string
+	// Timeout bounds each call other than a watch.
+	Timeout time.Duration
+	// Wait bounds one request of a watch, which is repeated until the context ends.
+	Wait time.Duration
+}
+
+// Client calls the service. It is safe for concurrent use.
+type Client struct {
+	config Config
+	base   *url.URL
+	http   *http.Client
+}
+
+// New returns a client, or an error if the configuration's URL is invalid.
+func New(config Config) (*Client, error) {
+	base, err := url.Parse(config.URL)
+	if err != nil {
+		return nil, fmt.Errorf("storehttp: URL %q: %w", config.URL, err)
+	}
+	if base.Scheme == "" || base.Host == "" {
+		return nil, fmt.Errorf("storehttp: URL %q needs a scheme and a host", config.URL)
+	}
+	if config.Timeout <= 0 {
+		config.Timeout = DefaultTimeout
+	}
+	if config.Wait <= 0 {
+		config.Wait = DefaultWait
+	}
+	return &Client{config: config, base: base, http: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute},
+		// A followed redirect would send a write a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}, nil
+}
+
+// Close releases idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	var entry storewire.Entry
+	err := c.call(ctx, request{method: http.MethodGet, path: storewire.PathKey, query: url.Values{storewire.ParamKey: {key}}, answer: &entry})
+	return store.Entry(entry), err
+}
+
+// CompareAndSwap implements store.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
+	}
+	var written storewire.Written
+	err := c.call(ctx, request{
+		method: http.MethodPut, path: storewire.PathKey, query: url.Values{storewire.ParamKey: {key}}, write: true,
+		body: storewire.Write{Expected: expected, Value: value, Lease: lease}, answer: &written,
+	})
+	if err == nil && written.Revision <= 0 {
+		return 0, broken(true, errors.New("answer without a revision"))
+	}
+	return written.Revision, err
+}
+
+// Delete implements store.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected store.Revision) error {
+	query := url.Values{storewire.ParamKey: {key}, storewire.ParamExpect: {format(int64(expected))}}
+	return c.call(ctx, request{method: http.MethodDelete, path: storewire.PathKey, query: query, write: true})
+}
+
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, key string, after store.Revision) (store.Entry, error) {
+	query := url.Values{
+		storewire.ParamKey: {key}, storewire.ParamAfter: {format(int64(after))},
+		storewire.ParamWait: {format(c.config.Wait.Milliseconds())},
+	}
+	for {
+		var entry storewire.Entry
+		err := c.call(ctx, request{method: http.MethodGet, path: storewire.PathKey, query: query, wait: c.config.Wait, answer: &entry})
+		if !errors.Is(err, errNoChange) {
+			return store.Entry(entry), err
+		}
+	}
+}
+
+// GrantLease implements store.Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	var granted storewire.Granted
+	err := c.call(ctx, request{
+		method: http.MethodPost, path: storewire.PathLease, write: true,
+		body: storewire.Grant{TTLMs: ttl.Milliseconds()}, answer: &granted,
+	})
+	return granted.Lease, err
+}
+
+// RenewLease implements store.Store.
+func (c *Client) RenewLease(ctx context.Context, id store.LeaseID) error {
+	return c.call(ctx, request{method: http.MethodPut, path: storewire.PathLease, query: url.Values{storewire.ParamLease: {format(int64(id))}}, write: true})
+}
+
+// RevokeLease implements store.Store.
+func (c *Client) RevokeLease(ctx context.Context, id store.LeaseID) error {
+	return c.call(ctx, request{method: http.MethodDelete, path: storewire.PathLease, query: url.Values{storewire.ParamLease: {format(int64(id))}}, write: true})
+}
+
+func format(n int64) string { return strconv.FormatInt(n, 10) }
+
+// errNoChange: a watch ended without a change.
+var errNoChange = errors.New("storehttp: no change")
+
+// request is one HTTP exchange.
+type request struct {
+	method, path string
+	query        url.Values
+	write        bool
+	wait         time.Duration
+	body, answer any
+}
+
+// call performs one exchange and maps its errors to those of the port. A
+// write counts as sent as soon as it has a connection.
+func (c *Client) call(ctx context.Context, r request) error {
+	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout+r.wait)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	httpRequest, err := c.newRequest(ctx, r)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(httpRequest)
+	if err != nil {
+		return broken(r.write && sent.Load(), err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, storewire.MaxBodyBytes+1))
+	if err != nil {
+		return broken(r.write, err)
+	}
+	if len(body) > storewire.MaxBodyBytes {
+		return broken(r.write, errors.New("answer exceeds its size limit"))
+	}
+	return r.finish(response.StatusCode, body)
+}
+
+func (c *Client) newRequest(ctx context.Context, r request) (*http.Request, error) {
+	target := c.base.JoinPath(r.path)
+	target.RawQuery = r.query.Encode()
+	var body io.Reader
+	if r.body != nil {
+		text, err := json.Marshal(r.body)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(text)
+	}
+	httpRequest, err := http.NewRequestWithContext(ctx, r.method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	httpRequest.Header.Set(storewire.HeaderClient, c.config.Client)
+	return httpRequest, nil
+}
+
+// finish maps a complete answer.
+func (r request) finish(status int, body []byte) error {
+	switch status {
+	case http.StatusOK:
+		if r.answer == nil {
+			return nil
+		}
+		if err := json.Unmarshal(body, r.answer); err != nil {
+			return broken(r.write, err)
+		}
+		return nil
+	case http.StatusNoContent:
+		if r.wait > 0 {
+			return errNoChange
+		}
+	}
+	var failure storewire.Failure
+	if err := json.Unmarshal(body, &failure); err != nil {
+		return broken(r.write, fmt.Errorf("status %d: %w", status, err))
+	}
+	if err, ok := storewire.Errors[failure.Code]; ok {
+		return err
+	}
+	if failure.Code == storewire.CodeBadRequest {
+		return fmt.Errorf("storehttp: service refused the call: %s", failure.Message)
+	}
+	return broken(r.write, fmt.Errorf("status %d, code %q", status, failure.Code))
+}
+
+// broken is the error of an exchange without a usable answer. Only a write
+// that was sent can have had an effect.
+func broken(sentWrite bool, cause error) error {
+	if sentWrite {
+		return fmt.Errorf("%w: %w", store.ErrUncertain, cause)
+	}
+	return fmt.Errorf("%w: %w", store.ErrUnavailable, cause)
+}
--- /dev/null
+++ b/internal/store/storewire/storewire.go
@@ -0,0 +1,81 @@
+// Package storewire is the wire format of the store's HTTP interface, shared
+// by the client adapter and the fake. The
+// README.md of internal/adapter/storehttp lists the calls.
+package storewire
+
+import "github.com/galenabeam/galenabeam/internal/store"
+
+// Paths, query parameters and headers.
+const (
+	PathKey      = "/v1/key"
+	PathLease    = "/v1/lease"
+	ParamKey     = "key"
+	ParamExpect  = "expected"
+	ParamAfter   = "after"
+	ParamWait    = "wait_ms"
+	ParamLease   = "lease"
+	HeaderClient = "Store-Client"
+)
+
+// Limits of a message. A value grows by a third in base64.
+const (
+	MaxBodyBytes = store.MaxValueBytes*4/3 + 64<<10
+	MaxWaitMs    = 60_000
+)
+
+// Code is the stable word of an error answer.
+type Code string
+
+// Codes of error answers.
+const (
+	CodeNotFound      Code = "not-found"
+	CodeConflict      Code = "conflict"
+	CodeTooLarge      Code = "too-large"
+	CodeLeaseNotFound Code = "lease-not-found"
+	CodeUnavailable   Code = "unavailable"
+	CodeBadRequest    Code = "bad-request"
+)
+
+// Errors maps codes to the errors of the port.
+var Errors = map[Code]error{
+	CodeNotFound:      store.ErrNotFound,
+	CodeConflict:      store.ErrConflict,
+	CodeTooLarge:      store.ErrTooLarge,
+	CodeLeaseNotFound: store.ErrLeaseNotFound,
+	CodeUnavailable:   store.ErrUnavailable,
+}
+
+// Entry answers reads and watches.
+type Entry struct {
+	Key      string         `json:"key"`
+	Value    []byte         `json:"value"`
+	Revision store.Revision `json:"revision"`
+}
+
+// Write is the body of a compare-and-swap.
+type Write struct {
+	Expected store.Revision `json:"expected"`
+	Value    []byte         `json:"value"`
+	Lease    store.LeaseID  `json:"lease,omitempty"`
+}
+
+// Written answers a compare-and-swap.
+type Written struct {
+	Revision store.Revision `json:"revision"`
+}
+
+// Grant is the body of a lease request.
+type Grant struct {
+	TTLMs int64 `json:"ttl_ms"`
+}
+
+// Granted answers a lease request.
+type Granted struct {
+	Lease store.LeaseID `json:"lease"`
+}
+
+// Failure is the body of every error answer.
+type Failure struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+}
