--- a/internal/adapter/storehttp/client_test.go
+++ b/internal/adapter/storehttp/client_test.go
@@ -50,7 +50,9 @@
 		{"no revision", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }, nil, store.ErrUncertain},
 		{"no content", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, store.ErrUnavailable, store.ErrUncertain},
 		{"gateway error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, store.ErrUnavailable, store.ErrUncertain},
-		{"redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/other", http.StatusTemporaryRedirect) }, store.ErrUnavailable, store.ErrUncertain},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+		}, store.ErrUnavailable, store.ErrUncertain},
 		{"oversized", func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write(make([]byte, storewire.MaxBodyBytes+1))
 		}, store.ErrUnavailable, store.ErrUncertain},
