--- /dev/null
+++ b/config/kinds.go
@@ -0,0 +1,216 @@
+package config
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Bounds of a configuration. They leave room above the size that the system
+// is designed for: 35 regions, 2,700 pools and 1.6 million client blocks.
+const (
+	MaxRegions        = 256
+	MaxFailureDomains = 64
+	MaxRanks          = 16
+	MaxServices       = 4096
+	MaxBackendServers = 500_000
+	MaxCustomers      = 100_000
+	MaxClientBlocks   = 4_000_000
+	MaxDrains         = 10_000
+	MaxSlots          = 65_536
+	MaxConnections    = 1_000_000
+	MaxBits           = int64(100e12)
+	MaxBytes          = int64(1) << 40
+	MaxDelay          = 10 * time.Second
+	MaxDeadline       = time.Hour
+)
+
+// kind describes one kind of item: the word that starts its section, its
+// names and its fields.
+type kind[T any] struct {
+	word string
+	max  int
+	// items returns the list that holds the items.
+	items func(*Config) *[]T
+	// names are the parts of the item's section name after the word.
+	names []field[T]
+	// compact kinds share one section, with lines "name = value" of the first
+	// name and the first field.
+	compact bool
+	fields  []field[T]
+	// less orders items in normal form. Nil orders them by name.
+	less func(a, b *T) int
+}
+
+// deploymentItem lets the Config's own keys use the tables of fields.
+type deploymentItem struct{ Name string }
+
+var deploymentKind = kind[deploymentItem]{
+	word:   "deployment",
+	max:    1,
+	fields: []field[deploymentItem]{nameField("name", func(d *deploymentItem) *string { return &d.Name })},
+}
+
+var regionKind = kind[Region]{
+	word:  "region",
+	max:   MaxRegions,
+	items: func(c *Config) *[]Region { return &c.Regions },
+	names: []field[Region]{nameField("name", func(r *Region) *string { return &r.Name })},
+	fields: []field[Region]{
+		nameListField("failure-domains", MaxFailureDomains, func(r *Region) *[]string { return &r.FailureDomains }),
+		durationField("domain-delay", 0, MaxDelay, func(r *Region) *time.Duration { return &r.DomainDelay }),
+		durationField("client-delay", 0, MaxDelay, func(r *Region) *time.Duration { return &r.ClientDelay }),
+	},
+}
+
+var linkKind = kind[Link]{
+	word:  "link",
+	max:   MaxRegions * (MaxRegions - 1),
+	items: func(c *Config) *[]Link { return &c.Links },
+	names: []field[Link]{
+		nameField("from", func(l *Link) *string { return &l.From }),
+		nameField("to", func(l *Link) *string { return &l.To }),
+	},
+	fields: []field[Link]{
+		durationField("delay", 0, MaxDelay, func(l *Link) *time.Duration { return &l.Delay }),
+		intField("bits-per-second", 1, MaxBits, func(l *Link) *int64 { return &l.BitsPerSecond }),
+	},
+}
+
+var rankKind = kind[Rank]{
+	word:  "rank",
+	max:   MaxRanks,
+	items: func(c *Config) *[]Rank { return &c.Ranks },
+	names: []field[Rank]{nameField("name", func(r *Rank) *string { return &r.Name })},
+	fields: []field[Rank]{
+		intField("order", 1, MaxRanks, func(r *Rank) *int { return &r.Order }),
+		durationField("target", time.Millisecond, MaxDeadline, func(r *Rank) *time.Duration { return &r.Target }),
+		durationField("deadline", time.Millisecond, MaxDeadline, func(r *Rank) *time.Duration { return &r.Deadline }),
+		floatField("worth", 0, 1e9, func(r *Rank) *float64 { return &r.Worth }),
+		floatField("floor", 0, 1, func(r *Rank) *float64 { return &r.Floor }),
+		boolField("idempotent", func(r *Rank) *bool { return &r.Idempotent }),
+		boolField("hedge", func(r *Rank) *bool { return &r.Hedge }),
+	},
+	less: func(a, b *Rank) int {
+		if a.Order != b.Order {
+			return a.Order - b.Order
+		}
+		return strings.Compare(a.Name, b.Name)
+	},
+}
+
+var serviceKind = kind[Service]{
+	word:  "service",
+	max:   MaxServices,
+	items: func(c *Config) *[]Service { return &c.Services },
+	names: []field[Service]{nameField("name", func(s *Service) *string { return &s.Name })},
+	fields: []field[Service]{
+		nameField("team", func(s *Service) *string { return &s.Team }),
+		durationField("service-time", time.Microsecond, MaxDeadline, func(s *Service) *time.Duration { return &s.ServiceTime }),
+		intField("max-request-bytes", 0, MaxBytes, func(s *Service) *int64 { return &s.MaxRequestBytes }),
+		intField("answer-bytes", 0, MaxBytes, func(s *Service) *int64 { return &s.AnswerBytes }),
+		floatField("retry-share", 0, 1, func(s *Service) *float64 { return &s.RetryShare }),
+		floatField("eject-share", 0, 1, func(s *Service) *float64 { return &s.EjectShare }),
+		durationField("warmup", 0, time.Hour, func(s *Service) *time.Duration { return &s.Warmup }),
+	},
+}
+
+var backendServerKind = kind[BackendServer]{
+	word:  "backend-server",
+	max:   MaxBackendServers,
+	items: func(c *Config) *[]BackendServer { return &c.BackendServers },
+	names: []field[BackendServer]{nameField("name", func(b *BackendServer) *string { return &b.Name })},
+	fields: []field[BackendServer]{
+		nameField("service", func(b *BackendServer) *string { return &b.Service }),
+		nameField("region", func(b *BackendServer) *string { return &b.Region }),
+		nameField("failure-domain", func(b *BackendServer) *string { return &b.FailureDomain }),
+		textField("address", "want IP:port in canonical form, with a port from 1 to 65535", ValidAddress,
+			func(b *BackendServer) *string { return &b.Address }),
+		intField("slots", 1, MaxSlots, func(b *BackendServer) *int { return &b.Slots }),
+		intField("connections", 1, MaxConnections, func(b *BackendServer) *int { return &b.Connections }),
+	},
+}
+
+var customerKind = kind[Customer]{
+	word:   "customer",
+	max:    MaxCustomers,
+	items:  func(c *Config) *[]Customer { return &c.Customers },
+	names:  []field[Customer]{nameField("name", func(c *Customer) *string { return &c.Name })},
+	fields: []field[Customer]{intField("weight", 1, 1000, func(c *Customer) *int { return &c.Weight })},
+}
+
+var shiftCapKind = kind[ShiftCap]{
+	word:  "shift-cap",
+	max:   MaxRegions * (MaxRegions - 1),
+	items: func(c *Config) *[]ShiftCap { return &c.ShiftCaps },
+	names: []field[ShiftCap]{
+		nameField("from", func(s *ShiftCap) *string { return &s.From }),
+		nameField("to", func(s *ShiftCap) *string { return &s.To }),
+	},
+	fields: []field[ShiftCap]{
+		intField("concurrent", 0, 10_000_000, func(s *ShiftCap) *int { return &s.Concurrent }),
+		intField("bytes-per-second", 0, MaxBytes, func(s *ShiftCap) *int64 { return &s.BytesPerSecond }),
+		floatField("growth-per-second", 0, 1e9, func(s *ShiftCap) *float64 { return &s.GrowthPerSecond }),
+	},
+}
+
+var clientBlockKind = kind[ClientBlock]{
+	word:    "client-blocks",
+	max:     MaxClientBlocks,
+	items:   func(c *Config) *[]ClientBlock { return &c.ClientBlocks },
+	compact: true,
+	names: []field[ClientBlock]{textField("prefix", wantPrefix, ValidPrefix,
+		func(b *ClientBlock) *string { return &b.Prefix })},
+	fields: []field[ClientBlock]{nameField("region", func(b *ClientBlock) *string { return &b.Region })},
+	less: func(a, b *ClientBlock) int {
+		p, errA := netip.ParsePrefix(a.Prefix)
+		q, errB := netip.ParsePrefix(b.Prefix)
+		if errA == nil && errB == nil {
+			if order := p.Addr().Compare(q.Addr()); order != 0 {
+				return order
+			}
+			return p.Bits() - q.Bits()
+		}
+		return strings.Compare(a.Prefix, b.Prefix)
+	},
+}
+
+var drainKind = kind[Drain]{
+	word:  "drain",
+	max:   MaxDrains,
+	items: func(c *Config) *[]Drain { return &c.Drains },
+	names: []field[Drain]{
+		textField("kind", "want backend-server, failure-domain or region", validDrainKind,
+			func(d *Drain) *string { return (*string)(&d.Kind) }),
+		textField("target", "want the name of a backend server, a region, or region/failure-domain", validDrainTarget,
+			func(d *Drain) *string { return &d.Target }),
+	},
+	fields: []field[Drain]{quotedField("reason", func(d *Drain) *string { return &d.Reason })},
+}
+
+const wantPrefix = "want a CIDR prefix in canonical form without host bits, IPv4 or IPv6 but not IPv4 mapped into IPv6"
+
+// ValidPrefix tells whether s is a CIDR prefix in canonical form without host bits.
+func ValidPrefix(s string) bool {
+	p, err := netip.ParsePrefix(s)
+	return err == nil && p == p.Masked() && !p.Addr().Is4In6() && p.String() == s
+}
+
+// ValidAddress tells whether s is "IP:port" in canonical form.
+func ValidAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0 && a.Addr().Zone() == "" && !a.Addr().Is4In6() && a.String() == s
+}
+
+func validDrainKind(s string) bool {
+	switch DrainKind(s) {
+	case DrainBackendServer, DrainFailureDomain, DrainRegion:
+		return true
+	}
+	return false
+}
+
+func validDrainTarget(s string) bool {
+	region, domain, found := strings.Cut(s, "/")
+	return ValidName(region) && (!found || ValidName(domain))
+}
