invariant: add the checkers of the promises

Tests of several packages need the same definition of each promise. Each checker is a recorder that is fed with events and reports violations.

--- /dev/null
+++ b/internal/invariant/lifecycle.go
@@ -0,0 +1,181 @@
+package invariant
+
+import (
+	"sort"
+	"time"
+)
+
+// ShutdownCutsNothing checks that a graceful shutdown of an entry host cuts
+// off no request in flight.
+type ShutdownCutsNothing struct {
+	recorder
+	inFlight map[string]map[string]bool
+	graceful map[string]bool
+}
+
+// NewShutdownCutsNothing returns a checker without hosts.
+func NewShutdownCutsNothing() *ShutdownCutsNothing {
+	return &ShutdownCutsNothing{
+		recorder: recorder{name: "ShutdownCutsNothing"},
+		inFlight: map[string]map[string]bool{},
+		graceful: map[string]bool{},
+	}
+}
+
+// Accept records that a host accepted a request.
+func (c *ShutdownCutsNothing) Accept(host, request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight[host] == nil {
+		c.inFlight[host] = map[string]bool{}
+	}
+	c.inFlight[host][request] = true
+}
+
+// Shutdown records the start of a graceful shutdown.
+func (c *ShutdownCutsNothing) Shutdown(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.graceful[host] = true
+}
+
+// Answered records that the caller got a whole answer with a true outcome.
+func (c *ShutdownCutsNothing) Answered(host, request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.inFlight[host], request)
+}
+
+// Broken records that the request's connection broke before a whole answer.
+func (c *ShutdownCutsNothing) Broken(at time.Duration, host, request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.graceful[host] && c.inFlight[host][request] {
+		c.report(at, "host %q cut off request %q during its shutdown", host, request)
+	}
+	delete(c.inFlight[host], request)
+}
+
+// Exited records that the host's process ended. Requests in flight at the end
+// of a graceful shutdown are violations; those of a crash are not.
+func (c *ShutdownCutsNothing) Exited(at time.Duration, host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.graceful[host] {
+		for _, request := range sortedKeys(c.inFlight[host]) {
+			c.report(at, "host %q exited with request %q in flight", host, request)
+		}
+	}
+	delete(c.inFlight, host)
+	delete(c.graceful, host)
+}
+
+// ConfigNeverReverts checks that an accepted configuration is in force at all
+// reachable processes within a limit, and that no process applies a revision
+// that is older than one it applied before.
+type ConfigNeverReverts struct {
+	recorder
+	limit     time.Duration
+	accepted  []acceptedRevision
+	processes map[string]*appliedRevision
+}
+
+type acceptedRevision struct {
+	revision uint64
+	at       time.Duration
+}
+
+type appliedRevision struct {
+	revision       uint64
+	reachableSince time.Duration
+	cutOff         bool
+}
+
+// NewConfigNeverReverts returns a checker with the time within which an
+// accepted revision has to be in force everywhere.
+func NewConfigNeverReverts(limit time.Duration) *ConfigNeverReverts {
+	return &ConfigNeverReverts{
+		recorder:  recorder{name: "ConfigNeverReverts"},
+		limit:     limit,
+		processes: map[string]*appliedRevision{},
+	}
+}
+
+// Accepted records that a submission of this revision was confirmed.
+func (c *ConfigNeverReverts) Accepted(at time.Duration, revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.accepted); n > 0 && c.accepted[n-1].revision >= revision {
+		c.report(at, "revision %d accepted after revision %d", revision, c.accepted[n-1].revision)
+		return
+	}
+	c.accepted = append(c.accepted, acceptedRevision{revision: revision, at: at})
+}
+
+// Started records a new process, or that a cut-off process is reachable again.
+// A restarted process is a new one and needs a new name.
+func (c *ConfigNeverReverts) Started(at time.Duration, process string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.process(process)
+	p.reachableSince, p.cutOff = at, false
+}
+
+// CutOff records that a process ended, or reaches no holder of newer
+// revisions. The limit does not apply to it until Started is called.
+func (c *ConfigNeverReverts) CutOff(process string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.process(process).cutOff = true
+}
+
+// Applied records that a process put a revision in force.
+func (c *ConfigNeverReverts) Applied(at time.Duration, process string, revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.process(process)
+	if revision < p.revision {
+		c.report(at, "process %q applied revision %d after revision %d", process, revision, p.revision)
+		return
+	}
+	p.revision = revision
+}
+
+// Check reports the reachable processes that lack a revision that was accepted
+// longer ago than the limit.
+func (c *ConfigNeverReverts) Check(at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range sortedKeys(c.processes) {
+		p := c.processes[name]
+		if p.cutOff {
+			continue
+		}
+		for i := len(c.accepted) - 1; i >= 0 && c.accepted[i].revision > p.revision; i-- {
+			a := c.accepted[i]
+			if at > max(a.at, p.reachableSince)+c.limit {
+				c.report(at, "process %q is at revision %d, %s after revision %d was accepted",
+					name, p.revision, at-a.at, a.revision)
+				break
+			}
+		}
+	}
+}
+
+func (c *ConfigNeverReverts) process(name string) *appliedRevision {
+	p := c.processes[name]
+	if p == nil {
+		p = &appliedRevision{}
+		c.processes[name] = p
+	}
+	return p
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
