sched: add the pool scheduler

A pool queues requests by rank and customer, refuses early what cannot be served in time and grants slots within reservations, drains, warm-up, ejections and load reports. Long work leaves the slots that more urgent ranks are expected to use.

--- /dev/null
+++ b/internal/sched/estimate.go
@@ -0,0 +1,236 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+const (
+	// updatePeriod is how often rates and limits are renewed.
+	updatePeriod = 100 * time.Millisecond
+	// fastRate and slowRate are the time constants of the arrival rates. The
+	// greater of both counts, so that a rise is seen soon and a lull of some
+	// seconds does not give the slots away.
+	fastRate = time.Second
+	slowRate = 4 * time.Second
+	// serviceSamples is the number of observations that a service time
+	// estimate averages over.
+	serviceSamples = 128
+	// targetUse is the part of a rank's target that a standing queue may use
+	// up. The rest covers the spread of service times and the network.
+	targetUse = 0.8
+	// waitRisk is the part of more urgent requests that may wait too long for
+	// a slot because less urgent work holds the slots.
+	waitRisk = 1e-4
+	// maxQueued bounds the queue of a rank when estimates are far off.
+	maxQueued = 1 << 16
+	// shortestRetry and longestRetry bound a refusal's retry-after.
+	shortestRetry = 50 * time.Millisecond
+	longestRetry  = time.Minute
+)
+
+// estimate is what a rank's own observations say.
+type estimate struct {
+	arrivals   int // since the last update
+	fast, slow float64
+	service    float64 // seconds
+	samples    int
+}
+
+// mean returns the estimated service time.
+func (e *estimate) mean() time.Duration { return time.Duration(e.service * float64(time.Second)) }
+
+// load returns the slots that all arrivals of the rank would keep busy.
+func (e *estimate) load() float64 { return max(e.fast, e.slow) * e.service }
+
+func (p *Pool) observeService(g grant, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	r := &p.ranks[g.rank]
+	x := d.Seconds()
+	r.samples = min(r.samples+1, serviceSamples)
+	if f := &r.flows[g.customer]; f.active {
+		// Pays the difference between the slot time charged at the grant and
+		// the slot time used, so that long requests do not gain a share.
+		f.deficit -= min(max(x/r.service-1, -0.5), 2)
+	}
+	r.service += (x - r.service) / float64(r.samples)
+}
+
+// update renews rates, peaks and limits.
+func (p *Pool) update(now time.Duration) {
+	dt := now - p.lastUpdate
+	if dt > 0 {
+		for i := range p.ranks {
+			r := &p.ranks[i]
+			rate := float64(r.arrivals) / dt.Seconds()
+			r.fast += (rate - r.fast) * decay(dt, fastRate)
+			// A flood does not count beyond all slots, so that they are not
+			// kept free for long after it.
+			rate = min(rate, float64(p.slots)/r.service)
+			r.slow += (rate - r.slow) * decay(dt, slowRate)
+			r.arrivals = 0
+		}
+		if now/peakWindow != p.lastUpdate/peakWindow {
+			for i := range p.servers {
+				s := &p.servers[i]
+				s.peakBefore, s.peak = s.peak, s.inFlight
+			}
+		}
+	}
+	p.lastUpdate = now
+	p.nextUpdate = now + updatePeriod
+	p.setLimits()
+}
+
+func decay(dt, constant time.Duration) float64 {
+	return 1 - math.Exp(-dt.Seconds()/constant.Seconds())
+}
+
+// setLimits decides how many slots each rank leaves to more urgent ranks. A rank whose requests
+// keep a slot for longer than a more urgent rank can wait leaves the slots
+// that the more urgent ranks are expected to use, plus a margin.
+//
+// With R slots left to more urgent work of load L and mean service time s,
+// the probability of a wait above t is about exp(-(R-L)t/s). Slots that the
+// held work frees meanwhile, held/service per second, help from then on.
+// Without arrivals of more urgent work nothing is left free.
+func (p *Pool) setLimits() {
+	slots := float64(p.slots)
+	for i := range p.ranks {
+		r := &p.ranks[i]
+		r.floorSlots = r.Floor * slots
+		reserve, load, rate := 0.0, 0.0, 0.0
+		for q := 0; q < i; q++ {
+			u := &p.ranks[q]
+			load += u.load()
+			rate += max(u.fast, u.slow)
+			wait := targetUse * (u.Target.Seconds() - 2*u.service)
+			if load < 0.01 || wait <= 0 || r.service <= wait {
+				continue
+			}
+			service := load / rate
+			turnover := max(0, slots-load) / r.service
+			margin := service*math.Log(1/waitRisk)/wait - turnover*wait/2
+			reserve = max(reserve, load+max(margin, leastMargin))
+		}
+		r.reserve = reserve
+	}
+}
+
+// leastMargin is the number of slots kept free above the expected load.
+const leastMargin = 0.5
+
+// share returns the slots that a rank can expect to be served by.
+func (p *Pool) share(rank int) float64 {
+	r := &p.ranks[rank]
+	left := float64(p.slots)
+	for i := range p.ranks {
+		o := &p.ranks[i]
+		switch {
+		case i < rank:
+			left -= o.load()
+		case i > rank:
+			left -= p.blocked(r, o)
+		}
+	}
+	return max(min(left, float64(p.slots)-r.reserve), r.floorSlots)
+}
+
+// blocked returns the slots that less urgent work takes from the rank, on
+// average over the time of its target: held slots that are not freed by then
+// count in full, and the floor counts while it has work.
+func (p *Pool) blocked(r, less *rankQueue) float64 {
+	kept := 1 - min(1, r.Target.Seconds()/(2*less.service))
+	blocked := float64(less.held) * kept
+	if less.queued > 0 {
+		blocked = max(blocked, less.floorSlots)
+	}
+	return blocked
+}
+
+// wait estimates how long a request of the rank waits behind ahead requests
+// of its own rank.
+func (p *Pool) wait(rank int, ahead float64) time.Duration {
+	r := &p.ranks[rank]
+	if r.queued == 0 && p.free > 0 && p.allowed(rank) {
+		return 0
+	}
+	work := (ahead + 1) * r.service
+	for q := 0; q < rank; q++ {
+		work += float64(p.ranks[q].queued) * p.ranks[q].service
+	}
+	share := p.share(rank)
+	if share*longestRetry.Seconds() <= work {
+		return longestRetry
+	}
+	return time.Duration(work / share * float64(time.Second))
+}
+
+// ahead returns how many requests of the rank are served before the next one
+// of a customer. A customer waits for others only by their weight.
+func (r *rankQueue) ahead(customer int) float64 {
+	if customer < 0 || customer >= len(r.flows) {
+		customer = len(r.flows) - 1
+	}
+	f := &r.flows[customer]
+	weight := r.activeWeight
+	if !f.active {
+		weight += f.quantum
+	}
+	return min(float64(r.queued), float64(f.queued+1)*weight/f.quantum-1)
+}
+
+// admission returns why a request is refused on arrival, or "".
+func (p *Pool) admission(now time.Duration, req *Request) outcome.Reason {
+	r := &p.ranks[req.Rank]
+	if p.slots <= 0 && p.noServer() {
+		return outcome.ReasonNoServer
+	}
+	wait := p.wait(req.Rank, r.ahead(req.Customer))
+	if now+wait+r.mean() > req.Deadline {
+		return outcome.ReasonLate
+	}
+	if r.queued >= maxQueued || (p.standing(now, r) && wait+r.mean() > r.queueTime()) {
+		return outcome.ReasonQueueFull
+	}
+	if req.Origin != 0 && p.gate != nil && p.gateFull(now, req) {
+		return outcome.ReasonShiftCap
+	}
+	return ""
+}
+
+// standing reports whether the rank has had a queue for longer than its
+// target. A burst may use the whole deadline; a standing queue is cut to what
+// the target allows, because it would make every request of the rank late.
+func (p *Pool) standing(now time.Duration, r *rankQueue) bool {
+	return r.queued > 0 && now-r.lastEmpty > r.Target
+}
+
+// queueTime is the longest time from arrival to answer in a standing queue.
+func (r *rankQueue) queueTime() time.Duration {
+	return time.Duration(targetUse * float64(r.Target))
+}
+
+// noServer reports whether no server can become usable without a change from
+// outside.
+func (p *Pool) noServer() bool {
+	for i := range p.servers {
+		s := &p.servers[i]
+		if !s.leaves() && s.Slots > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// retryAfter spreads retries over the expected time until capacity returns.
+func (p *Pool) retryAfter(rank int) time.Duration {
+	r := &p.ranks[rank]
+	expected := p.wait(rank, float64(r.queued))
+	expected = min(max(expected, shortestRetry), longestRetry)
+	return expected/2 + time.Duration(p.rng.Int63n(int64(expected)))
+}
--- /dev/null
+++ b/internal/sched/params.go
@@ -0,0 +1,124 @@
+// Package sched is the scheduler of one pool: the backend servers of one
+// service in one region. It queues requests by rank and customer, refuses
+// early what cannot be served in time, and grants slots of backend servers.
+//
+// The package is a pure state machine. Times named now are durations since an
+// arbitrary monotonic origin and never decrease from call to call. Calls
+// append actions to a slice of the caller. A Pool is not safe for concurrent
+// use; its owner guards it with a mutex.
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenabeam/galenabeam/config"
+)
+
+// Server is a backend server of the pool.
+type Server struct {
+	Name  string
+	Slots int
+}
+
+// Rank is a class of work. Params holds the most urgent rank first.
+type Rank struct {
+	Name string
+	// Target is the time within which an answer counts as in time.
+	Target time.Duration
+	// Deadline is the longest time a request of the rank may take.
+	Deadline time.Duration
+	// Floor is the share of the slots that the rank keeps while it has queued
+	// work, from 0 to 1.
+	Floor float64
+	// ServiceTime is the estimate used before the first observation.
+	ServiceTime time.Duration
+}
+
+// Customer is a party with its share of a rank's slots relative to others.
+type Customer struct {
+	Name   string
+	Weight int
+}
+
+// Params is what a configuration revision says about one pool.
+type Params struct {
+	Service, Region string
+	Servers         []Server
+	Ranks           []Rank
+	Customers       []Customer
+	// Origins names the regions by origin index. Origin 0 is the pool's region.
+	Origins []string
+	// EjectShare bounds the share of the servers that ejection and load
+	// reports may take out of use together.
+	EjectShare float64
+	// Warmup is the time over which the usable slots of a server that joins
+	// rise to all of its slots.
+	Warmup time.Duration
+	// Leaving names the servers that the configuration drains.
+	Leaving []string
+}
+
+// seedTargetShare is the share of a rank's target that its service time is
+// expected to take before observations exist. Without it, long bulk work
+// starts with the short service time of the whole service and takes every slot.
+const seedTargetShare = 20
+
+// ParamsFor extracts the parameters of a pool from a configuration that has
+// passed its checks. Customers keep their index in c.Customers; origins other
+// than the pool's region follow in the order of c.Regions.
+func ParamsFor(c *config.Config, service, region string) Params {
+	p := Params{Service: service, Region: region, Origins: []string{region}}
+	var serviceTime time.Duration
+	for _, s := range c.Services {
+		if s.Name == service {
+			serviceTime, p.EjectShare, p.Warmup = s.ServiceTime, s.EjectShare, s.Warmup
+		}
+	}
+	for _, r := range c.Regions {
+		if r.Name != region {
+			p.Origins = append(p.Origins, r.Name)
+		}
+	}
+	for _, s := range c.BackendServers {
+		if s.Service != service || s.Region != region {
+			continue
+		}
+		p.Servers = append(p.Servers, Server{Name: s.Name, Slots: s.Slots})
+		if drained(c.Drains, s) {
+			p.Leaving = append(p.Leaving, s.Name)
+		}
+	}
+	ranks := slices.Clone(c.Ranks)
+	slices.SortStableFunc(ranks, func(a, b config.Rank) int { return a.Order - b.Order })
+	for _, r := range ranks {
+		p.Ranks = append(p.Ranks, Rank{
+			Name: r.Name, Target: r.Target, Deadline: r.Deadline, Floor: r.Floor,
+			ServiceTime: max(serviceTime, r.Target/seedTargetShare),
+		})
+	}
+	for _, cu := range c.Customers {
+		p.Customers = append(p.Customers, Customer{Name: cu.Name, Weight: cu.Weight})
+	}
+	return p
+}
+
+func drained(drains []config.Drain, s config.BackendServer) bool {
+	for _, d := range drains {
+		switch d.Kind {
+		case config.DrainBackendServer:
+			if d.Target == s.Name {
+				return true
+			}
+		case config.DrainFailureDomain:
+			if d.Target == s.Region+"/"+s.FailureDomain {
+				return true
+			}
+		case config.DrainRegion:
+			if d.Target == s.Region {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sched/pool_test.go
@@ -0,0 +1,217 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+const (
+	ms  = time.Millisecond
+	sec = time.Second
+)
+
+// testParams returns three ranks and two customers of equal weight.
+func testParams(servers, slots int) Params {
+	p := Params{
+		Service: "svc", Region: "here", Origins: []string{"here", "there", "far"}, EjectShare: 0.5, Warmup: 10 * sec,
+		Ranks: []Rank{
+			{Name: "urgent", Target: 250 * ms, Deadline: sec, ServiceTime: 40 * ms},
+			{Name: "normal", Target: sec, Deadline: 5 * sec, Floor: 0.1, ServiceTime: 100 * ms},
+			{Name: "bulk", Target: 30 * sec, Deadline: 60 * sec, Floor: 0.05, ServiceTime: 1200 * ms},
+		},
+		Customers: []Customer{{"a", 1}, {"b", 1}},
+	}
+	for i := 0; i < servers; i++ {
+		p.Servers = append(p.Servers, Server{Name: fmt.Sprintf("s%d", i), Slots: slots})
+	}
+	return p
+}
+
+func testPool(servers, slots int) *Pool {
+	return NewPool(0, testParams(servers, slots), rand.New(rand.NewSource(1)))
+}
+
+func local(key uint64, rank int, deadline time.Duration) Request {
+	return Request{Key: key, Rank: rank, Deadline: deadline}
+}
+
+func keysOf(acts []Action, kind Kind) []uint64 {
+	keys := []uint64{}
+	for _, a := range acts {
+		if a.Kind == kind {
+			keys = append(keys, a.Key)
+		}
+	}
+	return keys
+}
+
+// TestOrder guards against less urgent work ahead of urgent work, and against
+// arrival order across customers.
+func TestOrder(t *testing.T) {
+	g := NewWithT(t)
+	p := testPool(1, 1)
+	acts := p.Enqueue(0, local(1, 0, sec), nil)
+	g.Expect(keysOf(acts, Grant)).To(Equal([]uint64{1}))
+	for key := uint64(2); key < 5; key++ {
+		p.Enqueue(0, local(key, 1, 5*sec), nil)
+	}
+	p.Enqueue(0, Request{Key: 5, Rank: 1, Customer: 1, Deadline: 5 * sec}, nil)
+	p.Enqueue(0, local(6, 0, sec), nil)
+	order := []uint64{}
+	for now := 10 * ms; len(acts) > 0; now += 10 * ms {
+		acts = p.Release(now, acts[0].Grant, Result{ServiceTime: 10 * ms}, nil)
+		order = append(order, keysOf(acts, Grant)...)
+	}
+	g.Expect(order).To(Equal([]uint64{6, 2, 5, 3, 4}))
+	g.Expect(p.Idle()).To(BeTrue())
+}
+
+// TestRefusal guards against work that is accepted but cannot be served in
+// time, and against retries that come back together.
+func TestRefusal(t *testing.T) {
+	g := NewWithT(t)
+	p := testPool(1, 1)
+	p.Enqueue(0, local(1, 0, sec), nil)
+	acts := p.Enqueue(0, local(2, 1, 100*ms), nil)
+	g.Expect(acts).To(HaveLen(1))
+	g.Expect(acts[0].Outcome.Reason).To(Equal(outcome.ReasonLate))
+	g.Expect(acts[0].Outcome.RetryAfter).To(BeNumerically(">", 0))
+	g.Expect(p.Enqueue(0, local(3, 1, 300*ms), nil)).To(BeEmpty())
+	g.Expect(p.NextWake(0)).To(BeNumerically("<=", 200*ms))
+	g.Expect(p.Tick(199*ms, nil)).To(BeEmpty())
+	g.Expect(keysOf(p.Tick(201*ms, nil), Refuse)).To(Equal([]uint64{3}))
+	spread := map[time.Duration]bool{}
+	for key := uint64(10); key < 20; key++ {
+		spread[p.Enqueue(sec, local(key, 1, sec), nil)[0].Outcome.RetryAfter] = true
+	}
+	g.Expect(len(spread)).To(BeNumerically(">", 5))
+	g.Expect(p.Enqueue(sec, local(1, 7, 2*sec), nil)[0].Outcome.Reason).To(Equal(outcome.ReasonNoRank))
+}
+
+// TestServers guards against grants to servers that leave, are ejected, shrank
+// or have slots that silent edges may still use.
+func TestServers(t *testing.T) {
+	fill := func(p *Pool, now time.Duration) (granted int) {
+		for key := uint64(100); key < 120; key++ {
+			granted += len(keysOf(p.Enqueue(now, local(key, 0, now+sec), nil), Grant))
+		}
+		return granted
+	}
+	for _, tc := range []struct {
+		desc string
+		do   func(p *Pool)
+		want int
+	}{
+		{"all slots", func(p *Pool) {}, 4},
+		{"leaving", func(p *Pool) { p.SetLeaving(0, "s0", true, nil) }, 2},
+		{"drained by configuration", func(p *Pool) {
+			params := testParams(2, 2)
+			params.Leaving = []string{"s1"}
+			p.Configure(0, params, nil)
+			p.SetLeaving(0, "s1", false, nil)
+		}, 2},
+		{"stays again", func(p *Pool) {
+			p.SetLeaving(0, "s0", true, nil)
+			p.SetLeaving(0, "s0", false, nil)
+		}, 4},
+		{"reserved", func(p *Pool) { p.Reserve(0, "s0", 1, 2*sec) }, 3},
+		{"reservation replaced", func(p *Pool) { p.Reserve(0, "s0", 2, 2*sec); p.Reserve(0, "s0", 0, 2*sec) }, 4},
+		{"reservation ended", func(p *Pool) { p.Reserve(0, "s0", 1, sec) }, 4},
+		{"adopted", func(p *Pool) { p.Adopt(0, "s0", 1, 3*sec); p.Adopt(0, "s0", 1, 3*sec); p.Adopt(0, "s0", 1, 3*sec) }, 2},
+		{"adopted grant expired", func(p *Pool) { p.Adopt(-2*sec, "s0", 1, -sec); p.Tick(sec, nil) }, 4},
+		{"slots shrank", func(p *Pool) { p.Configure(0, testParams(2, 1), nil) }, 2},
+		{"server added, cold", func(p *Pool) { p.Configure(0, testParams(3, 2), nil) }, 5},
+		{"server removed", func(p *Pool) { p.Configure(0, testParams(1, 2), nil) }, 2},
+		{"one unhealthy", func(p *Pool) { p.ReportLoad(sec, "s0", Load{At: sec}) }, 2},
+		{"all unhealthy, within the eject share", func(p *Pool) {
+			p.ReportLoad(sec, "s0", Load{At: sec})
+			p.ReportLoad(sec, "s1", Load{At: sec})
+		}, 2},
+		{"old unhealthy report", func(p *Pool) { p.ReportLoad(sec, "s0", Load{At: -9 * sec}) }, 4},
+		{"others' work", func(p *Pool) { p.ReportLoad(sec, "s0", Load{Healthy: true, InFlight: 1, At: sec}) }, 3},
+		{"less work than our own", func(p *Pool) { p.ReportLoad(sec, "s0", Load{Healthy: true, At: sec}) }, 4},
+		{"shed in a row", func(p *Pool) { shed(p, 3) }, 2},
+		{"shed twice", func(p *Pool) { shed(p, 2) }, 4},
+		{"draining mark on release", func(p *Pool) {
+			a := p.Enqueue(0, local(1, 0, sec), nil)
+			p.Release(0, a[0].Grant, Result{Draining: true}, nil)
+		}, 2},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			p := testPool(2, 2)
+			tc.do(p)
+			NewWithT(t).Expect(fill(p, sec)).To(Equal(tc.want), "%+v", p.State(sec))
+		})
+	}
+}
+
+// shed reports n requests in a row that server s0 shed, within the last
+// second before the test fills the pool.
+func shed(p *Pool, n int) {
+	for n > 0 {
+		id, _ := p.Adopt(999*ms, "s0", 0, 2*sec)
+		p.Release(999*ms, id, Result{Status: Shed}, nil)
+		n--
+	}
+}
+
+type testGate struct{ open, used map[int]int }
+
+func (g *testGate) Acquire(_ time.Duration, origin int, _ int64) bool {
+	if g.used[origin] >= g.open[origin] {
+		return false
+	}
+	g.used[origin]++
+	return true
+}
+
+func (g *testGate) Release(_ time.Duration, origin int) { g.used[origin]-- }
+
+// TestGate guards against a closed gate that blocks other origins, and against
+// a queue for a gate that cannot pass it.
+func TestGate(t *testing.T) {
+	g := NewWithT(t)
+	p := testPool(1, 4)
+	gate := &testGate{open: map[int]int{1: 1}, used: map[int]int{}}
+	p.SetGate(gate)
+	from := func(key uint64, origin int) []Action {
+		return p.Enqueue(0, Request{Key: key, Origin: origin, Deadline: sec}, nil)
+	}
+	first := from(1, 1)
+	g.Expect(keysOf(first, Grant)).To(Equal([]uint64{1}))
+	g.Expect(from(2, 1)).To(BeEmpty())
+	g.Expect(keysOf(from(3, 0), Grant)).To(Equal([]uint64{3}))
+	g.Expect(from(4, 2)).To(BeEmpty())
+	g.Expect(from(5, 2)[0].Outcome.Reason).To(Equal(outcome.ReasonShiftCap))
+	g.Expect(p.NextWake(0)).To(BeNumerically("<=", 10*ms))
+	g.Expect(keysOf(p.Release(10*ms, first[0].Grant, Result{}, nil), Grant)).To(Equal([]uint64{2}))
+	g.Expect(p.Release(10*ms, first[0].Grant, Result{}, nil)).To(BeEmpty(), "a repeated release")
+	g.Expect(gate.used[1]).To(Equal(1))
+	g.Expect(p.Tick(sec, nil)[0].Outcome.Reason).To(Equal(outcome.ReasonShiftCap))
+}
+
+// TestConfigureKeepsQueue guards against requests lost or reordered by a new
+// revision, and against customers that swap queues when indexes move.
+func TestConfigureKeepsQueue(t *testing.T) {
+	g := NewWithT(t)
+	p := testPool(1, 1)
+	held := p.Enqueue(0, local(1, 0, sec), nil)
+	p.Enqueue(0, local(2, 0, sec), nil)
+	p.Enqueue(0, Request{Key: 3, Customer: 1, Deadline: sec}, nil)
+	p.Enqueue(0, local(4, 2, 60*sec), nil)
+	params := testParams(1, 1)
+	params.Ranks = params.Ranks[:2]
+	params.Customers = []Customer{{"z", 1}, {"b", 9}}
+	acts := p.Configure(0, params, nil)
+	g.Expect(keysOf(acts, Refuse)).To(Equal([]uint64{4}))
+	g.Expect(acts[0].Outcome.Reason).To(Equal(outcome.ReasonNoRank))
+	g.Expect(p.InFlight("s0")).To(Equal(1))
+	g.Expect(keysOf(p.Release(0, held[0].Grant, Result{}, nil), Grant)).To(Equal([]uint64{3}))
+	g.Expect(p.Headroom(0)).To(HaveLen(2))
+}
--- /dev/null
+++ b/internal/sched/state.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+// Stats counts events since the pool was made.
+type Stats struct {
+	Arrivals      uint64 `json:"arrivals"`
+	Granted       uint64 `json:"granted"`
+	Refused       uint64 `json:"refused"`
+	Canceled      uint64 `json:"canceled"`
+	Expired       uint64 `json:"expired"`
+	StaleReleases uint64 `json:"stale_releases"`
+	Ejections     uint64 `json:"ejections"`
+}
+
+// Stats returns the counters.
+func (p *Pool) Stats() Stats { return p.stats }
+
+// RankHeadroom tells what a pool can still do for a rank.
+type RankHeadroom struct {
+	Rank string `json:"rank"`
+	// Wait is the expected time until a new request gets a slot.
+	Wait time.Duration `json:"wait"`
+	// FreeSlots is the number of slots that the rank could take now.
+	FreeSlots int `json:"free_slots"`
+}
+
+// Headroom returns the headroom by rank, most urgent rank first.
+func (p *Pool) Headroom(now time.Duration) []RankHeadroom {
+	p.advance(now)
+	h := make([]RankHeadroom, len(p.ranks))
+	urgent := p.free
+	for i := range p.ranks {
+		r := &p.ranks[i]
+		h[i] = RankHeadroom{Rank: r.Name, Wait: p.wait(i, float64(r.queued))}
+		h[i].FreeSlots = max(0, min(p.free, urgent-int(math.Ceil(r.reserve))))
+		urgent += r.held
+	}
+	return h
+}
+
+// State is a snapshot for the state dump.
+type State struct {
+	Service string        `json:"service"`
+	Region  string        `json:"region"`
+	Slots   int           `json:"slots"`
+	Free    int           `json:"free"`
+	Ranks   []RankState   `json:"ranks"`
+	Servers []ServerState `json:"servers"`
+	Stats   Stats         `json:"stats"`
+}
+
+// RankState is the state of one rank.
+type RankState struct {
+	Name        string        `json:"name"`
+	Queued      int           `json:"queued"`
+	InFlight    int           `json:"in_flight"`
+	Wait        time.Duration `json:"wait"`
+	ServiceTime time.Duration `json:"service_time"`
+	// ArrivalRate is in requests per second.
+	ArrivalRate float64 `json:"arrival_rate"`
+	// Reserve is the number of slots left to more urgent ranks.
+	Reserve float64 `json:"reserve"`
+	Granted uint64  `json:"granted"`
+	Refused uint64  `json:"refused"`
+}
+
+// ServerState is the state of one backend server.
+type ServerState struct {
+	Name     string `json:"name"`
+	Slots    int    `json:"slots"`
+	Usable   int    `json:"usable"`
+	InFlight int    `json:"in_flight"`
+	Reserved int    `json:"reserved"`
+	Leaving  bool   `json:"leaving"`
+	Ejected  bool   `json:"ejected"`
+	Removed  bool   `json:"removed"`
+}
+
+// State returns a snapshot.
+func (p *Pool) State(now time.Duration) State {
+	p.advance(now)
+	st := State{Service: p.params.Service, Region: p.params.Region, Slots: p.slots, Free: p.free, Stats: p.stats}
+	for i := range p.ranks {
+		r := &p.ranks[i]
+		st.Ranks = append(st.Ranks, RankState{
+			Name: r.Name, Queued: r.queued, InFlight: r.held,
+			Wait: p.wait(i, float64(r.queued)), ServiceTime: r.mean(),
+			ArrivalRate: r.fast, Reserve: r.reserve, Granted: r.granted, Refused: r.refused,
+		})
+	}
+	for i := range p.servers {
+		s := &p.servers[i]
+		st.Servers = append(st.Servers, ServerState{
+			Name: s.Name, Slots: s.Slots, Usable: s.usable, InFlight: s.inFlight,
+			Reserved: s.reserved, Leaving: s.leaves(), Ejected: now < s.ejectedTill, Removed: s.removed,
+		})
+	}
+	return st
+}
