--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -84,7 +84,7 @@
 		m.active++
 		m.joinRing(l.ID)
 	}
-	if r.claim.Incarnation == 0 || r.claim.Status == Gone {
+	if l.RPCAddress != "" && (r.claim.Incarnation == 0 || r.claim.Status == Gone) {
 		r.claim.Place = &Place{l.FailureDomain, l.RPCAddress, l.HTTPAddress}
 	}
 	changed := r.listedLeaving != leaving
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -9,11 +9,15 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/galenabeam/galenabeam/internal/host"
 )
 
+// ErrListUnavailable: the platform's host list did not answer. Adapters wrap it.
+var ErrListUnavailable = errors.New("member: host list unavailable")
+
 // Status is what is known about a process.
 type Status string
 
@@ -70,8 +74,9 @@
 
 // HostList is the port to the platform's lagging list of hosts.
 type HostList interface {
-	// Hosts returns the listed hosts of all regions, or an error when the list
-	// is out of service. An answer may be as old as Config.ListLag.
+	// Hosts returns the listed hosts of all regions in order of their ids, or
+	// an error that wraps ErrListUnavailable. An answer may be as old as
+	// Config.ListLag. Hosts returns when ctx ends.
 	Hosts(ctx context.Context) ([]Listed, error)
 }
 
