--- /dev/null
+++ b/client/attempt.go
@@ -0,0 +1,235 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	mathrand "math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/httpapi"
+	"github.com/galenabeam/galenabeam/internal/ledger"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+const (
+	// maxAttempts bounds the attempts for one request.
+	maxAttempts = 4
+	// identityWindow must equal the window of entry hosts.
+	identityWindow = ledger.DefaultWindow
+	// minRetryDelay separates attempts that name no delay of their own.
+	minRetryDelay = 10 * time.Millisecond
+)
+
+// errAnswer tells why an answer was not accepted.
+var (
+	errCut          = errors.New("answer cut short")
+	errWrongRequest = errors.New("answer belongs to another request")
+	errTooLarge     = errors.New("answer exceeds the limit")
+)
+
+// run makes attempts until the outcome is final.
+func (c *Client) run(ctx context.Context, r *Request) (*Result, error) {
+	var last *Result
+	uncertain := false
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		answer, age, err := c.lookup(ctx, r.Service, r.Rank)
+		if err != nil {
+			if last != nil {
+				return last, nil
+			}
+			return nil, err
+		}
+		h := c.choose(answer.Hosts, attempt)
+		id, err := newIdentity(h, age)
+		if err != nil {
+			return last, err
+		}
+		res := c.attempt(ctx, r, h.Address, id)
+		if res.Kind == Unknown && !r.Idempotent {
+			res = c.confirm(ctx, r, h.Address, id, res)
+		}
+		res.Attempts = attempt + 1
+		// A refusal of a later attempt does not undo an earlier one that may have run.
+		uncertain = uncertain || res.Kind == Unknown
+		if uncertain && res.Kind == NotRun {
+			res.Kind = Unknown
+		}
+		last = res
+		if !c.again(ctx, r, res) {
+			break
+		}
+	}
+	return last, nil
+}
+
+// again waits before another attempt, or returns false when there is to be none.
+func (c *Client) again(ctx context.Context, r *Request, res *Result) bool {
+	switch {
+	case res.Kind == Done:
+		return false
+	case res.Kind == Unknown && !r.Idempotent:
+		return false
+	case res.Kind == Unknown, res.Reason == string(outcome.ReasonConnect), res.Reason == string(outcome.ReasonLeaving):
+		c.forget(r.Service, r.Rank)
+	case res.RetryAfter == 0:
+		return false
+	}
+	wait := max(res.RetryAfter, minRetryDelay)
+	wait += time.Duration(mathrand.Int64N(int64(wait)/4 + 1))
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
+		return false
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// choose returns the host for an attempt: the best one first, skipping hosts
+// that failed lately.
+func (c *Client) choose(hosts []httpapi.LookupHost, attempt int) httpapi.LookupHost {
+	addresses := make([]string, len(hosts))
+	for i, h := range hosts {
+		addresses[i] = h.Address
+	}
+	ordered := c.order(addresses)
+	want := ordered[attempt%len(ordered)]
+	for _, h := range hosts {
+		if h.Address == want {
+			return h
+		}
+	}
+	return hosts[0]
+}
+
+// newIdentity makes the identity of an attempt at a host, which alone may run it.
+func newIdentity(h httpapi.LookupHost, age time.Duration) (ledger.ID, error) {
+	window := h.Window + uint32(age/identityWindow)
+	return ledger.NewID(host.Incarnation(h.Incarnation), window, rand.Reader)
+}
+
+// confirm asks the same entry host again under the same identity, after the
+// connection broke. The host runs the request if it never arrived, and returns
+// the recorded outcome if it did.
+func (c *Client) confirm(ctx context.Context, r *Request, address string, id ledger.ID, first *Result) *Result {
+	if ctx.Err() != nil {
+		return first
+	}
+	switch outcome.Reason(first.Reason) {
+	case outcome.ReasonBroken, outcome.ReasonIncomplete, outcome.ReasonWrongRequest:
+	default:
+		return first
+	}
+	second := c.attempt(ctx, r, address, id)
+	if second.Kind == Done {
+		return second
+	}
+	// A refusal of the repeat proves nothing about the first attempt unless
+	// the entry host recorded the identity as not run, which it then says
+	// about the identity itself.
+	if second.Kind == NotRun && second.Reason != string(outcome.ReasonConnect) {
+		return second
+	}
+	return first
+}
+
+// attempt sends the request once.
+func (c *Client) attempt(ctx context.Context, r *Request, address string, id ledger.ID) *Result {
+	var sent atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { sent.Store(true) }})
+	req, err := c.newRequest(traced, r, address, id)
+	if err != nil {
+		return &Result{Kind: NotRun, Reason: string(outcome.ReasonBadRequest), ID: id.String()}
+	}
+	resp, err := c.http.Transport.RoundTrip(req)
+	if err != nil {
+		c.markFailed(address)
+		if !sent.Load() {
+			return &Result{Kind: NotRun, Reason: string(outcome.ReasonConnect), ID: id.String()}
+		}
+		return &Result{Kind: Unknown, Reason: string(outcome.ReasonBroken), ID: id.String()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.read(resp, id.String())
+}
+
+func (c *Client) newRequest(ctx context.Context, r *Request, address string, id ledger.ID) (*http.Request, error) {
+	method := r.Method
+	if method == "" {
+		method = http.MethodGet
+		if len(r.Body) > 0 || !r.Idempotent {
+			method = http.MethodPost
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+httpapi.PathRun+r.Service+"/"+strings.TrimPrefix(r.Path, "/"), nil)
+	if err != nil {
+		return nil, err
+	}
+	if r.Header != nil {
+		req.Header = r.Header.Clone()
+	}
+	// The body is set without GetBody, so that the transport never repeats a
+	// request by itself.
+	req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
+	req.Header.Set(httpapi.HeaderRequestID, id.String())
+	req.Header.Set(httpapi.HeaderRank, r.Rank)
+	if c.cfg.Customer != "" {
+		req.Header.Set(httpapi.HeaderCustomer, c.cfg.Customer)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Header.Set(httpapi.HeaderDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	return req, nil
+}
+
+// read checks an answer: it must belong to the request, be whole, and name an
+// outcome.
+func (c *Client) read(resp *http.Response, id string) *Result {
+	res := &Result{Kind: Unknown, ID: id}
+	o, ok := httpapi.ReadOutcome(resp.Header)
+	body, err := c.readWhole(resp, id)
+	switch {
+	case errors.Is(err, errWrongRequest):
+		res.Reason = string(outcome.ReasonWrongRequest)
+	case err != nil:
+		res.Reason = string(outcome.ReasonIncomplete)
+	case !ok:
+		res.Reason = string(outcome.ReasonBroken)
+	default:
+		res.Kind, res.Reason, res.RetryAfter = o.Kind, string(o.Reason), o.RetryAfter
+		if o.Kind == Done {
+			res.Status, res.Header, res.Body = resp.StatusCode, resp.Header, body
+		}
+	}
+	return res
+}
+
+func (c *Client) readWhole(resp *http.Response, id string) ([]byte, error) {
+	if echo := resp.Header.Get(httpapi.HeaderRequestID); echo != id {
+		return nil, errWrongRequest
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > c.cfg.MaxAnswerBytes {
+		return nil, errTooLarge
+	}
+	if resp.ContentLength < 0 && resp.Trailer.Get(httpapi.TrailerEnd) != httpapi.EndWhole {
+		return nil, errCut
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/control/membership.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/member"
+)
+
+// Methods of the membership protocol.
+const (
+	methodPing    = "member.ping"
+	methodPingReq = "member.ping_req"
+)
+
+// pingTimeout bounds a call of the membership protocol.
+const pingTimeout = 2 * time.Second
+
+// stepMember feeds the membership machine and carries out its actions.
+func (c *Control) stepMember(now time.Duration, ev member.Event) {
+	for _, a := range c.member.Step(now, ev, nil) {
+		switch a := a.(type) {
+		case member.SendPing:
+			c.sendPing(a)
+		case member.SendPingReq:
+			c.sendPingReq(a)
+		case member.AnswerPing:
+			answer(c.pings, a.Call, a.Pong)
+		case member.AnswerPingReq:
+			answer(c.pingReqs, a.Call, a.Answer)
+		case member.Changed:
+			c.dirty = true
+			c.Log.WithFields(logrus.Fields{"host": a.Member.ID, "incarnation": a.Member.Incarnation, "before": a.Before,
+				"status": a.Member.Status}).Info("member changed")
+		case member.Superseded:
+			c.Log.WithField("incarnation", a.By).Error("a later run of this host has started")
+		}
+	}
+}
+
+func answer[T any](waiting map[uint64]chan T, call uint64, v T) {
+	if ch, ok := waiting[call]; ok {
+		delete(waiting, call)
+		ch <- v
+	}
+}
+
+func (c *Control) sendPing(a member.SendPing) {
+	c.async(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+		defer cancel()
+		if a.Seq == 0 {
+			_ = c.Peers.Notify(ctx, a.To.RPCAddress, methodPing, a.Ping)
+			return
+		}
+		var pong member.Pong
+		err := c.Peers.Call(ctx, a.To.RPCAddress, methodPing, a.Ping, &pong)
+		c.post(func(now time.Duration) {
+			if err != nil {
+				c.stepMember(now, member.CallFailed{Seq: a.Seq})
+				return
+			}
+			c.stepMember(now, member.PongReceived{Seq: a.Seq, Pong: pong})
+		})
+	})
+}
+
+func (c *Control) sendPingReq(a member.SendPingReq) {
+	c.async(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+		defer cancel()
+		var got member.PingReqAnswer
+		err := c.Peers.Call(ctx, a.To.RPCAddress, methodPingReq, a.Request, &got)
+		c.post(func(now time.Duration) {
+			if err != nil {
+				c.stepMember(now, member.CallFailed{Seq: a.Seq})
+				return
+			}
+			c.stepMember(now, member.PingReqAnswered{Seq: a.Seq, Answer: got})
+		})
+	})
+}
+
+// errStopped answers calls of peers after the control goroutine has ended.
+var errStopped = trace.ConnectionProblem(nil, "this process is shutting down")
+
+// ask registers a call in the control goroutine and waits for its answer.
+func ask[T any](ctx context.Context, c *Control, waiting map[uint64]chan T, step func(now time.Duration, call uint64)) (T, error) {
+	ch := make(chan T, 1)
+	var zero T
+	ok := c.post(func(now time.Duration) {
+		c.nextCall++
+		waiting[c.nextCall] = ch
+		step(now, c.nextCall)
+	})
+	if !ok {
+		return zero, errStopped
+	}
+	select {
+	case v := <-ch:
+		return v, nil
+	case <-ctx.Done():
+		return zero, trace.Wrap(ctx.Err())
+	case <-c.done:
+		return zero, errStopped
+	case <-time.After(pingTimeout):
+		return zero, trace.LimitExceeded("no answer in time")
+	}
+}
+
+// Ping serves member.ping.
+func (c *Control) Ping(ctx context.Context, p member.Ping) (member.Pong, error) {
+	return ask(ctx, c, c.pings, func(now time.Duration, call uint64) {
+		c.stepMember(now, member.PingReceived{Call: call, Ping: p})
+	})
+}
+
+// PingReq serves member.ping_req.
+func (c *Control) PingReq(ctx context.Context, p member.PingReq) (member.PingReqAnswer, error) {
+	return ask(ctx, c, c.pingReqs, func(now time.Duration, call uint64) {
+		c.stepMember(now, member.PingReqReceived{Call: call, Request: p})
+	})
+}
+
+// workers returns the hosts of this region that take new work, this one
+// included.
+func (c *Control) workers() []host.Info {
+	var out []host.Info
+	for _, m := range c.member.Members() {
+		if m.TakesWork() && m.Incarnation != 0 {
+			out = append(out, m.Info)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,224 @@
+// Package edge serves callers: it answers look-ups, accepts requests, gets a
+// slot for each one from the owner of its pool, sends it to the backend server
+// and returns the whole answer with a typed outcome.
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/adapter/backend"
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/httpapi"
+	"github.com/galenabeam/galenabeam/internal/ledger"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/retry"
+	"github.com/galenabeam/galenabeam/internal/view"
+)
+
+// Slots gets slots of this region's pools from their owners.
+type Slots interface {
+	// Acquire waits for a slot until ctx ends. A reply that is not granted is
+	// certain: nothing was sent to a backend server.
+	Acquire(ctx context.Context, a peer.Acquire) peer.AcquireReply
+	// Release gives a slot back.
+	Release(r peer.Release)
+}
+
+// Backends sends requests to backend servers.
+type Backends interface {
+	Do(ctx context.Context, r backend.Request) backend.Answer
+}
+
+// Router chooses the region that serves a request.
+type Router interface {
+	// Route returns the region, or a refusal when no region can help.
+	Route(s *view.Snapshot, r RouteRequest) (region string, refusal *outcome.Outcome)
+}
+
+// RouteRequest is what a routing decision depends on.
+type RouteRequest struct {
+	Service, Rank, Origin string
+	Left                  time.Duration
+	// Forwarded requests are served here or refused, so that no request
+	// crosses more than one inter-region link.
+	Forwarded bool
+}
+
+// Config holds the fixed values of an Edge.
+type Config struct {
+	Self host.Info
+	// LookupTTL is how long callers may use the answer to a look-up.
+	LookupTTL time.Duration
+	// IdentityWindow is the length of one window of request identities.
+	IdentityWindow time.Duration
+	// LedgerCapacity bounds the identities that are remembered.
+	LedgerCapacity int
+	// MaxConnsPerServer bounds the connections of this process to one backend server.
+	MaxConnsPerServer int
+}
+
+// Default values of Config.
+const (
+	DefaultLookupTTL      = 5 * time.Second
+	DefaultIdentityWindow = time.Minute
+	DefaultLedgerCapacity = 1 << 18
+)
+
+// Edge serves callers. Create it with New; it is safe for concurrent use.
+type Edge struct {
+	cfg      Config
+	views    *view.Publisher
+	slots    Slots
+	backends Backends
+	router   Router
+	peers    peer.Caller
+	log      *logrus.Entry
+	metrics  metrics.Registry
+	start    time.Time
+
+	mu      sync.Mutex
+	ledger  *ledger.Ledger
+	answers map[ledger.ID]storedAnswer
+	budgets map[string]*retry.Budget
+	held    map[peer.GrantKey]heldSlot
+	next    uint64
+	active  int
+	leaving bool
+	idle    chan struct{} // closed when leaving and no request is active
+}
+
+// New returns an Edge. entropy is the source of identities that the edge mints
+// for callers that bring none.
+func New(cfg Config, views *view.Publisher, slots Slots, backends Backends, router Router, peers peer.Caller, log *logrus.Entry, reg metrics.Registry) *Edge {
+	return &Edge{
+		cfg: cfg, views: views, slots: slots, backends: backends, router: router, peers: peers,
+		log: log, metrics: reg, start: time.Now(),
+		ledger:  ledger.New(cfg.Self.Incarnation, cfg.LedgerCapacity, cfg.IdentityWindow),
+		answers: map[ledger.ID]storedAnswer{},
+		budgets: map[string]*retry.Budget{},
+		held:    map[peer.GrantKey]heldSlot{},
+		idle:    make(chan struct{}),
+	}
+}
+
+// Handler returns the HTTP handler for callers.
+func (e *Edge) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+httpapi.PathLookup, e.serveLookup)
+	mux.HandleFunc(httpapi.PathRun, e.serveRun)
+	return mux
+}
+
+// now is the time since the edge started, on the monotonic clock.
+func (e *Edge) now() time.Duration { return time.Since(e.start) }
+
+// Window returns the present window of request identities.
+func (e *Edge) Window() uint32 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ledger.Window(e.now())
+}
+
+// Expire forgets what the ledger need not keep. The control goroutine calls
+// it every few seconds.
+func (e *Edge) Expire() {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ledger.Expire(now)
+	for id, a := range e.answers {
+		if now > a.until {
+			delete(e.answers, id)
+		}
+	}
+}
+
+// Active returns the number of requests in progress.
+func (e *Edge) Active() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active
+}
+
+// Leave starts the graceful shutdown: look-ups answer with other hosts only.
+// Requests are still served until the server is closed. The returned channel
+// is closed once no request is active.
+func (e *Edge) Leave() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.leaving {
+		e.leaving = true
+		if e.active == 0 {
+			close(e.idle)
+		}
+	}
+	return e.idle
+}
+
+func (e *Edge) enter() {
+	e.mu.Lock()
+	e.active++
+	e.mu.Unlock()
+}
+
+func (e *Edge) exit() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+	if e.leaving && e.active == 0 {
+		select {
+		case <-e.idle:
+		default:
+			close(e.idle)
+		}
+	}
+}
+
+func (e *Edge) count(name string) { metrics.GetOrRegisterCounter(name, e.metrics).Inc(1) }
+
+// finish counts and writes an answer that the entry host makes itself.
+func (e *Edge) finish(w http.ResponseWriter, r *request, o outcome.Outcome) {
+	o = e.vouch(r, o)
+	e.record(r, o)
+	h := w.Header()
+	httpapi.SetOutcome(h, o)
+	if r.idText != "" {
+		h.Set(httpapi.HeaderRequestID, r.idText)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(httpapi.StatusOf(o))
+	text := string(o.Kind) + ": " + string(o.Reason)
+	if r.detail != "" {
+		text += ": " + r.detail
+	}
+	_, _ = io.WriteString(w, text+"\n")
+}
+
+// record updates the counters and histograms of a finished request.
+func (e *Edge) record(r *request, o outcome.Outcome) {
+	service, rank := "none", "none"
+	if r.service != nil {
+		service = r.service.Name
+	}
+	if r.rank != nil {
+		rank = r.rank.Name
+	}
+	e.count("requests." + service + "." + rank + "." + string(o.Kind) + "." + string(o.Reason))
+	took := time.Since(r.arrived)
+	if o.Kind == outcome.Done {
+		metrics.GetOrRegisterHistogram("latency_us."+service+"."+rank, e.metrics,
+			metrics.NewExpDecaySample(1028, 0.015)).Update(took.Microseconds())
+	}
+	if r.trace {
+		e.log.WithFields(logrus.Fields{"request": r.idText, "service": service, "rank": rank, "origin": r.origin,
+			"region": r.servedIn, "server": r.servedBy, "outcome": o.Kind, "reason": o.Reason, "took": took}).Info("request ended")
+	}
+}
--- /dev/null
+++ b/internal/edge/lookup.go
@@ -0,0 +1,85 @@
+package edge
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/httpapi"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+// lookupHosts is the number of entry hosts in an answer. More than one lets a
+// caller go on when a host fails before the answer expires.
+const lookupHosts = 3
+
+// serveLookup answers which entry hosts a caller should use.
+func (e *Edge) serveLookup(w http.ResponseWriter, r *http.Request) {
+	e.count("lookups")
+	s := e.views.Load()
+	if s.Config == nil || s.Steering() == nil {
+		refuseLookup(w, outcome.Refuse(outcome.ReasonNoConfig, e.cfg.LookupTTL), "no configuration yet")
+		return
+	}
+	q := r.URL.Query()
+	service := q.Get("service")
+	if _, ok := s.Service(service); !ok {
+		refuseLookup(w, outcome.Refuse(outcome.ReasonNoService, 0), "service "+quote(service)+" is not configured")
+		return
+	}
+	if rank := q.Get("rank"); rank != "" {
+		if _, ok := s.Rank(rank); !ok {
+			refuseLookup(w, outcome.Refuse(outcome.ReasonNoRank, 0), "rank "+quote(rank)+" is not configured")
+			return
+		}
+	}
+	client, err := clientAddr(q.Get("client"), r.RemoteAddr)
+	if err != nil {
+		refuseLookup(w, outcome.Refuse(outcome.ReasonBadRequest, 0), "client "+quote(q.Get("client"))+" is not an IP address")
+		return
+	}
+	var buf [lookupHosts + 1]host.Info
+	answer := httpapi.LookupAnswer{TTLMillis: e.cfg.LookupTTL.Milliseconds()}
+	answer.Origin, _ = s.Steering().Region(client)
+	for _, h := range s.Steering().Hosts(service, client, buf[:0]) {
+		if len(answer.Hosts) == lookupHosts {
+			break
+		}
+		answer.Hosts = append(answer.Hosts, httpapi.LookupHost{Address: h.HTTPAddress, Region: h.Region, Incarnation: uint64(h.Incarnation),
+			Window: h.Incarnation.Window(time.Now(), e.cfg.IdentityWindow)})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func refuseLookup(w http.ResponseWriter, o outcome.Outcome, detail string) {
+	httpapi.SetOutcome(w.Header(), o)
+	http.Error(w, string(o.Reason)+": "+detail, httpapi.StatusOf(o))
+}
+
+// clientAddr returns the address that a look-up names, or that of the
+// connection when it names none.
+func clientAddr(named, remote string) (netip.Addr, error) {
+	if named == "" {
+		h, _, err := net.SplitHostPort(remote)
+		if err != nil {
+			return netip.Addr{}, err
+		}
+		named = h
+	}
+	a, err := netip.ParseAddr(named)
+	return a.Unmap(), err
+}
+
+// quote bounds what a caller sent before it goes into an error text.
+func quote(s string) string {
+	const most = 64
+	if len(s) > most {
+		s = s[:most] + "..."
+	}
+	b, _ := json.Marshal(s)
+	return string(b)
+}
--- /dev/null
+++ b/internal/edge/retry.go
@@ -0,0 +1,56 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/outcome"
+	"github.com/galenabeam/galenabeam/internal/retry"
+)
+
+// retryBurst is the number of extra attempts that a budget can save up.
+const retryBurst = 10
+
+// budget returns the retry budget of the request's service. The caller holds
+// e.mu.
+func (e *Edge) budget(r *request) *retry.Budget {
+	b, ok := e.budgets[r.service.Name]
+	if !ok {
+		b = retry.NewBudget(r.service.RetryShare, retryBurst)
+		e.budgets[r.service.Name] = b
+	}
+	return b
+}
+
+// countRequest adds a request to its service's retry budget.
+func (e *Edge) countRequest(r *request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget(r).Request()
+}
+
+// mayRetry waits before another attempt, or returns false when there is to be
+// none.
+func (e *Edge) mayRetry(ctx context.Context, r *request, o outcome.Outcome, attempt int) bool {
+	if !r.replayable() {
+		return false
+	}
+	e.mu.Lock()
+	d := retry.DefaultPolicy.Decide(retry.Attempt{Number: attempt, Inherited: r.inherited}, o, r.rank.Idempotent, r.left(), e.budget(r))
+	e.mu.Unlock()
+	if !d.Retry {
+		return false
+	}
+	e.count("retries." + r.service.Name)
+	if d.After <= 0 {
+		return true
+	}
+	t := time.NewTimer(d.After)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/edge/run.go
@@ -0,0 +1,193 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/adapter/backend"
+	"github.com/galenabeam/galenabeam/internal/httpapi"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/view"
+)
+
+// serveRun serves one request from arrival to its outcome.
+func (e *Edge) serveRun(w http.ResponseWriter, in *http.Request) {
+	e.enter()
+	defer e.exit()
+	s := e.views.Load()
+	r, refusal := e.parse(s, in)
+	if refusal == nil {
+		refusal = e.readBody(w, in, r)
+	}
+	if refusal != nil {
+		e.finish(w, r, *refusal)
+		return
+	}
+	if !r.rank.Idempotent && !e.begin(in.Context(), s, w, r) {
+		return
+	}
+	o, answer := e.execute(in.Context(), s, r)
+	if answer == nil {
+		e.finish(w, r, e.settle(r, o, nil))
+		return
+	}
+	e.deliver(w, r, answer)
+}
+
+// execute tries to get a whole answer until one arrives, the outcome forbids
+// another attempt, or the time or the retry budget is used up.
+func (e *Edge) execute(ctx context.Context, s *view.Snapshot, r *request) (outcome.Outcome, *answer) {
+	e.countRequest(r)
+	for attempt := 1; ; attempt++ {
+		region, refusal := e.router.Route(s, RouteRequest{Service: r.service.Name, Rank: r.rank.Name, Origin: r.origin, Left: r.left(), Forwarded: r.forwarded})
+		if refusal != nil {
+			return *refusal, nil
+		}
+		var o outcome.Outcome
+		var a *answer
+		if region == e.cfg.Self.Region {
+			o, a = e.runHere(ctx, r)
+		} else {
+			o, a = e.forward(ctx, s, r, region)
+		}
+		if a != nil || !e.mayRetry(ctx, r, o, attempt) {
+			return o, a
+		}
+	}
+}
+
+// runHere gets a slot in this region and sends the request to its server.
+func (e *Edge) runHere(ctx context.Context, r *request) (outcome.Outcome, *answer) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	key := e.nextKey()
+	reply := e.slots.Acquire(ctx, peer.Acquire{Key: key, Service: r.service.Name, Rank: r.rank.Name, Customer: r.customer,
+		Origin: r.origin, LeftMillis: r.left().Milliseconds(), Bytes: max(0, r.contentLength), RequestID: r.idText})
+	if !reply.Granted {
+		cancel()
+		return outcome.Refuse(reply.Refusal.Reason, time.Duration(reply.Refusal.RetryAfterMillis)*time.Millisecond), nil
+	}
+	r.servedIn, r.servedBy = e.cfg.Self.Region, reply.Server
+	e.hold(key, heldSlot{service: r.service.Name, region: e.cfg.Self.Region, server: reply.Server, rank: r.rank.Name, origin: r.origin, deadline: r.deadline})
+	if !r.rank.Idempotent {
+		// The work is finished even when the caller goes away, so that a
+		// repeated call can be told its outcome.
+		cancel()
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+	}
+	begun := time.Now()
+	got := e.send(ctx, r, reply.Address)
+	release := func(status peer.ReleaseStatus) {
+		cancel()
+		e.drop(key)
+		e.slots.Release(peer.Release{Service: r.service.Name, Key: key, Grant: reply.Grant, Status: status,
+			ServiceMicros: time.Since(begun).Microseconds(), Draining: got.Draining})
+	}
+	if got.Response == nil {
+		release(releaseStatus(got))
+		return got.Outcome, nil
+	}
+	a, err := readAnswer(got.Response, release)
+	if err != nil {
+		return outcome.Uncertain(outcome.ReasonIncomplete), nil
+	}
+	return outcome.Success(), a
+}
+
+// send makes one attempt at a backend server.
+func (e *Edge) send(ctx context.Context, r *request, address string) backend.Answer {
+	if r.left() <= 0 {
+		return backend.Answer{Outcome: outcome.Refuse(outcome.ReasonLate, 0)}
+	}
+	if !e.sending(r) {
+		return backend.Answer{Outcome: outcome.Uncertain(outcome.ReasonRepeat)}
+	}
+	got := e.backends.Do(ctx, backend.Request{Address: address, Method: r.method, Path: r.path, Header: r.header.Clone(), Body: r.body(),
+		ContentLength: r.contentLength, RequestID: r.idText, Left: r.left(), MaxConns: e.cfg.MaxConnsPerServer, Idempotent: r.rank.Idempotent})
+	e.sent(r, got.Outcome)
+	return got
+}
+
+// body returns a reader of the whole body, or nil when there is none.
+func (r *request) body() io.Reader {
+	if r.stream != nil {
+		return r.stream
+	}
+	if len(r.buffered) == 0 {
+		return nil
+	}
+	return bytes.NewReader(r.buffered)
+}
+
+func releaseStatus(a backend.Answer) peer.ReleaseStatus {
+	switch {
+	case a.Shed:
+		return peer.ReleaseShed
+	case a.Outcome.Reason == outcome.ReasonCanceled || a.Outcome.Reason == outcome.ReasonLate:
+		return peer.ReleaseCanceled
+	default:
+		return peer.ReleaseFailed
+	}
+}
+
+// forward sends the request to an entry host of another region, which serves
+// it under an identity bound to its own incarnation.
+func (e *Edge) forward(ctx context.Context, s *view.Snapshot, r *request, region string) (outcome.Outcome, *answer) {
+	hosts := s.Regions[region].Hosts
+	if len(hosts) == 0 {
+		return outcome.Refuse(outcome.ReasonBusy, 0), nil
+	}
+	h := hosts[rand.IntN(len(hosts))]
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	if !r.rank.Idempotent {
+		cancel()
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+	}
+	id, err := e.derive(h)
+	if err != nil || !e.sending(r) {
+		cancel()
+		return outcome.Uncertain(outcome.ReasonInternalError), nil
+	}
+	header := r.header.Clone()
+	header.Set(httpapi.HeaderOrigin, r.origin)
+	header.Set(httpapi.HeaderAttempt, "1")
+	r.servedIn, r.servedBy = region, string(h.ID)
+	got := e.backends.Do(ctx, backend.Request{Address: h.HTTPAddress, Method: r.method, Path: httpapi.PathRun + r.service.Name + r.path, Header: header,
+		Body: r.body(), ContentLength: r.contentLength, RequestID: id.String(), Left: r.left(), Idempotent: r.rank.Idempotent})
+	o, a := e.forwarded(got)
+	e.sent(r, o)
+	if a == nil {
+		cancel()
+		return o, nil
+	}
+	if a.rest == nil {
+		cancel()
+	} else {
+		a.release = func(peer.ReleaseStatus) { cancel() }
+	}
+	return o, a
+}
+
+// forwarded reads the outcome and the answer of a forwarded request.
+func (e *Edge) forwarded(got backend.Answer) (outcome.Outcome, *answer) {
+	if got.Response == nil {
+		return got.Outcome, nil
+	}
+	o, ok := httpapi.ReadOutcome(got.Response.Header)
+	if !ok || o.Kind != outcome.Done {
+		_ = got.Response.Body.Close()
+		if !ok {
+			o = outcome.Uncertain(outcome.ReasonBroken)
+		}
+		return o, nil
+	}
+	a, err := readAnswer(got.Response, func(peer.ReleaseStatus) {})
+	if err != nil {
+		return outcome.Uncertain(outcome.ReasonIncomplete), nil
+	}
+	return outcome.Success(), a
+}
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -41,12 +41,6 @@
 	CrossAnswers int
 }
 
-// Run is the record of one execution.
-type Run struct {
-	ID       string
-	Finished bool
-}
-
 // Server is one backend server on a loopback address.
 type Server struct {
 	Name string
@@ -125,11 +119,12 @@
 	return c
 }
 
-// Ran returns how often the request with this identity ran.
-func (s *Server) Ran(id string) int {
+// Ran returns how often the work ran that a request named with the query
+// parameter "work", or else by its identity.
+func (s *Server) Ran(work string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.runs[id]
+	return s.runs[work]
 }
 
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
@@ -156,7 +151,7 @@
 }
 
 // begin takes a slot. It returns false when the request is shed.
-func (s *Server) begin(id string) (b Behavior, n int, ok bool) {
+func (s *Server) begin(work string) (b Behavior, n int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b = s.behavior
@@ -169,7 +164,7 @@
 	}
 	s.inFlight++
 	s.peak = max(s.peak, s.inFlight)
-	s.runs[id]++
+	s.runs[work]++
 	s.served++
 	s.record()
 	return b, s.served, true
@@ -193,7 +188,11 @@
 
 func (s *Server) serveRun(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(httpapi.HeaderRequestID)
-	b, n, ok := s.begin(id)
+	work := r.URL.Query().Get("work")
+	if work == "" {
+		work = id
+	}
+	b, n, ok := s.begin(work)
 	if b.Draining {
 		w.Header().Set(httpapi.HeaderDraining, "1")
 	}
@@ -202,9 +201,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer s.end()
 	size, err := io.Copy(io.Discard, r.Body)
-	if err != nil || !s.work(r, b) {
+	worked := err == nil && s.work(r, b)
+	// The slot is free before the answer leaves, as the sender may use it again
+	// the moment that it has the answer.
+	s.end()
+	if !worked {
 		return
 	}
 	if b.LoseAnswers > 0 && n%b.LoseAnswers == 0 {
@@ -215,7 +217,7 @@
 	} else {
 		w.Header().Set(httpapi.HeaderRequestID, id)
 	}
-	body := []byte("server=" + s.Name + " id=" + id + " read=" + strconv.FormatInt(size, 10) + "\n")
+	body := []byte("server=" + s.Name + " work=" + work + " read=" + strconv.FormatInt(size, 10) + "\n")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if b.CutAnswers > 0 && n%b.CutAnswers == 0 {
 		_, _ = w.Write(body[:len(body)/2])
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -1,6 +1,8 @@
 // Package host identifies entry hosts and the processes that run on them.
 package host
 
+import "time"
+
 // ID names an entry host. It is unique among the hosts of a deployment and is
 // never reused while the platform still lists the host.
 type ID string
@@ -8,8 +10,24 @@
 // Incarnation identifies one run of the daemon. A later run on the same host
 // has a greater incarnation, so that messages about an earlier run are
 // recognized and ignored. Zero stands for an unknown incarnation.
+//
+// The value is the start of the run in microseconds since the Unix epoch, so
+// that other processes can tell the run's window of request identities.
 type Incarnation uint64
 
+// NewIncarnation returns the incarnation of a run that starts at t.
+func NewIncarnation(t time.Time) Incarnation { return Incarnation(t.UnixMicro()) }
+
+// Window returns the number of the identity window that the run is in at wall
+// time t. Clocks of hosts differ, so a run accepts the windows next to its own.
+func (i Incarnation) Window(t time.Time, length time.Duration) uint32 {
+	since := t.Sub(time.UnixMicro(int64(i)))
+	if since < 0 || length <= 0 {
+		return 0
+	}
+	return uint32(since / length)
+}
+
 // Info describes one run of the daemon on an entry host.
 type Info struct {
 	ID            ID          `json:"id"`
--- /dev/null
+++ b/internal/owner/pool.go
@@ -0,0 +1,260 @@
+// Package owner runs the schedulers of the pools that this process owns and
+// connects edges to the owners of pools. The scheduler decides; this package
+// adds the lock, the waiting and the clock.
+package owner
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/galenabeam/galenabeam/config"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/sched"
+)
+
+// Pool is one owned pool. It is safe for concurrent use.
+type Pool struct {
+	service, region string
+	clock           func() time.Duration
+	// valid tells whether the lease on the pool is still held. It is checked
+	// before every grant, so that a process that was paused grants nothing.
+	valid func() bool
+
+	mu      sync.Mutex
+	sched   *sched.Pool
+	index   index
+	acts    []sched.Action
+	next    uint64
+	waiting map[uint64]*waiter
+	keys    map[peer.GrantKey]uint64
+	grants  map[peer.GrantKey]sched.GrantID
+	// withdrawn holds cancels that arrived before their acquire call: calls on
+	// one connection are handled concurrently.
+	withdrawn map[peer.GrantKey]time.Duration
+	closed    bool
+}
+
+// withdrawnTime is how long a cancel waits for its acquire call.
+const withdrawnTime = 5 * time.Second
+
+// waiter is an acquire call that the scheduler has not decided.
+type waiter struct {
+	key     peer.GrantKey
+	decided chan peer.AcquireReply // buffered, receives once
+}
+
+// index maps the names of messages to the scheduler's numbers.
+type index struct {
+	ranks, customers, origins map[string]int
+	rankNames                 []string
+	addresses                 map[string]string
+	answerBytes               int64
+}
+
+// NewPool returns the pool of a service in a region under a configuration.
+// clock is the monotonic time of the process.
+func NewPool(c *config.Config, service, region string, clock func() time.Duration, valid func() bool, rng *rand.Rand) *Pool {
+	params := sched.ParamsFor(c, service, region)
+	return &Pool{
+		service: service, region: region, clock: clock, valid: valid,
+		sched: sched.NewPool(clock(), params, rng), index: newIndex(c, params),
+		waiting: map[uint64]*waiter{}, keys: map[peer.GrantKey]uint64{}, grants: map[peer.GrantKey]sched.GrantID{},
+		withdrawn: map[peer.GrantKey]time.Duration{},
+	}
+}
+
+func newIndex(c *config.Config, p sched.Params) index {
+	x := index{ranks: map[string]int{}, customers: map[string]int{}, origins: map[string]int{}, addresses: map[string]string{}}
+	for i, r := range p.Ranks {
+		x.ranks[r.Name] = i
+		x.rankNames = append(x.rankNames, r.Name)
+	}
+	for i, cu := range p.Customers {
+		x.customers[cu.Name] = i
+	}
+	for i, o := range p.Origins {
+		x.origins[o] = i
+	}
+	for _, b := range c.BackendServers {
+		x.addresses[b.Name] = b.Address
+	}
+	for _, s := range c.Services {
+		if s.Name == p.Service {
+			x.answerBytes = s.AnswerBytes
+		}
+	}
+	return x
+}
+
+// Configure puts a new configuration in force.
+func (p *Pool) Configure(c *config.Config) {
+	params := sched.ParamsFor(c, p.service, p.region)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index = newIndex(c, params)
+	p.acts = p.sched.Configure(p.clock(), params, p.acts[:0])
+	p.perform()
+}
+
+// SetGate sets the gate for shifted requests.
+func (p *Pool) SetGate(g sched.Gate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sched.SetGate(g)
+}
+
+// Acquire waits for a slot until it is decided or ctx ends. When ctx ends, the
+// call is withdrawn and nothing is granted.
+func (p *Pool) Acquire(ctx context.Context, a peer.Acquire) peer.AcquireReply {
+	w, reply := p.enqueue(a)
+	if w == nil {
+		return reply
+	}
+	select {
+	case reply = <-w.decided:
+		return reply
+	case <-ctx.Done():
+		p.Cancel(a.Key)
+		return refused(outcome.ReasonCanceled, 0)
+	}
+}
+
+func refused(reason outcome.Reason, retryAfter time.Duration) peer.AcquireReply {
+	return peer.AcquireReply{Refusal: peer.Refusal{Reason: reason, RetryAfterMillis: retryAfter.Milliseconds()}}
+}
+
+// leaseRetry is when an edge may ask again after the owner of a pool changed.
+const leaseRetry = 200 * time.Millisecond
+
+func (p *Pool) enqueue(a peer.Acquire) (*waiter, peer.AcquireReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || !p.valid() {
+		return nil, refused(outcome.ReasonNoOwner, leaseRetry)
+	}
+	rank, ok := p.index.ranks[a.Rank]
+	if !ok {
+		return nil, refused(outcome.ReasonNoRank, 0)
+	}
+	customer, ok := p.index.customers[a.Customer]
+	if !ok {
+		customer = len(p.index.customers)
+	}
+	origin, ok := p.index.origins[a.Origin]
+	if !ok {
+		return nil, refused(outcome.ReasonBadRequest, 0)
+	}
+	if _, ok := p.withdrawn[a.Key]; ok {
+		delete(p.withdrawn, a.Key)
+		return nil, refused(outcome.ReasonCanceled, 0)
+	}
+	now := p.clock()
+	p.next++
+	w := &waiter{key: a.Key, decided: make(chan peer.AcquireReply, 1)}
+	p.waiting[p.next], p.keys[a.Key] = w, p.next
+	p.acts = p.sched.Enqueue(now, sched.Request{Key: p.next, Rank: rank, Customer: customer, Origin: origin,
+		Deadline: now + time.Duration(a.LeftMillis)*time.Millisecond, Bytes: a.Bytes + p.index.answerBytes}, p.acts[:0])
+	p.perform()
+	return w, peer.AcquireReply{}
+}
+
+// perform carries out the scheduler's actions. The caller holds p.mu.
+func (p *Pool) perform() {
+	for _, act := range p.acts {
+		w, ok := p.waiting[act.Key]
+		if !ok {
+			continue
+		}
+		delete(p.waiting, act.Key)
+		delete(p.keys, w.key)
+		if act.Kind == sched.Refuse {
+			w.decided <- refused(act.Outcome.Reason, act.Outcome.RetryAfter)
+			continue
+		}
+		name := p.sched.ServerName(act.Server)
+		p.grants[w.key] = act.Grant
+		w.decided <- peer.AcquireReply{Granted: true, Server: name, Address: p.index.addresses[name], Grant: uint64(act.Grant)}
+	}
+}
+
+// Cancel withdraws an acquire call, whether it waits or has been granted.
+func (p *Pool) Cancel(key peer.GrantKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.acts = p.acts[:0]
+	_, waits := p.keys[key]
+	_, granted := p.grants[key]
+	if !waits && !granted {
+		p.withdrawn[key] = p.clock() + withdrawnTime
+		return
+	}
+	if k, ok := p.keys[key]; ok {
+		delete(p.keys, key)
+		delete(p.waiting, k)
+		p.acts = p.sched.Cancel(p.clock(), k, p.acts)
+	}
+	if g, ok := p.grants[key]; ok {
+		delete(p.grants, key)
+		p.acts = p.sched.Release(p.clock(), g, sched.Result{Status: sched.Canceled}, p.acts)
+	}
+	p.perform()
+}
+
+// Release ends the use of a slot. A release of an unknown grant is ignored.
+func (p *Pool) Release(r peer.Release) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g, ok := p.grants[r.Key]
+	if !ok {
+		return
+	}
+	delete(p.grants, r.Key)
+	p.acts = p.sched.Release(p.clock(), g, sched.Result{Status: status(r.Status),
+		ServiceTime: time.Duration(r.ServiceMicros) * time.Microsecond, Draining: r.Draining}, p.acts[:0])
+	p.perform()
+}
+
+func status(s peer.ReleaseStatus) sched.Status {
+	switch s {
+	case peer.ReleaseOK:
+		return sched.OK
+	case peer.ReleaseShed:
+		return sched.Shed
+	case peer.ReleaseCanceled:
+		return sched.Canceled
+	default:
+		return sched.Failed
+	}
+}
+
+// Tick lets the scheduler act on the passing of time and returns when it wants
+// to be called again.
+func (p *Pool) Tick() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	for key, until := range p.withdrawn {
+		if now > until {
+			delete(p.withdrawn, key)
+		}
+	}
+	if p.valid() {
+		p.acts = p.sched.Tick(now, p.acts[:0])
+		p.perform()
+	}
+	return p.sched.NextWake(now) - now
+}
+
+// Close refuses all waiting calls, because another process owns the pool now.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for k, w := range p.waiting {
+		w.decided <- refused(outcome.ReasonNoOwner, leaseRetry)
+		delete(p.waiting, k)
+	}
+}
--- /dev/null
+++ b/internal/quickstart/cluster.go
@@ -0,0 +1,239 @@
+// Package quickstart runs a small deployment in one process on loopback
+// addresses, over the real protocols: the platform's stand-ins, entry hosts in
+// three regions, backend servers, and callers of all ranks.
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/config"
+	"github.com/galenabeam/galenabeam/internal/adapter/hostlist"
+	"github.com/galenabeam/galenabeam/internal/daemon"
+	"github.com/galenabeam/galenabeam/internal/fake/backend"
+	fakelist "github.com/galenabeam/galenabeam/internal/fake/hostlist"
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/member"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Sizes of the deployment.
+const (
+	hostsPerRegion   = 2
+	serversPerPool   = 2
+	slotsPerServer   = 4
+	listLag          = 500 * time.Millisecond
+	shutdownLimit    = 30 * time.Second
+	connectionsLimit = 800
+)
+
+var regionNames = []string{"sudvestur", "nordur", "austur"}
+
+var serviceNames = []string{"talnabrunnur", "yfirlysingar"}
+
+// cluster is a running deployment.
+type cluster struct {
+	log    *logrus.Logger
+	list   *fakelist.List
+	listS  *httptest.Server
+	config *config.Config
+
+	mu       sync.Mutex
+	backends []*backend.Server
+	hosts    []*entryHost
+	serial   int
+}
+
+// entryHost is a running daemon.
+type entryHost struct {
+	d      *daemon.Daemon
+	stop   context.CancelFunc
+	ended  chan struct{}
+	region int
+}
+
+// entryIP, callerIP and serverIP give each part its own loopback address, so
+// that regions are told apart by address as in a real deployment.
+func entryIP(region, n int) string { return fmt.Sprintf("127.10.%d.%d", region+1, n) }
+func callerIP(region int) string   { return fmt.Sprintf("127.20.%d.1", region+1) }
+func serverIP(region, n int) string {
+	return fmt.Sprintf("127.30.%d.%d", region+1, n)
+}
+
+// startCluster starts all parts. close must be called also after an error.
+func startCluster(log *logrus.Logger) (*cluster, error) {
+	c := &cluster{log: log, list: fakelist.New(time.Now)}
+	c.list.SetLag(listLag)
+	c.listS = httptest.NewServer(http.HandlerFunc(c.list.ServeHTTP))
+	if err := c.startBackends(); err != nil {
+		return c, err
+	}
+	for range hostsPerRegion {
+		for region := range regionNames {
+			if err := c.startHost(region); err != nil {
+				return c, err
+			}
+		}
+	}
+	return c, nil
+}
+
+func (c *cluster) startBackends() error {
+	cfg := baseConfig()
+	n := 0
+	for region, name := range regionNames {
+		for _, service := range serviceNames {
+			for i := range serversPerPool {
+				n++
+				s, err := backend.Start(fmt.Sprintf("%s-%s-%d", service, name, i+1), serverIP(region, n),
+					backend.Behavior{Slots: slotsPerServer, ServiceTime: 10 * time.Millisecond, Shed: true})
+				if err != nil {
+					return trace.Wrap(err, "starting a backend server")
+				}
+				c.backends = append(c.backends, s)
+				cfg.BackendServers = append(cfg.BackendServers, config.BackendServer{Name: s.Name, Service: service, Region: name,
+					FailureDomain: cfg.Regions[region].FailureDomains[i%2], Address: s.Address(), Slots: slotsPerServer, Connections: connectionsLimit})
+			}
+		}
+	}
+	if err := config.Check(cfg); err != nil {
+		return trace.Wrap(err, "checking the quickstart's configuration")
+	}
+	c.config = cfg
+	return nil
+}
+
+// startHost starts an entry host and puts it on the platform's list.
+func (c *cluster) startHost(region int) error {
+	c.mu.Lock()
+	c.serial++
+	serial := c.serial
+	c.mu.Unlock()
+	ip := entryIP(region, serial)
+	domain := c.config.Regions[region].FailureDomains[serial%2]
+	d, err := daemon.New(daemon.Options{
+		ID: host.ID(fmt.Sprintf("entry-%s-%d", regionNames[region], serial)), Region: regionNames[region], FailureDomain: domain,
+		HTTPAddress: ip + ":0", RPCAddress: ip + ":0", ShutdownLimit: shutdownLimit, Log: c.log,
+		HostList: hostlist.New(c.listS.URL, http.DefaultClient, metrics.NewRegistry()),
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	self := d.Self()
+	c.list.Put(member.Listed{ID: self.ID, Region: self.Region, FailureDomain: self.FailureDomain, RPCAddress: self.RPCAddress,
+		HTTPAddress: self.HTTPAddress, State: member.ListedLive})
+	d.Control().SetConfig(c.config, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	h := &entryHost{d: d, stop: stop, ended: make(chan struct{}), region: region}
+	go func() {
+		defer close(h.ended)
+		if err := d.Run(ctx); err != nil {
+			c.log.WithError(err).Error("entry host failed")
+		}
+	}()
+	c.mu.Lock()
+	c.hosts = append(c.hosts, h)
+	c.mu.Unlock()
+	return nil
+}
+
+// replaceHost starts a new entry host and shuts an old one down gracefully, as
+// the platform does when it replaces a machine.
+func (c *cluster) replaceHost(n int) (old, fresh host.ID, err error) {
+	c.mu.Lock()
+	h := c.hosts[n]
+	c.mu.Unlock()
+	id := h.d.Self().ID
+	if err := c.startHost(h.region); err != nil {
+		return id, "", err
+	}
+	c.list.SetState(id, member.ListedLeaving)
+	h.stop()
+	go func() {
+		<-h.ended
+		c.list.Remove(id)
+	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = append(c.hosts[:n:n], c.hosts[n+1:]...)
+	return id, c.hosts[len(c.hosts)-1].d.Self().ID, nil
+}
+
+// addresses returns the callers' first addresses of a region's entry hosts.
+func (c *cluster) addresses(region int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, h := range c.hosts {
+		if h.region == region {
+			out = append(out, h.d.Self().HTTPAddress)
+		}
+	}
+	return out
+}
+
+func (c *cluster) close() {
+	c.mu.Lock()
+	hosts := c.hosts
+	c.mu.Unlock()
+	for _, h := range hosts {
+		h.stop()
+	}
+	for _, h := range hosts {
+		<-h.ended
+	}
+	for _, b := range c.backends {
+		b.Close()
+	}
+	c.listS.Close()
+}
+
+// ran returns how often a piece of work ran over all backend servers.
+func (c *cluster) ran(work string) int {
+	n := 0
+	for _, b := range c.backends {
+		n += b.Ran(work)
+	}
+	return n
+}
+
+// overloads returns the requests that found a backend server's slots taken.
+func (c *cluster) overloads() int {
+	n := 0
+	for _, b := range c.backends {
+		n += b.Counters().Overloads
+	}
+	return n
+}
+
+// baseConfig returns the configuration without backend servers.
+func baseConfig() *config.Config {
+	regions := config.Regions([]string{"a", "b"}, 500*time.Microsecond, time.Millisecond, regionNames...)
+	c := &config.Config{
+		Deployment: "quickstart", Regions: regions,
+		Links:     config.Mesh(regions, 55*time.Millisecond, 4_000_000_000),
+		ShiftCaps: config.UniformCaps(regions, 16, 50_000_000, 8),
+		Ranks: []config.Rank{
+			{Name: rankNames[0], Order: 1, Target: 250 * time.Millisecond, Deadline: time.Second, Worth: 100, Floor: 0, Idempotent: true, Hedge: true},
+			{Name: rankNames[1], Order: 2, Target: time.Second, Deadline: 5 * time.Second, Worth: 30, Floor: 0.1},
+			{Name: rankNames[2], Order: 3, Target: 10 * time.Second, Deadline: 15 * time.Second, Worth: 1, Floor: 0.05},
+		},
+		Customers: []config.Customer{{Name: "analysts", Weight: 4}, {Name: "hotels", Weight: 2}, {Name: "buses", Weight: 1}},
+	}
+	for _, s := range serviceNames {
+		c.Services = append(c.Services, config.Service{Name: s, Team: "statistics", ServiceTime: 20 * time.Millisecond, MaxRequestBytes: 1 << 20,
+			AnswerBytes: 4 << 10, RetryShare: 0.1, EjectShare: 0.5, Warmup: time.Second})
+	}
+	for i, name := range regionNames {
+		c.ClientBlocks = append(c.ClientBlocks, config.ClientBlock{Prefix: fmt.Sprintf("127.20.%d.0/24", i+1), Region: name})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/quickstart/load.go
@@ -0,0 +1,153 @@
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenabeam/galenabeam/client"
+)
+
+var rankNames = []string{"lookup", "declaration", "manifest"}
+
+// workload is what callers of one rank offer per region and service.
+type workload struct {
+	rank       int
+	customer   string
+	perSecond  float64
+	serviceMS  int
+	idempotent bool
+	body       int
+}
+
+var workloads = []workload{
+	{rank: 0, customer: "analysts", perSecond: 60, serviceMS: 10, idempotent: true},
+	{rank: 1, customer: "hotels", perSecond: 20, serviceMS: 30, body: 512},
+	{rank: 2, customer: "buses", perSecond: 4, serviceMS: 200, body: 20 << 10},
+}
+
+// sample is how one request ended.
+type sample struct {
+	rank    int
+	work    string
+	kind    client.Kind
+	latency time.Duration
+	// crossed tells that the answer was not the request's own.
+	crossed bool
+	cut     bool
+}
+
+// load runs the callers and collects their samples.
+type load struct {
+	cluster *cluster
+	clients [][]*client.Client // by region and workload
+	flood   atomic.Bool
+	offered atomic.Int64
+	serial  atomic.Int64
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	samples []sample
+}
+
+// floodFactor multiplies the arrivals of the least urgent rank in a flood. The
+// regions' slots serve about 10 times fewer.
+const floodFactor = 40
+
+func newLoad(c *cluster) (*load, error) {
+	l := &load{cluster: c}
+	for region := range regionNames {
+		var row []*client.Client
+		for _, w := range workloads {
+			cl, err := client.New(client.Config{Entries: c.addresses(region), Customer: w.customer, LocalIP: callerIP(region)})
+			if err != nil {
+				return nil, err
+			}
+			row = append(row, cl)
+		}
+		l.clients = append(l.clients, row)
+	}
+	return l, nil
+}
+
+// run offers requests at the workloads' rates until ctx ends, then waits for
+// the requests in progress.
+func (l *load) run(ctx context.Context) {
+	var generators sync.WaitGroup
+	for region := range regionNames {
+		for w := range workloads {
+			for _, service := range serviceNames {
+				generators.Add(1)
+				go func() {
+					defer generators.Done()
+					l.generate(ctx, region, w, service)
+				}()
+			}
+		}
+	}
+	generators.Wait()
+	l.running.Wait()
+	for _, row := range l.clients {
+		for _, c := range row {
+			c.Close()
+		}
+	}
+}
+
+// generate offers requests at a constant rate that does not depend on answers.
+func (l *load) generate(ctx context.Context, region, w int, service string) {
+	const step = 10 * time.Millisecond
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	last, owed := time.Now(), 0.0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			rate := workloads[w].perSecond
+			if l.flood.Load() && workloads[w].rank == len(rankNames)-1 {
+				rate *= floodFactor
+			}
+			owed += rate * now.Sub(last).Seconds()
+			last = now
+			for ; owed >= 1; owed-- {
+				l.running.Add(1)
+				go l.one(region, w, service)
+			}
+		}
+	}
+}
+
+// one sends a single request and records how it ended.
+func (l *load) one(region, w int, service string) {
+	defer l.running.Done()
+	wl := workloads[w]
+	l.offered.Add(1)
+	work := fmt.Sprintf("%s-%s-%d", regionNames[region], rankNames[wl.rank], l.serial.Add(1))
+	begun := time.Now()
+	res, err := l.clients[region][w].Do(context.Background(), client.Request{Service: service, Rank: rankNames[wl.rank],
+		Path: fmt.Sprintf("/work?work=%s&ms=%d", work, wl.serviceMS), Body: make([]byte, wl.body), Idempotent: wl.idempotent})
+	s := sample{rank: wl.rank, work: work, kind: client.NotRun, latency: time.Since(begun)}
+	if err == nil {
+		s.kind = res.Kind
+		if res.Kind == client.Done {
+			body := string(res.Body)
+			s.cut = !strings.HasSuffix(body, "\n")
+			s.crossed = !strings.Contains(body, " work="+work+" ")
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.samples = append(l.samples, s)
+}
+
+// results returns what has ended so far.
+func (l *load) results() []sample {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]sample(nil), l.samples...)
+}
--- /dev/null
+++ b/internal/quickstart/report.go
@@ -0,0 +1,154 @@
+package quickstart
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/galenabeam/galenabeam/client"
+)
+
+// RankResult is one row of the table.
+type RankResult struct {
+	Rank    string `json:"rank"`
+	Offered int    `json:"offered"`
+	Done    int    `json:"done"`
+	// InTime counts done requests within the rank's target.
+	InTime  int `json:"in_time"`
+	NotRun  int `json:"not_run"`
+	Unknown int `json:"unknown"`
+	// Duplicates counts work of non-idempotent ranks that ran more than once.
+	Duplicates int     `json:"duplicates"`
+	Cut        int     `json:"cut"`
+	P50        float64 `json:"p50_ms"`
+	P99        float64 `json:"p99_ms"`
+}
+
+// Result is the outcome of a quickstart.
+type Result struct {
+	Ranks []RankResult `json:"ranks"`
+	// Broken lists the promises that did not hold.
+	Broken []string `json:"broken"`
+}
+
+// Histograms hold latencies from 1 us to one minute with three digits.
+const (
+	minLatencyMicros = 1
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 3
+)
+
+// evaluate turns samples into the result and checks the promises.
+func evaluate(c *cluster, samples []sample, overloads int) Result {
+	r := Result{Broken: []string{}}
+	histograms := make([]*hdrhistogram.Histogram, len(rankNames))
+	for i, name := range rankNames {
+		r.Ranks = append(r.Ranks, RankResult{Rank: name})
+		histograms[i] = hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
+	}
+	crossed, falseNotRun := 0, 0
+	for _, s := range samples {
+		row := &r.Ranks[s.rank]
+		row.Offered++
+		ran := c.ran(s.work)
+		if !workloads[s.rank].idempotent && ran > 1 {
+			row.Duplicates++
+		}
+		switch s.kind {
+		case client.Done:
+			row.Done++
+			if s.latency <= c.config.Ranks[s.rank].Target {
+				row.InTime++
+			}
+			_ = histograms[s.rank].RecordValue(min(maxLatencyMicros, s.latency.Microseconds()))
+		case client.NotRun:
+			row.NotRun++
+			if ran > 0 {
+				falseNotRun++
+			}
+		default:
+			row.Unknown++
+		}
+		if s.cut {
+			row.Cut++
+		}
+		if s.crossed {
+			crossed++
+		}
+	}
+	for i := range r.Ranks {
+		r.Ranks[i].P50 = float64(histograms[i].ValueAtQuantile(50)) / 1000
+		r.Ranks[i].P99 = float64(histograms[i].ValueAtQuantile(99)) / 1000
+	}
+	r.check(crossed, falseNotRun, overloads)
+	return r
+}
+
+func (r *Result) check(crossed, falseNotRun, overloads int) {
+	breach := func(n int, promise string) {
+		if n > 0 {
+			r.Broken = append(r.Broken, fmt.Sprintf("%s: %d", promise, n))
+		}
+	}
+	duplicates, cut := 0, 0
+	for _, row := range r.Ranks {
+		duplicates += row.Duplicates
+		cut += row.Cut
+	}
+	breach(duplicates, "at most once: work that ran more than once")
+	breach(cut+crossed, "whole own answer: answers cut or crossed")
+	breach(falseNotRun, "not run is true: work that ran although told not run")
+	breach(overloads, "no overload: requests beyond a backend server's slots")
+}
+
+// WriteTable prints the result for people.
+func (r *Result) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "rank\toffered\tdone\tin time\tnot run\tunknown\tduplicates\tcut\tp50 ms\tp99 ms\t")
+	for _, row := range r.Ranks {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", row.Rank, row.Offered, row.Done, row.InTime, row.NotRun,
+			row.Unknown, row.Duplicates, row.Cut, row.P50, row.P99)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if len(r.Broken) == 0 {
+		_, err := fmt.Fprintln(w, "all promises held")
+		return err
+	}
+	for _, b := range r.Broken {
+		if _, err := fmt.Fprintln(w, "BROKEN", b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteJSON prints the result as one object.
+func (r *Result) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// progress prints one line about the time since the last one.
+func progress(w io.Writer, at time.Duration, samples []sample, note string) {
+	done := make([]int, len(rankNames))
+	refused := make([]int, len(rankNames))
+	for _, s := range samples {
+		if s.kind == client.Done {
+			done[s.rank]++
+		} else {
+			refused[s.rank]++
+		}
+	}
+	fmt.Fprintf(w, "%4.0fs ", at.Seconds())
+	for i, name := range rankNames {
+		fmt.Fprintf(w, " %s %d done %d refused;", name, done[i], refused[i])
+	}
+	fmt.Fprintln(w, "", note)
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -22,7 +22,7 @@
 	Owner host.Info
 }
 
-// RegionView is what this process knows of another region.
+// RegionView is what this process knows of a region.
 type RegionView struct {
 	Name string
 	// Hosts are the region's entry hosts that accept requests.
@@ -38,7 +38,7 @@
 	Revision uint64
 	// Pools holds the pools of this region by service.
 	Pools map[string]Pool
-	// Regions holds the other regions by name.
+	// Regions holds all regions, this one included, by name.
 	Regions map[string]RegionView
 
 	services map[string]*config.Service
