--- a/config/field.go
+++ b/config/field.go
@@ -49,7 +49,8 @@
 	return field[T]{
 		key:  key,
 		want: fmt.Sprintf("want a duration from %v to %v", low, high),
-		get:  func(t *T) string { return at(t).String() },
+		// The text stays ASCII: microseconds are written "us".
+		get: func(t *T) string { return strings.Replace(at(t).String(), "µ", "u", 1) },
 		set: func(t *T, s string) bool {
 			v, err := time.ParseDuration(s)
 			*at(t) = v
