--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -47,6 +47,7 @@
 
 // dispatch refuses what is late and grants free slots in order.
 func (p *Pool) dispatch(now time.Duration, acts []Action) []Action {
+	p.undealt = false
 	acts = p.expire(now, acts)
 	p.accrue(now)
 	for p.free > 0 && len(p.queued) > 0 {
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -83,6 +83,7 @@
 	}
 	p.lastUpdate = now
 	p.nextUpdate = now + updatePeriod
+	p.undealt = p.undealt || p.free > 0
 	p.setLimits()
 }
 
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -95,6 +95,7 @@
 	slots      int // usable slots less reservations
 	free       int // slots that can be granted now
 	inFlight   int
+	undealt    bool          // slots may have become free since the last dispatch
 	nextChange time.Duration // when a server's usable slots change by themselves
 	nextUpdate time.Duration // when estimates and limits are renewed
 	lastUpdate time.Duration
@@ -130,7 +131,11 @@
 	r.arrivals++
 	p.stats.Arrivals++
 	if reason := p.admission(now, &req); reason != "" {
-		return append(acts, p.refusal(req.Key, req.Rank, reason))
+		acts = append(acts, p.refusal(req.Key, req.Rank, reason))
+		if p.undealt {
+			acts = p.dispatch(now, acts)
+		}
+		return acts
 	}
 	p.push(now, req)
 	acts = p.dispatch(now, acts)
@@ -183,6 +188,9 @@
 		return max(min(now+time.Hour, p.nextChange), now+time.Millisecond)
 	}
 	wake := min(now+tickPeriod, p.nextChange)
+	if p.undealt {
+		wake = now
+	}
 	for i := range p.ranks {
 		r := &p.ranks[i]
 		if at, ok := r.firstLate(&p.entries); ok {
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -218,6 +218,7 @@
 		p.free += s.free()
 		p.slots += max(0, s.usable-s.reserved)
 	}
+	p.undealt = p.undealt || p.free > 0
 	p.setLimits()
 }
 
