steer: rule out most hosts with a precomputed limit

Each host carries the largest hash that can score below the pool's bound, so the scan compares integers and takes about eight logarithms. A removed region keeps its hosts, found by the differential test (rapid).

--- a/internal/steer/delta.go
+++ b/internal/steer/delta.go
@@ -42,7 +42,9 @@
 }
 
 // Delta is a set of changes to a table. Set entries add or replace. Removals
-// of what does not exist have no effect.
+// of what does not exist have no effect. The hosts of a removed region stay
+// known, because they come from membership, and are given out again if the
+// region returns.
 type Delta struct {
 	SetRegions     []Region
 	RemoveRegions  []string
@@ -58,7 +60,7 @@
 // client block matches belong to the region local.
 func NewTable(local string) *Table {
 	return &Table{
-		blocks:   &bart.Table[uint16]{},
+		blocks:   &bart.Fast[uint16]{},
 		regions:  []*region{{name: local, present: true, nearest: []uint16{0}}},
 		index:    map[string]uint16{local: 0},
 		services: map[string]*service{},
@@ -96,7 +98,9 @@
 	t.regions, t.index = slices.Clone(t.regions), maps.Clone(t.index)
 	for _, name := range d.RemoveRegions {
 		if i, found := t.index[name]; found {
-			t.regions[i] = &region{name: name, nearest: t.regions[i].nearest}
+			removed := *t.regions[i]
+			removed.present = false
+			t.regions[i] = &removed
 		}
 	}
 	for _, r := range d.SetRegions {
@@ -269,7 +273,7 @@
 	}
 	t.regions = slices.Clone(t.regions)
 	for i, r := range changed {
-		r.live = candidates(r.members)
+		r.live = live(r.members)
 		t.regions[i] = r
 	}
 	return nil
@@ -279,23 +283,21 @@
 	return slices.BinarySearchFunc(members, id, func(h *Host, id host.ID) int { return cmp.Compare(h.ID, id) })
 }
 
-// candidates returns the hosts that may be given out. Without any headroom in
-// the region all live hosts count alike.
-func candidates(members []*Host) []candidate {
-	var weighted, equal []candidate
+// live returns the hosts that may be given out. Without any headroom in the
+// region all hosts that are not leaving count alike.
+func live(members []*Host) pool {
+	var weighted, staying []*Host
 	for _, h := range members {
 		if h.Leaving {
 			continue
 		}
-		c := candidate{seed: xxhash.Sum64String(string(h.ID)), weight: h.Weight, host: h}
+		staying = append(staying, h)
 		if h.Weight > 0 {
-			weighted = append(weighted, c)
+			weighted = append(weighted, h)
 		}
-		c.weight = 1
-		equal = append(equal, c)
 	}
 	if len(weighted) > 0 {
-		return weighted
+		return newPool(weighted, func(h *Host) float64 { return h.Weight })
 	}
-	return equal
+	return newPool(staying, func(*Host) float64 { return 1 })
 }
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"math/bits"
 	"net/netip"
 	"time"
 
@@ -63,7 +64,7 @@
 
 // Table is an immutable steering table.
 type Table struct {
-	blocks *bart.Table[uint16]
+	blocks *bart.Fast[uint16]
 	// regions is indexed by the values of blocks. Names keep their index
 	// for good; a removed region stays as an entry that is not present.
 	regions  []*region
@@ -83,14 +84,7 @@
 	nearest []uint16
 	// members holds all hosts by ID, live the ones that are given out.
 	members []*Host
-	live    []candidate
-}
-
-// candidate is a live host with what the hash needs.
-type candidate struct {
-	seed   uint64
-	weight float64
-	host   *Host
+	live    pool
 }
 
 // service knows the regions that run it.
@@ -116,9 +110,9 @@
 		answer.Home = t.regions[home].name
 	}
 	for _, i := range t.regions[home].nearest {
-		if r := t.regions[i]; s.sites[i] && len(r.live) > 0 {
+		if r := t.regions[i]; s.sites[i] && len(r.live.hosts) > 0 {
 			answer.Status, answer.Region = StatusOK, r.name
-			answer.Hosts = pick(r.live, callerHash(s.hash, client), buf)
+			answer.Hosts = r.live.pick(callerHash(s.hash, client), buf)
 			return answer
 		}
 	}
@@ -160,49 +154,109 @@
 	return xxhash.Sum64(key[:])
 }
 
-// avalanche is the final mixing step of 64-bit xxHash.
-func avalanche(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 14029467366897019727
-	h ^= h >> 29
-	h *= 1609587929392839161
-	return h ^ h>>32
+// mix folds the 128-bit product of h, which is the difference of two values of
+// xxHash, and an odd constant. Each bit of the result depends on all bits of h.
+func mix(h uint64) uint64 {
+	high, low := bits.Mul64(h, 0x9e3779b97f4a7c15)
+	return high ^ low
+}
+
+// pool holds the hosts of a region that are given out. Its lists are parallel;
+// the scan of all hosts reads only filters.
+type pool struct {
+	filters []filter
+	// inverse holds 1/weight.
+	inverse []float64
+	hosts   []*Host
+	// bound is the score below which a caller finds firstPass hosts on average.
+	bound float64
+}
+
+// filter rules out a host whose hash of the caller is above limit, because
+// its score is then not below the pool's bound.
+type filter struct {
+	seed, limit uint64
+}
+
+// firstPass is the mean number of hosts that a scan with filters leaves. Of
+// 1,000 callers, 14 find fewer than three hosts and need a full scan.
+const firstPass = 8
+
+func newPool(hosts []*Host, weight func(*Host) float64) pool {
+	var p pool
+	sum := 0.0
+	for _, h := range hosts {
+		sum += weight(h)
+	}
+	p.bound = firstPass / sum
+	for _, h := range hosts {
+		w := weight(h)
+		// The score is at least v/w, so a score below the bound needs v below
+		// bound*w.
+		limit := uint64(math.MaxUint64)
+		if share := p.bound * w; share < 1 {
+			limit = uint64(math.Ceil(share*0x1p53)) << 11
+		}
+		p.filters = append(p.filters, filter{seed: xxhash.Sum64String(string(h.ID)), limit: limit})
+		p.inverse = append(p.inverse, 1/w)
+		p.hosts = append(p.hosts, h)
+	}
+	return p
 }
 
 // pick chooses the hosts with the lowest scores -ln(1-v)/weight, where v in
 // [0,1) is the hash of caller and host. A host wins in proportion to its
 // weight, and a host that comes, goes or changes its weight changes only its
 // own score.
-func pick(live []candidate, key uint64, buf []*Host) []*Host {
-	var scores [MaxAnswer]float64
-	limit := min(len(buf), len(live), MaxAnswer)
-	if limit == 0 {
-		return buf[:0]
-	}
-	count, worst := 0, math.Inf(1)
-	for i := range live {
-		c := &live[i]
-		v := float64(avalanche(key^c.seed)>>11) * 0x1p-53
-		// -ln(1-v) >= v, so most hosts are ruled out without a logarithm.
-		if v >= worst*c.weight {
-			continue
-		}
-		score := -math.Log1p(-v) / c.weight
-		if score >= worst {
-			continue
-		}
-		if count < limit {
-			count++
-		}
-		at := count - 1
-		for at > 0 && scores[at-1] > score {
-			scores[at], buf[at] = scores[at-1], buf[at-1]
-			at--
-		}
-		scores[at], buf[at] = score, c.host
-		if count == limit {
-			worst = scores[limit-1]
+func (p *pool) pick(key uint64, buf []*Host) []*Host {
+	best := ranking{hosts: buf[:min(len(buf), len(p.hosts), MaxAnswer)], worst: p.bound}
+	if len(best.hosts) == 0 {
+		return best.hosts
+	}
+	for i, f := range p.filters {
+		if h := mix(key ^ f.seed); h <= f.limit {
+			best.offer(h, p.inverse[i], p.hosts[i])
 		}
 	}
-	return buf[:count]
+	if best.count == len(best.hosts) {
+		return best.hosts
+	}
+	best.count, best.worst = 0, math.Inf(1)
+	for i := range p.filters {
+		best.offer(mix(key^p.filters[i].seed), p.inverse[i], p.hosts[i])
+	}
+	return best.hosts
+}
+
+// ranking keeps the hosts with the lowest scores, the lowest first.
+type ranking struct {
+	hosts  []*Host
+	scores [MaxAnswer]float64
+	count  int
+	// worst is the score that a further host must be below.
+	worst float64
+}
+
+func (r *ranking) offer(hash uint64, inverse float64, h *Host) {
+	v := float64(hash>>11) * 0x1p-53
+	// -ln(1-v) >= v, so most hosts are ruled out without a logarithm.
+	if v*inverse >= r.worst {
+		return
+	}
+	score := -math.Log(1-v) * inverse
+	if score >= r.worst {
+		return
+	}
+	if r.count < len(r.hosts) {
+		r.count++
+	}
+	at := r.count - 1
+	for at > 0 && r.scores[at-1] > score {
+		r.scores[at], r.hosts[at] = r.scores[at-1], r.hosts[at-1]
+		at--
+	}
+	r.scores[at], r.hosts[at] = score, h
+	if r.count == len(r.hosts) {
+		r.worst = r.scores[r.count-1]
+	}
 }
--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -93,18 +94,18 @@
 			members = append(members, &h)
 		}
 	}
-	live := candidates(members)
-	slices.SortFunc(live, func(a, b candidate) int {
-		score := func(c candidate) float64 {
-			return -math.Log1p(-float64(avalanche(key^c.seed)>>11)*0x1p-53) / c.weight
+	members = slices.DeleteFunc(members, func(h *Host) bool { return h.Leaving })
+	headroom := slices.ContainsFunc(members, func(h *Host) bool { return h.Weight > 0 })
+	score := func(h *Host) float64 {
+		v := float64(mix(key^xxhash.Sum64String(string(h.ID)))>>11) * 0x1p-53
+		if !headroom {
+			return -math.Log(1 - v)
 		}
-		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.host.ID, b.host.ID))
-	})
-	var ids []host.ID
-	for _, c := range live {
-		ids = append(ids, c.host.ID)
+		return -math.Log(1-v) * (1 / h.Weight)
 	}
-	return ids
+	members = slices.DeleteFunc(members, func(h *Host) bool { return headroom && h.Weight == 0 })
+	slices.SortFunc(members, func(a, b *Host) int { return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.ID, b.ID)) })
+	return ids(members)
 }
 
 var drawnRegions = []string{"r0", "r1", "r2", "r3"}
@@ -242,19 +243,20 @@
 			g := NewWithT(t)
 			table := oneRegion(t, c.weights...)
 			sum := 0.0
-			for _, m := range table.regions[0].live {
-				sum += m.weight
+			live := table.regions[0].live
+			for _, inverse := range live.inverse {
+				sum += 1 / inverse
 			}
 			counts := map[*Host]int{}
 			buf := make([]*Host, 2)
 			for _, caller := range c.callers {
 				counts[table.Lookup("svc", caller, buf).Hosts[0]]++
 			}
-			for _, m := range table.regions[0].live {
-				p := m.weight / sum
-				g.Expect(float64(counts[m.host])/n).To(BeNumerically("~", p, 5*math.Sqrt(p*(1-p)/n)), string(m.host.ID))
+			for i, h := range live.hosts {
+				p := 1 / live.inverse[i] / sum
+				g.Expect(float64(counts[h])/n).To(BeNumerically("~", p, 5*math.Sqrt(p*(1-p)/n)), string(h.ID))
 			}
-			g.Expect(counts).To(HaveLen(len(table.regions[0].live)))
+			g.Expect(counts).To(HaveLen(len(live.hosts)))
 		})
 	}
 }
