--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+const (
+	modelLag = 2 * time.Second
+	warmUp   = 30 // seconds until a loop has found its balance
+)
+
+func productModel(load ...float64) *model {
+	return newModel(modelLag, load, func(local int, seed uint64) chooser { return newProduct(len(load), local, seed) })
+}
+
+func naiveModel(load ...float64) *model {
+	return newModel(modelLag, load, func(local int, _ uint64) chooser { return newNaive(len(load), local) })
+}
+
+var modelLoads = []struct {
+	desc string
+	load []float64
+}{
+	{"one region has half too much", []float64{1.5, 0.5, 0.6}},
+	{"one region has a little too much", []float64{1.1, 0.8, 0.8}},
+	{"more than all regions can serve", []float64{3, 0.3, 0.3}},
+	{"all regions are busy", []float64{0.9, 0.9, 0.9}},
+	{"two regions have too much", []float64{1.4, 1.2, 0.2}},
+}
+
+// Guards against spill that swings between regions, since digests tell of the
+// effect of a change only after their lag; and against a choice that serves
+// less in time than the naive one.
+func TestNoOscillation(t *testing.T) {
+	for _, tc := range modelLoads {
+		t.Run(tc.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			m := productModel(tc.load...)
+			m.run(3 * time.Minute)
+			for region := range tc.load {
+				g.Expect(reversals(m.column(region, warmUp), 0.1)).To(BeZero())
+			}
+			capacity, offered := float64(len(tc.load)), 0.0
+			for _, l := range tc.load {
+				offered += l
+			}
+			inTime := float64(m.inTime) / float64(m.offered)
+			g.Expect(inTime).To(BeNumerically(">=", 0.95*min(1, capacity/offered)))
+			n := naiveModel(tc.load...)
+			n.run(3 * time.Minute)
+			g.Expect(inTime).To(BeNumerically(">=", float64(n.inTime)/float64(n.offered)))
+		})
+	}
+}
+
+// Guards against a check of oscillation that finds none anywhere.
+func TestNaiveChoiceOscillates(t *testing.T) {
+	m := naiveModel(1.5, 0.5, 0.6)
+	m.run(3 * time.Minute)
+	NewWithT(t).Expect(reversals(m.column(0, warmUp), 0.1)).To(BeNumerically(">=", 10))
+}
+
+// Guards against a return to a recovered region in one step, and against spill
+// that never returns.
+func TestReturnIsRamped(t *testing.T) {
+	g := NewWithT(t)
+	m := productModel(1.6, 0.4, 0.4)
+	m.run(time.Minute)
+	m.load[0] = 0.5
+	m.run(time.Minute)
+	series := m.column(0, 1)
+	g.Expect(series[55]).To(BeNumerically(">", 0.3))
+	g.Expect(series[len(series)-1]).To(BeNumerically("<", 0.01))
+	const noise = 0.06 // of the share of about 900 requests a second
+	for i := 1; i < len(series); i++ {
+		g.Expect(series[i-1] - series[i]).To(BeNumerically("<=", stepDown+noise))
+		g.Expect(series[i] - series[i-1]).To(BeNumerically("<=", stepUp+noise))
+	}
+}
+
+// Guards against requests sent to a region whose digests are old, and against
+// links used when no region can help.
+func TestOldDigestsAreNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	m := productModel(1.6, 0.4, 0.4)
+	m.run(time.Minute)
+	m.blind[1], m.blind[2] = true, true
+	m.run(MaxDigestAge + 2*time.Second)
+	m.run(20 * time.Second)
+	series := m.column(0, 1)
+	g.Expect(series[len(series)-19:]).To(HaveEach(0.0))
+}
+
+// Guards against a lost local pool that keeps getting requests, and against
+// all of its load reaching the other regions in one step.
+func TestLostPoolSpillsInSteps(t *testing.T) {
+	g := NewWithT(t)
+	m := productModel(0.6, 0.4, 0.4)
+	m.run(20 * time.Second)
+	m.down[0] = true
+	m.run(30 * time.Second)
+	series := m.column(0, 1)
+	g.Expect(series[len(series)-1]).To(BeNumerically(">=", 0.95))
+	for i := 1; i < len(series); i++ {
+		g.Expect(series[i] - series[i-1]).To(BeNumerically("<=", stepLost+0.06))
+	}
+	m.down[0] = false
+	m.run(2 * time.Minute)
+	g.Expect(m.column(0, 1)[len(m.spills)-2]).To(BeNumerically("<", 0.01))
+}
+
+// spilling returns a plan that sends half of the requests to region 1.
+func spilling(localUp bool) (*Table, *Plan) {
+	p := newProduct(3, 0, 1)
+	p.table.Observe(0, 0, time.Second, localUp, []View{{Wait: time.Second, Slots: 88}})
+	p.table.Observe(1, 0, time.Second, true, []View{{Wait: 100 * time.Millisecond, Free: 44, Slots: 88}})
+	p.table.cells[0].shares[1] = 0.5
+	p.table.ticked = time.Second // no time passes
+	return p.table, p.table.Tick(time.Second)
+}
+
+// Guards against requests sent where their deadline cannot be met, forwarded
+// twice, or refused without a spread retry-after.
+func TestDecide(t *testing.T) {
+	for _, tc := range []struct {
+		desc    string
+		localUp bool
+		request Request
+		want    []float64 // share per region
+		reason  outcome.Reason
+	}{
+		{"half is spilled", true, Request{Left: time.Second}, []float64{0.5, 0.5, 0}, ""},
+		{"wait, service and delay exceed the deadline", true, Request{Left: 259 * time.Millisecond}, []float64{1, 0, 0}, ""},
+		{"they meet the deadline", true, Request{Left: 261 * time.Millisecond}, []float64{0.5, 0.5, 0}, ""},
+		{"forwarded requests stay", true, Request{Left: time.Second, Forwarded: true}, []float64{1, 0, 0}, ""},
+		{"shifted requests have shares of their own", true, Request{Left: time.Second, Shifted: true}, []float64{1, 0, 0}, ""},
+		{"nothing is left of the deadline", true, Request{}, []float64{0, 0, 0}, outcome.ReasonLate},
+		{"the local pool is lost", false, Request{Left: time.Second}, []float64{0, 0.5, 0}, outcome.ReasonNoOwner},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			_, plan := spilling(tc.localUp)
+			rng := rand.New(rand.NewPCG(1, 2))
+			const n = 20_000
+			counts := make([]float64, 3)
+			least, most := time.Hour, time.Duration(0)
+			for range n {
+				d := plan.Decide(tc.request, rng)
+				if !d.Refused() {
+					counts[d.Region]++
+					continue
+				}
+				g.Expect(d.Refusal.Kind).To(Equal(outcome.NotRun))
+				g.Expect(d.Refusal.Reason).To(Equal(tc.reason))
+				least, most = min(least, d.Refusal.RetryAfter), max(most, d.Refusal.RetryAfter)
+			}
+			for region, want := range tc.want {
+				g.Expect(math.Abs(counts[region]/n - want)).To(BeNumerically("<", 0.02))
+			}
+			if tc.reason == outcome.ReasonNoOwner {
+				g.Expect(least).To(BeNumerically("~", retryLost/2, retryLost/20))
+				g.Expect(most).To(BeNumerically("~", retryLost*3/2, retryLost/20))
+			}
+		})
+	}
+}
+
+// Guards against allocations on the request path.
+func TestDecideDoesNotAllocate(t *testing.T) {
+	table, plan := spilling(true)
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := Request{Left: time.Second}
+	allocs := testing.AllocsPerRun(1000, func() {
+		d := plan.Decide(r, rng)
+		table.Result(r, d.Region, true)
+	})
+	NewWithT(t).Expect(allocs).To(BeZero())
+}
+
+func BenchmarkDecide(b *testing.B) {
+	_, plan := spilling(true)
+	rng := rand.New(rand.NewPCG(1, 2))
+	b.ReportAllocs()
+	for b.Loop() {
+		plan.Decide(Request{Left: time.Second}, rng)
+	}
+}
+
+// BenchmarkSpill runs three regions with digests that lag by 2 s.
+func BenchmarkSpill(b *testing.B) {
+	for _, tc := range modelLoads {
+		b.Run(tc.desc, func(b *testing.B) {
+			for b.Loop() {
+				m, n := productModel(tc.load...), naiveModel(tc.load...)
+				m.run(3 * time.Minute)
+				n.run(3 * time.Minute)
+				b.ReportMetric(float64(m.inTime)/float64(m.offered), "in_time")
+				b.ReportMetric(float64(n.inTime)/float64(n.offered), "naive_in_time")
+				b.ReportMetric(float64(reversals(m.column(0, warmUp), 0.1)), "reversals")
+				b.ReportMetric(float64(reversals(n.column(0, warmUp), 0.1)), "naive_reversals")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
