--- a/client/attempt.go
+++ b/client/attempt.go
@@ -37,7 +37,7 @@
 )
 
 // run makes attempts until the outcome is final.
-func (c *Client) run(ctx context.Context, r *Request) (*Result, error) {
+func (c *Client) run(ctx context.Context, r *Request, deadline time.Time) (*Result, error) {
 	var last *Result
 	uncertain := false
 	for attempt := 0; attempt < maxAttempts; attempt++ {
@@ -53,9 +53,9 @@
 		if err != nil {
 			return last, err
 		}
-		res := c.attempt(ctx, r, h.Address, id)
+		res := c.attempt(ctx, r, h.Address, id, deadline)
 		if res.Kind == Unknown && !r.Idempotent {
-			res = c.confirm(ctx, r, h.Address, id, res)
+			res = c.confirm(ctx, r, h.Address, id, res, deadline)
 		}
 		res.Attempts = attempt + 1
 		// A refusal of a later attempt does not undo an earlier one that may have run.
@@ -64,7 +64,7 @@
 			res.Kind = Unknown
 		}
 		last = res
-		if !c.again(ctx, r, res) {
+		if !c.again(ctx, r, res, deadline) {
 			break
 		}
 	}
@@ -72,7 +72,7 @@
 }
 
 // again waits before another attempt, or returns false when there is to be none.
-func (c *Client) again(ctx context.Context, r *Request, res *Result) bool {
+func (c *Client) again(ctx context.Context, r *Request, res *Result, deadline time.Time) bool {
 	switch {
 	case res.Kind == Done:
 		return false
@@ -85,7 +85,7 @@
 	}
 	wait := max(res.RetryAfter, minRetryDelay)
 	wait += time.Duration(mathrand.Int64N(int64(wait)/4 + 1))
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
+	if time.Until(deadline) <= wait {
 		return false
 	}
 	t := time.NewTimer(wait)
@@ -124,8 +124,8 @@
 // confirm asks the same entry host again under the same identity, after the
 // connection broke. The host runs the request if it never arrived, and returns
 // the recorded outcome if it did.
-func (c *Client) confirm(ctx context.Context, r *Request, address string, id ledger.ID, first *Result) *Result {
-	if ctx.Err() != nil {
+func (c *Client) confirm(ctx context.Context, r *Request, address string, id ledger.ID, first *Result, deadline time.Time) *Result {
+	if ctx.Err() != nil || time.Until(deadline) <= 0 {
 		return first
 	}
 	switch outcome.Reason(first.Reason) {
@@ -133,7 +133,7 @@
 	default:
 		return first
 	}
-	second := c.attempt(ctx, r, address, id)
+	second := c.attempt(ctx, r, address, id, deadline)
 	if second.Kind == Done {
 		return second
 	}
@@ -147,10 +147,10 @@
 }
 
 // attempt sends the request once.
-func (c *Client) attempt(ctx context.Context, r *Request, address string, id ledger.ID) *Result {
+func (c *Client) attempt(ctx context.Context, r *Request, address string, id ledger.ID, deadline time.Time) *Result {
 	var sent atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { sent.Store(true) }})
-	req, err := c.newRequest(traced, r, address, id)
+	req, err := c.newRequest(traced, r, address, id, deadline)
 	if err != nil {
 		return &Result{Kind: NotRun, Reason: string(outcome.ReasonBadRequest), ID: id.String()}
 	}
@@ -166,7 +166,7 @@
 	return c.read(resp, id.String())
 }
 
-func (c *Client) newRequest(ctx context.Context, r *Request, address string, id ledger.ID) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, r *Request, address string, id ledger.ID, deadline time.Time) (*http.Request, error) {
 	method := r.Method
 	if method == "" {
 		method = http.MethodGet
@@ -189,9 +189,7 @@
 	if c.cfg.Customer != "" {
 		req.Header.Set(httpapi.HeaderCustomer, c.cfg.Customer)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		req.Header.Set(httpapi.HeaderDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
+	req.Header.Set(httpapi.HeaderDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	return req, nil
 }
 
--- a/client/client.go
+++ b/client/client.go
@@ -45,6 +45,9 @@
 	defaultLookupTimeout = 2 * time.Second
 	dialTimeout          = time.Second
 	maxIdlePerHost       = 64
+	// answerGrace is how long after the deadline an answer is waited for, so
+	// that a refusal made at the deadline still arrives.
+	answerGrace = 250 * time.Millisecond
 )
 
 // Config sets up a Client.
@@ -117,7 +120,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Timeout is the time until the deadline. Zero means DefaultTimeout.
+	// Timeout is the time until the deadline, after which no work is started.
+	// Do returns shortly after it. Zero means DefaultTimeout.
 	Timeout time.Duration
 	// Idempotent tells that the work may run more than once. Only then is a
 	// request with an unknown outcome tried again.
@@ -164,7 +168,8 @@
 	if r.Timeout == 0 {
 		r.Timeout = DefaultTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	deadline := time.Now().Add(r.Timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(answerGrace))
 	defer cancel()
-	return c.run(ctx, &r)
+	return c.run(ctx, &r, deadline)
 }
--- /dev/null
+++ b/cmd/galenabeamd/main.go
@@ -0,0 +1,105 @@
+// Command galenabeamd is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/daemon"
+	"github.com/galenabeam/galenabeam/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("galenabeamd", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	path := fs.String("config", "", "settings `FILE` of this process (INI)")
+	check := fs.Bool("check-config", false, "check the settings and exit")
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if *path == "" || fs.NArg() > 0 {
+		fmt.Fprintln(stderr, "usage: galenabeamd -config FILE [-check-config]")
+		return exitUsage
+	}
+	s, err := settings.Load(*path)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	if *check {
+		fmt.Fprintln(stdout, *path+": ok")
+		return exitOK
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(stderr, "galenabeamd:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// serve runs the daemon until a signal. The first one starts the graceful
+// shutdown, a second one ends it at once. SIGUSR1 prints a state dump.
+func serve(s *settings.Settings) error {
+	log := logrus.New()
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	options, err := daemon.FromSettings(s, log)
+	if err != nil {
+		return err
+	}
+	force := make(chan struct{})
+	options.Force = force
+	d, err := daemon.New(options)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	go handleSignals(signals, d, cancel, force)
+	return d.Run(ctx)
+}
+
+func handleSignals(signals <-chan os.Signal, d *daemon.Daemon, stop func(), force chan<- struct{}) {
+	stopping := false
+	for s := range signals {
+		switch {
+		case s == syscall.SIGUSR1:
+			if err := d.WriteDump(os.Stdout); err != nil {
+				logrus.WithError(err).Warn("state dump failed")
+			}
+		case !stopping:
+			stopping = true
+			stop()
+		default:
+			close(force)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/configuration.go
@@ -0,0 +1,254 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/config"
+	"github.com/galenabeam/galenabeam/internal/confsync"
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/lease"
+	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/store"
+)
+
+// configTimeout bounds a call that carries a configuration text.
+const configTimeout = 5 * time.Second
+
+// Push is config.push on the wire.
+type Push struct {
+	From host.ID       `json:"from"`
+	Push confsync.Push `json:"push"`
+}
+
+// replica is the state of configuration in the control goroutine.
+type replica struct {
+	machine *confsync.Replica
+	pushes  map[uint64]chan confsync.PushAnswer
+	pulls   map[uint64]chan confsync.PullAnswer
+	watcher bool
+}
+
+// stepReplica feeds the configuration's state machine and carries out its actions.
+func (c *Control) stepReplica(now time.Duration, ev confsync.Event) {
+	for _, a := range c.replica.machine.Step(now, ev, nil) {
+		switch a := a.(type) {
+		case confsync.StoreCall:
+			c.async(func() {
+				result := c.executeStoreCall(c.ctx, a)
+				c.post(func(now time.Duration) { c.stepReplica(now, result) })
+			})
+		case confsync.SendPush:
+			c.sendPush(a)
+		case confsync.SendPull:
+			c.sendPull(a)
+		case confsync.AnswerPush:
+			answer(c.replica.pushes, a.Call, a.Answer)
+		case confsync.AnswerPull:
+			answer(c.replica.pulls, a.Call, a.Answer)
+		case confsync.Apply:
+			c.apply(now, a)
+		}
+	}
+}
+
+// executeStoreCall makes one call to the store.
+func (c *Control) executeStoreCall(ctx context.Context, a confsync.StoreCall) confsync.StoreResult {
+	r := confsync.StoreResult{Seq: a.Seq}
+	if a.Kind != confsync.StoreWatch {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+	}
+	switch a.Kind {
+	case confsync.StoreGet:
+		r.Entry, r.Err = c.Store.Get(ctx, a.Key)
+	case confsync.StoreWatch:
+		r.Entry, r.Err = c.Store.Watch(ctx, a.Key, a.Expected)
+	case confsync.StoreSwap:
+		r.Entry.Revision, r.Err = c.Store.CompareAndSwap(ctx, a.Key, a.Expected, a.Value, 0)
+	case confsync.StoreDelete:
+		r.Err = c.Store.Delete(ctx, a.Key, a.Expected)
+	}
+	if r.Err != nil && (errors.Is(r.Err, context.DeadlineExceeded) || errors.Is(r.Err, context.Canceled)) {
+		r.Err = store.ErrUnavailable
+		if a.Kind == confsync.StoreSwap || a.Kind == confsync.StoreDelete {
+			r.Err = store.ErrUncertain
+		}
+	}
+	return r
+}
+
+func (c *Control) sendPush(a confsync.SendPush) {
+	m, ok := c.member.Member(a.To)
+	push := Push{From: c.Self.ID, Push: a.Push}
+	c.async(func() {
+		var got confsync.PushAnswer
+		err := errNoAddress
+		if ok && m.RPCAddress != "" {
+			ctx, cancel := c.callContext(configTimeout)
+			defer cancel()
+			err = c.Peers.Call(ctx, m.RPCAddress, peer.MethodPush, push, &got)
+		}
+		c.post(func(now time.Duration) {
+			if err != nil {
+				c.stepReplica(now, confsync.CallFailed{Seq: a.Seq})
+				return
+			}
+			c.stepReplica(now, confsync.PushAnswered{Seq: a.Seq, Answer: got})
+		})
+	})
+}
+
+func (c *Control) sendPull(a confsync.SendPull) {
+	m, ok := c.member.Member(a.To)
+	c.async(func() {
+		var got confsync.PullAnswer
+		err := errNoAddress
+		if ok && m.RPCAddress != "" {
+			ctx, cancel := c.callContext(configTimeout)
+			defer cancel()
+			err = c.Peers.Call(ctx, m.RPCAddress, peer.MethodPull, a.Pull, &got)
+		}
+		c.post(func(now time.Duration) {
+			if err != nil {
+				c.stepReplica(now, confsync.CallFailed{Seq: a.Seq})
+				return
+			}
+			c.stepReplica(now, confsync.PullAnswered{Seq: a.Seq, Answer: got})
+		})
+	})
+}
+
+// errNoAddress ends a call to a host that membership does not know.
+var errNoAddress = errors.New("control: host has no known address")
+
+// Push serves config.push.
+func (c *Control) Push(ctx context.Context, p Push) (confsync.PushAnswer, error) {
+	return ask(ctx, c, c.replica.pushes, func(now time.Duration, call uint64) {
+		c.stepReplica(now, confsync.PushReceived{Call: call, From: p.From, Push: p.Push})
+	})
+}
+
+// Pull serves config.pull.
+func (c *Control) Pull(ctx context.Context, p confsync.Pull) (confsync.PullAnswer, error) {
+	return ask(ctx, c, c.replica.pulls, func(now time.Duration, call uint64) {
+		c.stepReplica(now, confsync.PullReceived{Call: call, Pull: p})
+	})
+}
+
+// apply puts a configuration in force in this process.
+func (c *Control) apply(now time.Duration, a confsync.Apply) {
+	cfg, err := config.Parse(a.Text)
+	if err == nil {
+		err = config.Check(cfg)
+	}
+	if err != nil {
+		// A text is checked before it is submitted. One that does not pass here
+		// was written by another version; the former one stays in force.
+		c.count("config.refused")
+		c.Log.WithField("revision", a.Revision).WithError(err).Error("configuration not applied")
+		return
+	}
+	c.config, c.revision, c.dirty = cfg, uint64(a.Revision), true
+	for _, p := range c.Slots.Pools() {
+		p.Configure(cfg)
+	}
+	c.resources(now)
+	c.setCaps(now)
+	c.startPools(now)
+	c.stepMember(now, c.extraEvent())
+	c.Log.WithFields(logrus.Fields{"revision": a.Revision, "source": a.Source, "who": a.Audit.Who, "operation": a.Audit.Operation}).
+		Info("configuration in force")
+}
+
+// updateReplica tells the replica who its peers are, and whether this process
+// watches the store for its region.
+func (c *Control) updateReplica(now time.Duration) {
+	var peers []host.ID
+	for _, m := range c.member.Members() {
+		if m.Incarnation != c.Self.Incarnation && m.RPCAddress != "" && m.TakesWork() {
+			peers = append(peers, m.ID)
+		}
+	}
+	c.stepReplica(now, confsync.SetPeers{Peers: peers})
+	watcher := c.leases.lessor.Role() == lease.Primary
+	if watcher != c.replica.watcher {
+		c.replica.watcher = watcher
+		c.stepReplica(now, confsync.SetWatcher{On: watcher})
+	}
+}
+
+// submitTick is the interval at which a submission sees time pass.
+const submitTick = 20 * time.Millisecond
+
+// Submit submits a configuration text and waits for the verdict or the end of
+// ctx. The text must have passed its checks.
+func (c *Control) Submit(ctx context.Context, r confsync.Request) (confsync.Submitted, error) {
+	s := confsync.NewSubmission(r, newRand(c.Seed+int64(c.Now())))
+	results := make(chan confsync.StoreResult)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticker := time.NewTicker(submitTick)
+	defer ticker.Stop()
+	var ev confsync.Event = confsync.Tick{}
+	var verdict *confsync.Submitted
+	for {
+		for _, a := range s.Step(c.Now(), ev, nil) {
+			switch a := a.(type) {
+			case confsync.StoreCall:
+				go func() {
+					select {
+					case results <- c.executeStoreCall(ctx, a):
+					case <-ctx.Done():
+					}
+				}()
+			case confsync.Submitted:
+				verdict = &a
+			}
+		}
+		if verdict != nil {
+			c.committed(*verdict, r.Text)
+			return *verdict, nil
+		}
+		select {
+		case <-ctx.Done():
+			return confsync.Submitted{Verdict: confsync.Uncertain, Err: confsync.ErrUncertain}, trace.Wrap(ctx.Err())
+		case <-ticker.C:
+			ev = confsync.Tick{}
+		case r := <-results:
+			ev = r
+		}
+	}
+}
+
+// committed puts an accepted submission in force here at once.
+func (c *Control) committed(v confsync.Submitted, text []byte) {
+	if v.Verdict != confsync.Accepted || v.Head == nil {
+		return
+	}
+	c.post(func(now time.Duration) { c.stepReplica(now, confsync.Committed{Head: *v.Head, Text: text}) })
+}
+
+// Configuration returns the text and the revision in force.
+func (c *Control) Configuration() (text []byte, revision uint64) {
+	type current struct {
+		text     []byte
+		revision uint64
+	}
+	out := make(chan current, 1)
+	c.post(func(time.Duration) {
+		out <- current{text: c.replica.machine.Text(), revision: uint64(c.replica.machine.Revision())}
+	})
+	select {
+	case v := <-out:
+		return v.text, v.revision
+	case <-c.done:
+	case <-time.After(stateTimeout):
+	}
+	return nil, 0
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand"
 	"sync"
 	"time"
@@ -15,10 +14,14 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenabeam/galenabeam/config"
+	"github.com/galenabeam/galenabeam/internal/confsync"
 	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/lease"
 	"github.com/galenabeam/galenabeam/internal/member"
 	"github.com/galenabeam/galenabeam/internal/owner"
 	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/steer"
+	"github.com/galenabeam/galenabeam/internal/store"
 	"github.com/galenabeam/galenabeam/internal/view"
 )
 
@@ -29,12 +32,22 @@
 	Slots    *owner.Slots
 	Peers    peer.Caller
 	HostList member.HostList
+	Store    store.Store
+	Edge     Edge
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	// Seed starts the random source of the decisions.
 	Seed int64
 }
 
+// Edge is the part of this process that serves callers.
+type Edge interface {
+	// Report returns the slots of a pool that this process holds.
+	Report(peer.Report) peer.ReportReply
+	// Expire forgets request identities that need not be kept.
+	Expire()
+}
+
 // Control owns the control state. Run must be called once.
 type Control struct {
 	Options
@@ -43,17 +56,31 @@
 	// events holds closures that run in the control goroutine.
 	events chan func(now time.Duration)
 	done   chan struct{}
-	calls  sync.WaitGroup
+	// released is closed when a leaving process holds nothing any more.
+	released chan struct{}
+	calls    sync.WaitGroup
 
 	// The fields below belong to the control goroutine.
-	member   *member.Machine
-	pings    map[uint64]chan member.Pong
-	pingReqs map[uint64]chan member.PingReqAnswer
-	nextCall uint64
-	listed   []member.Listed
-	config   *config.Config
-	revision uint64
-	dirty    bool
+	ctx          context.Context // ends with the control goroutine
+	member       *member.Machine
+	leases       leases
+	digests      digests
+	closing      []*owner.Pool
+	takeovers    map[string]*takeover
+	firstSeen    map[lease.Ref]time.Duration
+	departed     map[lease.Ref]time.Duration
+	expired      time.Duration
+	leaseStopped bool
+	pings        map[uint64]chan member.Pong
+	pingReqs     map[uint64]chan member.PingReqAnswer
+	nextCall     uint64
+	listed       []member.Listed
+	config       *config.Config
+	revision     uint64
+	steering     steering
+	replica      replica
+	caps         caps
+	dirty        bool
 }
 
 // Limits of the control goroutine.
@@ -68,13 +95,42 @@
 
 // New returns a Control that has not started.
 func New(o Options) *Control {
-	rng := rand.New(rand.NewSource(o.Seed))
+	rng := newRand(o.Seed)
 	return &Control{
 		Options: o, start: time.Now(), rng: rng,
 		events: make(chan func(time.Duration), eventBuffer), done: make(chan struct{}),
-		member: member.New(member.DefaultConfig(), o.Self, rng),
-		pings:  map[uint64]chan member.Pong{}, pingReqs: map[uint64]chan member.PingReqAnswer{},
-		dirty: true,
+		released: make(chan struct{}),
+		member:   member.New(member.DefaultConfig(), o.Self, rng),
+		pings:    map[uint64]chan member.Pong{}, pingReqs: map[uint64]chan member.PingReqAnswer{},
+		leases: newLeases(o.Self, o.Seed), takeovers: map[string]*takeover{},
+		digests:   digests{byRegion: map[string]knownDigest{}, pools: map[string]knownPool{}},
+		firstSeen: map[lease.Ref]time.Duration{}, departed: map[lease.Ref]time.Duration{},
+		replica: replica{machine: confsync.NewReplica(newRand(o.Seed)), pushes: map[uint64]chan confsync.PushAnswer{},
+			pulls: map[uint64]chan confsync.PullAnswer{}},
+		steering: steering{table: steer.NewTable(o.Self.Region)},
+		dirty:    true,
+	}
+}
+
+// Leave starts the shutdown: this process takes no new work, hands over its
+// role and gives up its pools.
+func (c *Control) Leave() {
+	c.post(func(now time.Duration) {
+		c.stepMember(now, member.Leave{})
+		c.leases.holder.Leave()
+		c.leases.due = now
+		c.stepLessor(now, lease.Shutdown{})
+	})
+}
+
+// Released is closed when a leaving process holds no role and no pool.
+func (c *Control) Released() <-chan struct{} { return c.released }
+
+// checkReleased closes the released channel once nothing is held any more.
+func (c *Control) checkReleased() {
+	if c.leaseStopped && len(c.Slots.Pools()) == 0 {
+		c.leaseStopped = false
+		close(c.released)
 	}
 }
 
@@ -94,7 +150,10 @@
 
 // Run executes the control goroutine until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
+	callCtx, stopCalls := context.WithCancel(context.Background())
+	c.ctx = callCtx
 	defer c.calls.Wait()
+	defer stopCalls()
 	defer close(c.done)
 	go c.pollHostList(ctx)
 	timer := time.NewTimer(0)
@@ -109,11 +168,22 @@
 		case <-timer.C:
 			now := c.Now()
 			c.stepMember(now, member.Tick{})
+			c.tickLeases(now)
+			c.tickTakeovers(now)
+			c.stepReplica(now, confsync.Tick{})
+			c.sendDigests(now)
 			c.tickPools()
+			c.expire(now)
+			c.checkReleased()
 			timer.Reset(c.sleep(now))
 		}
 		if c.dirty {
 			c.dirty = false
+			now := c.Now()
+			c.leaseMembers(now)
+			c.updateReplica(now)
+			c.updateGranter(now)
+			c.stepMember(now, c.extraEvent())
 			c.publish()
 		}
 	}
@@ -123,10 +193,20 @@
 	return max(time.Millisecond, min(maxSleep, c.member.NextWake()-now))
 }
 
+// tickPools lets pools act on the passing of time. Pools that were given up are
+// kept until their grants have ended, because they count against shift caps.
 func (c *Control) tickPools() {
 	for _, p := range c.Slots.Pools() {
 		p.Tick()
 	}
+	kept := c.closing[:0]
+	for _, p := range c.closing {
+		p.Tick()
+		if !p.Idle() {
+			kept = append(kept, p)
+		}
+	}
+	c.closing = kept
 }
 
 // pollHostList reads the platform's list of hosts.
@@ -143,6 +223,7 @@
 			}
 			c.listed = hosts
 			c.stepMember(now, member.ListReceived{Hosts: hosts})
+			c.stepLessor(now, c.listRead())
 		})
 		select {
 		case <-ctx.Done():
@@ -151,6 +232,27 @@
 	}
 }
 
+// listRead tells the lessor which hosts of the region are listed.
+func (c *Control) listRead() lease.ListRead {
+	var ev lease.ListRead
+	for _, h := range c.listed {
+		if h.Region == c.Self.Region {
+			ev.Hosts = append(ev.Hosts, h.ID)
+		}
+	}
+	return ev
+}
+
+// expirePeriod separates two rounds of forgetting request identities.
+const expirePeriod = 5 * time.Second
+
+func (c *Control) expire(now time.Duration) {
+	if now-c.expired >= expirePeriod {
+		c.expired = now
+		c.Edge.Expire()
+	}
+}
+
 // async runs a call outside the control goroutine.
 func (c *Control) async(f func()) {
 	c.calls.Add(1)
@@ -160,24 +262,7 @@
 	}()
 }
 
-// SetConfig puts a configuration in force.
-func (c *Control) SetConfig(cfg *config.Config, revision uint64) {
-	c.post(func(time.Duration) {
-		c.config, c.revision, c.dirty = cfg, revision, true
-	})
-}
-
 func (c *Control) count(name string) { metrics.GetOrRegisterCounter(name, c.Metrics).Inc(1) }
 
-// extra is what hosts tell each other in membership messages.
-type extra struct {
-	Revision uint64 `json:"rev"`
-}
-
-func (c *Control) encodeExtra() json.RawMessage {
-	b, err := json.Marshal(extra{Revision: c.revision})
-	if err != nil {
-		panic(err) // a struct of numbers always encodes
-	}
-	return b
-}
+// newRand returns a random source of decisions.
+func newRand(seed int64) *rand.Rand { return rand.New(rand.NewSource(seed)) }
--- /dev/null
+++ b/internal/control/digest.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/lease"
+	"github.com/galenabeam/galenabeam/internal/member"
+	"github.com/galenabeam/galenabeam/internal/peer"
+)
+
+// Times of region digests.
+const (
+	// digestPeriod separates two digests that a lessor sends to a region.
+	digestPeriod = time.Second
+	// digestLimit is the age from which a digest is not used.
+	digestLimit = 5 * time.Second
+	// poolReportLimit is the age from which an owner's report is left out.
+	poolReportLimit = 3 * time.Second
+)
+
+// digests is what is known about regions.
+type digests struct {
+	// byRegion holds the latest digest of each other region.
+	byRegion map[string]knownDigest
+	// pools holds the latest reports of this region's pool owners.
+	pools    map[string]knownPool
+	sequence uint64
+	sent     time.Duration
+}
+
+type knownDigest struct {
+	digest peer.RegionDigest
+	// made is when the digest was made, on this process's clock, at the latest.
+	made time.Duration
+}
+
+type knownPool struct {
+	digest peer.PoolDigest
+	at     time.Duration
+}
+
+// learnPools notes what a pool owner reports with its renewal.
+func (c *Control) learnPools(now time.Duration, r Renew) {
+	for _, p := range r.Pools {
+		c.digests.pools[p.Service] = knownPool{digest: p, at: now}
+	}
+}
+
+// poolDigests describes the pools that this process owns.
+func (c *Control) poolDigests() []peer.PoolDigest {
+	var out []peer.PoolDigest
+	for service, p := range c.Slots.Pools() {
+		d := peer.PoolDigest{Service: service}
+		for _, h := range p.Headroom() {
+			d.Ranks = append(d.Ranks, peer.RankDigest{Rank: h.Rank, WaitMillis: h.Wait.Milliseconds(), FreeSlots: h.FreeSlots})
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// learnDigest keeps a digest of another region if it is newer.
+func (c *Control) learnDigest(now time.Duration, d peer.RegionDigest) {
+	old, have := c.digests.byRegion[d.Region]
+	if d.Region == c.Self.Region || (have && !d.Newer(&old.digest)) {
+		return
+	}
+	c.digests.byRegion[d.Region] = knownDigest{digest: d, made: now - time.Duration(d.AgeMillis)*time.Millisecond}
+	c.dirty = true
+}
+
+// digestsFor returns the digests of other regions with their present age.
+func (c *Control) digestsFor(now time.Duration) []peer.RegionDigest {
+	var out []peer.RegionDigest
+	for _, k := range c.digests.byRegion {
+		d := k.digest
+		d.AgeMillis = (now - k.made).Milliseconds()
+		out = append(out, d)
+	}
+	return out
+}
+
+// sendDigests tells one host of each other region about this one. Only the
+// primary lessor does so.
+func (c *Control) sendDigests(now time.Duration) {
+	if c.leases.lessor.Role() != lease.Primary || now-c.digests.sent < digestPeriod || c.config == nil {
+		return
+	}
+	c.digests.sent = now
+	c.digests.sequence++
+	d := peer.RegionDigest{Region: c.Self.Region, Epoch: c.leases.lessor.State().Epoch, Sequence: c.digests.sequence, Hosts: c.workers()}
+	for _, s := range c.config.Services {
+		if p, ok := c.digests.pools[s.Name]; ok && now-p.at < poolReportLimit {
+			d.Pools = append(d.Pools, p.digest)
+		}
+	}
+	for _, to := range c.digestTargets() {
+		c.async(func() {
+			ctx, cancel := c.callContext(digestPeriod)
+			defer cancel()
+			_ = c.Peers.Notify(ctx, to, peer.MethodDigest, d)
+		})
+	}
+}
+
+// digestTargets returns one address in each other region, at random, so that a
+// host that does not answer is not asked again and again.
+func (c *Control) digestTargets() []string {
+	byRegion := map[string][]member.Listed{}
+	for _, h := range c.listed {
+		if h.Region != c.Self.Region {
+			byRegion[h.Region] = append(byRegion[h.Region], h)
+		}
+	}
+	var out []string
+	for _, r := range c.config.Regions {
+		if hosts := byRegion[r.Name]; len(hosts) > 0 {
+			out = append(out, hosts[c.rng.Intn(len(hosts))].RPCAddress)
+		}
+	}
+	return out
+}
+
+// Digest serves region.digest. A host that is not the lessor passes it on.
+func (c *Control) Digest(_ context.Context, d peer.RegionDigest) (bool, error) {
+	return c.post(func(now time.Duration) {
+		c.learnDigest(now, d)
+		primary, _ := c.leases.holder.Primary()
+		if primary.Incarnation == c.Self.Incarnation || primary.IsZero() {
+			return
+		}
+		if to, ok := c.memberAt(primary); ok {
+			c.async(func() {
+				ctx, cancel := c.callContext(digestPeriod)
+				defer cancel()
+				_ = c.Peers.Notify(ctx, to.RPCAddress, peer.MethodDigest, d)
+			})
+		}
+	}), nil
+}
--- /dev/null
+++ b/internal/control/extra.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/confsync"
+	"github.com/galenabeam/galenabeam/internal/lease"
+	"github.com/galenabeam/galenabeam/internal/member"
+)
+
+// extra is what hosts tell each other in membership messages besides
+// membership: the configuration revision in force and the lessor they know.
+type extra struct {
+	Revision uint64    `json:"rev"`
+	Epoch    uint64    `json:"epoch,omitempty"`
+	Primary  lease.Ref `json:"primary,omitzero"`
+}
+
+// extraEvent returns the event that sets what this process tells others.
+func (c *Control) extraEvent() member.SetExtra {
+	primary, epoch := c.leases.holder.Primary()
+	b, err := json.Marshal(extra{Revision: uint64(c.replica.machine.Revision()), Epoch: epoch, Primary: primary})
+	if err != nil {
+		panic(err) // a struct of numbers and names always encodes
+	}
+	return member.SetExtra{Extra: b}
+}
+
+// learnExtra notes what another host told.
+func (c *Control) learnExtra(now time.Duration, from member.PeerExtra) {
+	var e extra
+	if err := json.Unmarshal(from.Extra, &e); err != nil {
+		c.count("member.malformed_extra")
+		return
+	}
+	if e.Revision > 0 {
+		c.stepReplica(now, confsync.PeerRevision{From: from.From.ID, Revision: confsync.Revision(e.Revision)})
+	}
+	if e.Epoch > 0 && !e.Primary.IsZero() {
+		c.leases.holder.Learn(e.Epoch, e.Primary)
+		c.stepLessor(now, lease.PrimaryHeard{Epoch: e.Epoch, Primary: e.Primary})
+	}
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -13,8 +13,8 @@
 
 // Methods of the membership protocol.
 const (
-	methodPing    = "member.ping"
-	methodPingReq = "member.ping_req"
+	MethodPing    = "member.ping"
+	MethodPingReq = "member.ping_req"
 )
 
 // pingTimeout bounds a call of the membership protocol.
@@ -34,8 +34,11 @@
 			answer(c.pingReqs, a.Call, a.Answer)
 		case member.Changed:
 			c.dirty = true
+			c.noteMember(now, a.Member)
 			c.Log.WithFields(logrus.Fields{"host": a.Member.ID, "incarnation": a.Member.Incarnation, "before": a.Before,
 				"status": a.Member.Status}).Info("member changed")
+		case member.PeerExtra:
+			c.learnExtra(now, a)
 		case member.Superseded:
 			c.Log.WithField("incarnation", a.By).Error("a later run of this host has started")
 		}
@@ -54,11 +57,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		defer cancel()
 		if a.Seq == 0 {
-			_ = c.Peers.Notify(ctx, a.To.RPCAddress, methodPing, a.Ping)
+			_ = c.Peers.Notify(ctx, a.To.RPCAddress, MethodPing, a.Ping)
 			return
 		}
 		var pong member.Pong
-		err := c.Peers.Call(ctx, a.To.RPCAddress, methodPing, a.Ping, &pong)
+		err := c.Peers.Call(ctx, a.To.RPCAddress, MethodPing, a.Ping, &pong)
 		c.post(func(now time.Duration) {
 			if err != nil {
 				c.stepMember(now, member.CallFailed{Seq: a.Seq})
@@ -74,7 +77,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		defer cancel()
 		var got member.PingReqAnswer
-		err := c.Peers.Call(ctx, a.To.RPCAddress, methodPingReq, a.Request, &got)
+		err := c.Peers.Call(ctx, a.To.RPCAddress, MethodPingReq, a.Request, &got)
 		c.post(func(now time.Duration) {
 			if err != nil {
 				c.stepMember(now, member.CallFailed{Seq: a.Seq})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,12 +1,9 @@
 package control
 
 import (
-	"math/rand"
-
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/galenabeam/galenabeam/config"
 	"github.com/galenabeam/galenabeam/internal/host"
-	"github.com/galenabeam/galenabeam/internal/owner"
+	"github.com/galenabeam/galenabeam/internal/steer"
 	"github.com/galenabeam/galenabeam/internal/view"
 )
 
@@ -19,36 +16,56 @@
 	workers := c.workers()
 	pools := map[string]view.Pool{}
 	for _, s := range c.config.Services {
-		o := rendezvous(s.Name, workers)
-		pools[s.Name] = view.Pool{Owner: o}
-		c.own(s.Name, o.Incarnation == c.Self.Incarnation)
+		if ref, ok := c.leases.owners[poolPrefix+s.Name]; ok {
+			if o, ok := c.memberAt(ref); ok {
+				pools[s.Name] = view.Pool{Owner: o}
+			}
+		}
 	}
 	regions := map[string]view.RegionView{c.Self.Region: {Name: c.Self.Region, Hosts: workers}}
-	c.Views.Publish(view.New(c.config, c.revision, pools, regions, newSteering(c.config.ClientBlocks, c.Self.Region, workers)))
+	now := c.Now()
+	for name, k := range c.digests.byRegion {
+		if age := now - k.made; age < digestLimit {
+			regions[name] = view.RegionView{Name: name, Hosts: k.digest.Hosts, Age: age}
+		}
+	}
+	c.updateSteering(regions)
+	c.Views.Publish(view.New(c.config, c.revision, pools, regions, c.steering.table))
 }
 
-// own starts or ends the pool of a service on this host.
-func (c *Control) own(service string, mine bool) {
-	p, have := c.Slots.Local(service)
-	switch {
-	case mine && have:
-		p.Configure(c.config)
-	case mine:
-		rng := rand.New(rand.NewSource(c.rng.Int63()))
-		c.Slots.Set(service, owner.NewPool(c.config, service, c.Self.Region, c.Now, func() bool { return true }, rng))
-	case have:
-		c.Slots.Remove(service).Close()
-	}
+// steering is the steering table and what it was built from.
+type steering struct {
+	table  *steer.Table
+	config *config.Config
+	hosts  map[host.ID]host.Info
 }
 
-// rendezvous returns the host with the highest weight for a key.
-func rendezvous(key string, hosts []host.Info) host.Info {
-	var best host.Info
-	var most uint64
-	for _, h := range hosts {
-		if w := xxhash.Sum64String(key + "/" + string(h.ID)); best.ID == "" || w > most {
-			best, most = h, w
+// updateSteering brings the steering table up to date with the configuration
+// and the entry hosts of all regions.
+func (c *Control) updateSteering(regions map[string]view.RegionView) {
+	var delta steer.Delta
+	if c.steering.config != c.config {
+		delta = steer.Changes(c.steering.config, c.config)
+	}
+	present := map[host.ID]host.Info{}
+	for _, r := range regions {
+		for _, h := range r.Hosts {
+			present[h.ID] = h
+			if c.steering.hosts[h.ID] != h {
+				delta.SetHosts = append(delta.SetHosts, steer.Host{Info: h, Weight: 1})
+			}
+		}
+	}
+	for id := range c.steering.hosts {
+		if _, ok := present[id]; !ok {
+			delta.RemoveHosts = append(delta.RemoveHosts, id)
 		}
 	}
-	return best
+	table, err := c.steering.table.Apply(delta)
+	if err != nil {
+		c.Log.WithError(err).Error("steering table not updated")
+		c.count("steering.refused_updates")
+		return
+	}
+	c.steering = steering{table: table, config: c.config, hosts: present}
 }
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/lease"
+	"github.com/galenabeam/galenabeam/internal/member"
+	"github.com/galenabeam/galenabeam/internal/peer"
+)
+
+// State is the control state for the state dump.
+type State struct {
+	Revision uint64       `json:"revision"`
+	Members  member.State `json:"membership"`
+	Lessor   lease.State  `json:"lessor"`
+	// Owners names the owners of the region's pools.
+	Owners map[string]lease.Ref `json:"owners"`
+	// Takeovers names the processes that a new owner still waits for, by service.
+	Takeovers map[string][]lease.Ref `json:"takeovers"`
+	Regions   []peer.RegionDigest    `json:"regions"`
+}
+
+// stateTimeout bounds the wait for the control goroutine.
+const stateTimeout = 2 * time.Second
+
+// State returns a copy of the control state. It is empty when the control
+// goroutine has ended.
+func (c *Control) State() State {
+	out := make(chan State, 1)
+	c.post(func(now time.Duration) { out <- c.state(now) })
+	select {
+	case s := <-out:
+		return s
+	case <-c.done:
+	case <-time.After(stateTimeout):
+	}
+	return State{}
+}
+
+func (c *Control) state(now time.Duration) State {
+	s := State{Revision: c.revision, Members: c.member.State(), Lessor: c.leases.lessor.State(), Owners: c.leases.owners,
+		Takeovers: map[string][]lease.Ref{}, Regions: c.digestsFor(now)}
+	for service, t := range c.takeovers {
+		for ref := range t.silent {
+			s.Takeovers[service] = append(s.Takeovers[service], ref)
+		}
+	}
+	return s
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,8 +4,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -20,34 +21,14 @@
 	"github.com/galenabeam/galenabeam/internal/control"
 	"github.com/galenabeam/galenabeam/internal/edge"
 	"github.com/galenabeam/galenabeam/internal/host"
-	"github.com/galenabeam/galenabeam/internal/member"
 	"github.com/galenabeam/galenabeam/internal/outcome"
 	"github.com/galenabeam/galenabeam/internal/owner"
+	"github.com/galenabeam/galenabeam/internal/settings"
 	"github.com/galenabeam/galenabeam/internal/view"
 )
 
-// Limits of the HTTP server for callers.
-const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 32 << 10
-)
-
-// Options describe one entry host.
-type Options struct {
-	ID            host.ID
-	Region        string
-	FailureDomain string
-	// HTTPAddress and RPCAddress are listen addresses, "IP:port". Port 0
-	// takes a free one.
-	HTTPAddress, RPCAddress string
-	HostList                member.HostList
-	// PeerTLS secures JSON-RPC; nil means plain text.
-	PeerServerTLS, PeerClientTLS *tls.Config
-	// ShutdownLimit bounds the graceful shutdown.
-	ShutdownLimit time.Duration
-	Log           *logrus.Logger
-}
+// idleTimeout ends connections of callers that send nothing.
+const idleTimeout = 2 * time.Minute
 
 // Daemon is one entry host.
 type Daemon struct {
@@ -69,6 +50,12 @@
 
 // New listens on the daemon's addresses and assembles it. Call Run next.
 func New(o Options) (*Daemon, error) {
+	if o.HeaderTimeout == 0 {
+		o.HeaderTimeout = settings.DefaultHeaderTimeout
+	}
+	if o.MaxHeaderBytes == 0 {
+		o.MaxHeaderBytes = settings.DefaultMaxHeaderBytes
+	}
 	httpL, err := net.Listen("tcp", o.HTTPAddress)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for callers on %s", o.HTTPAddress)
@@ -80,7 +67,7 @@
 	}
 	d := &Daemon{opts: o, httpL: httpL, rpcL: rpcL, metrics: metrics.NewRegistry(), views: &view.Publisher{}}
 	d.self = host.Info{ID: o.ID, Incarnation: host.NewIncarnation(time.Now()), Region: o.Region, FailureDomain: o.FailureDomain,
-		RPCAddress: rpcL.Addr().String(), HTTPAddress: httpL.Addr().String()}
+		RPCAddress: advertised(o.AdvertiseRPC, rpcL), HTTPAddress: advertised(o.AdvertiseHTTP, httpL)}
 	d.log = o.Log.WithFields(logrus.Fields{"host": o.ID, "region": o.Region})
 	d.assemble()
 	return d, nil
@@ -92,11 +79,12 @@
 	d.slots = owner.NewSlots(d.self.Incarnation, d.views, d.peers)
 	d.edge = edge.New(edge.Config{Self: d.self, LookupTTL: edge.DefaultLookupTTL, IdentityWindow: edge.DefaultIdentityWindow,
 		LedgerCapacity: edge.DefaultLedgerCapacity}, d.views, d.slots, d.backends, localRouter{region: d.self.Region}, d.peers, d.log, d.metrics)
-	d.control = control.New(control.Options{Self: d.self, Views: d.views, Slots: d.slots, Peers: d.peers, HostList: d.opts.HostList,
+	d.control = control.New(control.Options{Self: d.self, Views: d.views, Slots: d.slots, Peers: d.peers, HostList: d.opts.HostList, Store: d.opts.Store, Edge: d.edge,
 		Log: d.log, Metrics: d.metrics, Seed: int64(d.self.Incarnation)})
 	d.rpc = rpc.NewServer(d.opts.PeerServerTLS)
 	d.handlePeers()
-	d.http = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	d.http = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: d.opts.HeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: d.opts.MaxHeaderBytes, ErrorLog: quietLog()}
 }
 
 // localRouter serves every request in this region.
@@ -107,6 +95,10 @@
 	return r.region, nil
 }
 
+// quietLog drops what net/http would print about single connections: broken
+// ones are normal, and aborted answers are counted by the edge.
+func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
 // Self describes this run of the daemon.
 func (d *Daemon) Self() host.Info { return d.self }
 
@@ -116,11 +108,11 @@
 // Run serves until ctx ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
+	waitCtx, stopWait := context.WithCancel(context.Background())
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	g.Add(func() error { return d.control.Run(controlCtx) }, func(error) { stopControl() })
 	g.Add(func() error { return d.rpc.Serve(d.rpcL) }, func(error) { _ = d.rpcL.Close(); d.rpc.Close() })
-	g.Add(func() error { return ignoreClosed(d.http.Serve(d.httpL)) }, func(error) { _ = d.http.Close() })
-	waitCtx, stopWait := context.WithCancel(context.Background())
+	g.Add(func() error { return d.serveHTTP(waitCtx) }, func(error) { _ = d.http.Close() })
 	g.Add(func() error { return d.waitShutdown(ctx, waitCtx) }, func(error) { stopWait() })
 	d.log.WithFields(logrus.Fields{"http": d.self.HTTPAddress, "rpc": d.self.RPCAddress, "incarnation": d.self.Incarnation}).Info("entry host started")
 	err := g.Run()
@@ -130,28 +122,56 @@
 	return err
 }
 
-func ignoreClosed(err error) error {
+// serveHTTP serves callers. After a graceful end it waits for the other steps
+// of the shutdown, because the first actor that returns ends all of them.
+func (d *Daemon) serveHTTP(stop context.Context) error {
+	err := d.http.Serve(d.httpL)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-stop.Done()
 		return nil
 	}
-	return err
+	return trace.Wrap(err)
 }
 
-// waitShutdown waits for the end of ctx and then for the requests in progress.
+// lookupGrace is added to the time to live of look-up answers before the
+// server for callers closes. It covers the delay to callers.
+const lookupGrace = 200 * time.Millisecond
+
+// waitShutdown waits for the end of ctx and then shuts down without cutting a
+// request: it gives up leases and look-ups, serves callers until their look-up
+// answers have expired, and finishes the requests in progress. A closed force
+// channel or the shutdown limit ends it earlier.
 func (d *Daemon) waitShutdown(ctx, stop context.Context) error {
 	select {
 	case <-ctx.Done():
 	case <-stop.Done():
 		return nil
 	}
-	idle := d.edge.Leave()
-	limit := time.NewTimer(d.opts.ShutdownLimit)
-	defer limit.Stop()
+	limit, cancel := context.WithTimeout(stop, d.opts.ShutdownLimit)
+	defer cancel()
+	if d.opts.Force != nil {
+		go func() {
+			select {
+			case <-d.opts.Force:
+				cancel()
+			case <-limit.Done():
+			}
+		}()
+	}
+	d.log.Info("shutting down")
+	d.edge.Leave()
+	d.control.Leave()
 	select {
-	case <-idle:
-	case <-limit.C:
-		d.log.WithField("active", d.edge.Active()).Warn("shutdown limit reached with requests in progress")
-	case <-stop.Done():
+	case <-time.After(edge.DefaultLookupTTL + lookupGrace):
+	case <-limit.Done():
+	}
+	if err := d.http.Shutdown(limit); err != nil {
+		d.log.WithField("active", d.edge.Active()).Warn("shutdown ended with requests in progress")
+	}
+	select {
+	case <-d.control.Released():
+	case <-limit.Done():
+		d.log.Warn("shutdown ended with leases held")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/daemon/dump.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/galenabeam/galenabeam/internal/control"
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/sched"
+)
+
+// Dump is the state of the whole process.
+type Dump struct {
+	At      time.Time                 `json:"at"`
+	Self    host.Info                 `json:"self"`
+	Active  int                       `json:"active_requests"`
+	Control control.State             `json:"control"`
+	Pools   map[string]sched.State    `json:"pools"`
+	Metrics map[string]map[string]any `json:"metrics"`
+}
+
+// Dump returns a copy of the state.
+func (d *Daemon) Dump() Dump {
+	out := Dump{At: time.Now().UTC(), Self: d.self, Active: d.edge.Active(), Control: d.control.State(), Pools: map[string]sched.State{},
+		Metrics: snapshotMetrics(d.metrics)}
+	for service, p := range d.slots.Pools() {
+		out.Pools[service] = p.State()
+	}
+	return out
+}
+
+// WriteDump writes the state as JSON.
+func (d *Daemon) WriteDump(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(d.Dump())
+}
+
+func snapshotMetrics(r metrics.Registry) map[string]map[string]any {
+	out := map[string]map[string]any{}
+	for name, values := range r.GetAll() {
+		out[name] = values
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/options.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/adapter/hostlist"
+	"github.com/galenabeam/galenabeam/internal/adapter/storehttp"
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/member"
+	"github.com/galenabeam/galenabeam/internal/settings"
+	"github.com/galenabeam/galenabeam/internal/store"
+)
+
+// Options describe one entry host.
+type Options struct {
+	ID            host.ID
+	Region        string
+	FailureDomain string
+	// HTTPAddress and RPCAddress are listen addresses, "IP:port". Port 0
+	// takes a free one.
+	HTTPAddress, RPCAddress string
+	// AdvertiseHTTP and AdvertiseRPC are told to others. Empty means the
+	// address that the listener got.
+	AdvertiseHTTP, AdvertiseRPC string
+	HostList                    member.HostList
+	Store                       store.Store
+	// PeerServerTLS and PeerClientTLS secure JSON-RPC; nil means plain text.
+	PeerServerTLS, PeerClientTLS *tls.Config
+	// HeaderTimeout and MaxHeaderBytes bound the header of a caller's request.
+	HeaderTimeout  time.Duration
+	MaxHeaderBytes int
+	// ShutdownLimit bounds the graceful shutdown.
+	ShutdownLimit time.Duration
+	// Force ends the graceful shutdown at once when it is closed. It may be nil.
+	Force <-chan struct{}
+	Log   *logrus.Logger
+}
+
+// platformTimeout bounds a call to the platform's host list.
+const platformTimeout = 2 * time.Second
+
+// FromSettings returns the options that settings describe.
+func FromSettings(s *settings.Settings, log *logrus.Logger) (Options, error) {
+	st, err := storehttp.New(storehttp.Config{URL: s.StoreURL, Client: string(s.Host)})
+	if err != nil {
+		return Options{}, trace.Wrap(err)
+	}
+	o := Options{
+		ID: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
+		HTTPAddress: s.HTTP.Listen, RPCAddress: s.RPC.Listen, AdvertiseHTTP: s.HTTP.Advertise, AdvertiseRPC: s.RPC.Advertise,
+		HostList: hostlist.New(s.HostListURL, &http.Client{Timeout: platformTimeout}, metrics.NewRegistry()),
+		Store:    st, HeaderTimeout: s.HeaderTimeout, MaxHeaderBytes: s.MaxHeaderBytes, ShutdownLimit: s.ShutdownLimit, Log: log,
+	}
+	return o, nil
+}
+
+// advertised returns the address to tell others.
+func advertised(configured string, l net.Listener) string {
+	if configured != "" {
+		return configured
+	}
+	return l.Addr().String()
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/galenabeam/galenabeam/internal/adapter/rpc"
-	"github.com/galenabeam/galenabeam/internal/member"
+	"github.com/galenabeam/galenabeam/internal/control"
 	"github.com/galenabeam/galenabeam/internal/outcome"
 	"github.com/galenabeam/galenabeam/internal/peer"
 )
@@ -36,8 +36,12 @@
 	rpc.Handle(d.rpc, peer.MethodResolve, func(_ context.Context, r peer.Resolve) (peer.ResolveReply, error) {
 		return d.edge.Resolve(r), nil
 	})
-	rpc.Handle(d.rpc, "member.ping", func(ctx context.Context, p member.Ping) (member.Pong, error) { return d.control.Ping(ctx, p) })
-	rpc.Handle(d.rpc, "member.ping_req", func(ctx context.Context, p member.PingReq) (member.PingReqAnswer, error) {
-		return d.control.PingReq(ctx, p)
-	})
+	rpc.Handle(d.rpc, peer.MethodRenew, d.control.Renew)
+	rpc.Handle(d.rpc, peer.MethodChanged, d.control.Changed)
+	rpc.Handle(d.rpc, peer.MethodLease, d.control.LeaseMessage)
+	rpc.Handle(d.rpc, peer.MethodPush, d.control.Push)
+	rpc.Handle(d.rpc, peer.MethodPull, d.control.Pull)
+	rpc.Handle(d.rpc, peer.MethodDigest, d.control.Digest)
+	rpc.Handle(d.rpc, control.MethodPing, d.control.Ping)
+	rpc.Handle(d.rpc, control.MethodPingReq, d.control.PingReq)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,10 +89,10 @@
 	answers map[ledger.ID]storedAnswer
 	budgets map[string]*retry.Budget
 	held    map[peer.GrantKey]heldSlot
+	owners  map[string]ownership
 	next    uint64
 	active  int
 	leaving bool
-	idle    chan struct{} // closed when leaving and no request is active
 }
 
 // New returns an Edge. entropy is the source of identities that the edge mints
@@ -105,7 +105,7 @@
 		answers: map[ledger.ID]storedAnswer{},
 		budgets: map[string]*retry.Budget{},
 		held:    map[peer.GrantKey]heldSlot{},
-		idle:    make(chan struct{}),
+		owners:  map[string]ownership{},
 	}
 }
 
@@ -148,38 +148,26 @@
 	return e.active
 }
 
-// Leave starts the graceful shutdown: look-ups answer with other hosts only.
-// Requests are still served until the server is closed. The returned channel
-// is closed once no request is active.
-func (e *Edge) Leave() <-chan struct{} {
+// Leave starts the graceful shutdown: answers ask callers to close their
+// connections. Requests are still served until the server is closed.
+func (e *Edge) Leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.leaving {
-		e.leaving = true
-		if e.active == 0 {
-			close(e.idle)
-		}
-	}
-	return e.idle
+	e.leaving = true
 }
 
-func (e *Edge) enter() {
+// enter counts a request in progress and tells whether the host is leaving.
+func (e *Edge) enter() (leaving bool) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.active++
-	e.mu.Unlock()
+	return e.leaving
 }
 
 func (e *Edge) exit() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.active--
-	if e.leaving && e.active == 0 {
-		select {
-		case <-e.idle:
-		default:
-			close(e.idle)
-		}
-	}
 }
 
 func (e *Edge) count(name string) { metrics.GetOrRegisterCounter(name, e.metrics).Inc(1) }
--- a/internal/edge/lookup.go
+++ b/internal/edge/lookup.go
@@ -7,9 +7,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/galenabeam/galenabeam/internal/host"
 	"github.com/galenabeam/galenabeam/internal/httpapi"
 	"github.com/galenabeam/galenabeam/internal/outcome"
+	"github.com/galenabeam/galenabeam/internal/steer"
 )
 
 // lookupHosts is the number of entry hosts in an answer. More than one lets a
@@ -41,15 +41,17 @@
 		refuseLookup(w, outcome.Refuse(outcome.ReasonBadRequest, 0), "client "+quote(q.Get("client"))+" is not an IP address")
 		return
 	}
-	var buf [lookupHosts + 1]host.Info
-	answer := httpapi.LookupAnswer{TTLMillis: e.cfg.LookupTTL.Milliseconds()}
-	answer.Origin, _ = s.Steering().Region(client)
-	for _, h := range s.Steering().Hosts(service, client, buf[:0]) {
-		if len(answer.Hosts) == lookupHosts {
-			break
-		}
+	var buf [lookupHosts]*steer.Host
+	found := s.Steering().Lookup(service, client, buf[:])
+	answer := httpapi.LookupAnswer{TTLMillis: e.cfg.LookupTTL.Milliseconds(), Origin: found.Home}
+	now := time.Now()
+	for _, h := range found.Hosts {
 		answer.Hosts = append(answer.Hosts, httpapi.LookupHost{Address: h.HTTPAddress, Region: h.Region, Incarnation: uint64(h.Incarnation),
-			Window: h.Incarnation.Window(time.Now(), e.cfg.IdentityWindow)})
+			Window: h.Incarnation.Window(now, e.cfg.IdentityWindow)})
+	}
+	if len(answer.Hosts) == 0 {
+		refuseLookup(w, outcome.Refuse(outcome.ReasonBusy, e.cfg.LookupTTL), "no entry host takes requests for the service")
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -91,7 +91,8 @@
 		o := outcome.Refuse(outcome.ReasonNoConfig, e.cfg.LookupTTL)
 		return r, &o
 	}
-	name, path, ok := strings.Cut(strings.TrimPrefix(in.URL.EscapedPath(), httpapi.PathRun), "/")
+	name, path, _ := strings.Cut(strings.TrimPrefix(in.URL.EscapedPath(), httpapi.PathRun), "/")
+	var ok bool
 	if r.service, ok = s.Service(name); !ok {
 		return refuse(outcome.ReasonNoService, "service "+quote(name)+" is not configured")
 	}
@@ -145,19 +146,29 @@
 // for callers the steering table decides, so that nobody evades a shift cap.
 func (e *Edge) setOrigin(s *view.Snapshot, r *request, in *http.Request) {
 	client, err := clientAddr("", in.RemoteAddr)
-	if err == nil && isEntryHost(s, client) {
-		r.forwarded = true
-		r.origin = in.Header.Get(httpapi.HeaderOrigin)
+	origin := in.Header.Get(httpapi.HeaderOrigin)
+	if err == nil && r.inherited && isRegion(s, origin) && isEntryHost(s, client) {
+		r.forwarded, r.origin = true, origin
 		return
 	}
 	r.origin = e.cfg.Self.Region
 	if st := s.Steering(); st != nil && err == nil {
-		if region, ok := st.Region(client); ok {
+		if region, ok := st.RegionOf(client); ok {
 			r.origin = region
 		}
 	}
 }
 
+// isRegion tells whether a region is configured.
+func isRegion(s *view.Snapshot, name string) bool {
+	for _, r := range s.Config.Regions {
+		if r.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // isEntryHost tells whether an address is that of an entry host of another region.
 func isEntryHost(s *view.Snapshot, a netip.Addr) bool {
 	for _, rv := range s.Regions {
--- a/internal/edge/retry.go
+++ b/internal/edge/retry.go
@@ -11,6 +11,11 @@
 // retryBurst is the number of extra attempts that a budget can save up.
 const retryBurst = 10
 
+// ownerWait is how long a request waits at its edge for a pool to get an owner
+// again. It exceeds the lease time plus the assignment. These attempts add no
+// load to backend servers and do not count against the retry budget.
+const ownerWait = 4 * time.Second
+
 // budget returns the retry budget of the request's service. The caller holds
 // e.mu.
 func (e *Edge) budget(r *request) *retry.Budget {
@@ -35,6 +40,9 @@
 	if !r.replayable() {
 		return false
 	}
+	if o.Reason == outcome.ReasonNoOwner && time.Since(r.arrived) < ownerWait {
+		return pause(ctx, ownerChangeRetry) && r.left() > 0
+	}
 	e.mu.Lock()
 	d := retry.DefaultPolicy.Decide(retry.Attempt{Number: attempt, Inherited: r.inherited}, o, r.rank.Idempotent, r.left(), e.budget(r))
 	e.mu.Unlock()
@@ -42,10 +50,15 @@
 		return false
 	}
 	e.count("retries." + r.service.Name)
-	if d.After <= 0 {
+	return pause(ctx, d.After)
+}
+
+// pause waits for d and returns false when ctx ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
 		return true
 	}
-	t := time.NewTimer(d.After)
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -15,9 +15,15 @@
 	"github.com/galenabeam/galenabeam/internal/view"
 )
 
+// ownerChangeRetry is when a request may be tried again after the owner of its
+// pool changed.
+const ownerChangeRetry = 100 * time.Millisecond
+
 // serveRun serves one request from arrival to its outcome.
 func (e *Edge) serveRun(w http.ResponseWriter, in *http.Request) {
-	e.enter()
+	if e.enter() {
+		w.Header().Set("Connection", "close")
+	}
 	defer e.exit()
 	s := e.views.Load()
 	r, refusal := e.parse(s, in)
@@ -65,6 +71,7 @@
 func (e *Edge) runHere(ctx context.Context, r *request) (outcome.Outcome, *answer) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	key := e.nextKey()
+	generation := e.generation(r.service.Name)
 	reply := e.slots.Acquire(ctx, peer.Acquire{Key: key, Service: r.service.Name, Rank: r.rank.Name, Customer: r.customer,
 		Origin: r.origin, LeftMillis: r.left().Milliseconds(), Bytes: max(0, r.contentLength), RequestID: r.idText})
 	if !reply.Granted {
@@ -72,7 +79,12 @@
 		return outcome.Refuse(reply.Refusal.Reason, time.Duration(reply.Refusal.RetryAfterMillis)*time.Millisecond), nil
 	}
 	r.servedIn, r.servedBy = e.cfg.Self.Region, reply.Server
-	e.hold(key, heldSlot{service: r.service.Name, region: e.cfg.Self.Region, server: reply.Server, rank: r.rank.Name, origin: r.origin, deadline: r.deadline})
+	held := heldSlot{service: r.service.Name, region: e.cfg.Self.Region, server: reply.Server, rank: r.rank.Name, origin: r.origin, deadline: r.deadline}
+	if !e.hold(key, held, generation) {
+		cancel()
+		e.count("grants.outdated")
+		return outcome.Refuse(outcome.ReasonNoOwner, ownerChangeRetry), nil
+	}
 	if !r.rank.Idempotent {
 		// The work is finished even when the caller goes away, so that a
 		// repeated call can be told its outcome.
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenabeam/galenabeam/config"
@@ -19,9 +20,9 @@
 type Pool struct {
 	service, region string
 	clock           func() time.Duration
-	// valid tells whether the lease on the pool is still held. It is checked
-	// before every grant, so that a process that was paused grants nothing.
-	valid func() bool
+	// limit is the end of the lease on the pool, on clock. It is checked before
+	// every grant, so that a process that was paused grants nothing.
+	limit atomic.Int64
 
 	mu      sync.Mutex
 	sched   *sched.Pool
@@ -31,12 +32,23 @@
 	waiting map[uint64]*waiter
 	keys    map[peer.GrantKey]uint64
 	grants  map[peer.GrantKey]sched.GrantID
+	gate    Gate
+	// adopted holds the shifted requests of an earlier owner, which the
+	// scheduler does not count against the gate.
+	adopted map[peer.GrantKey]adoption
 	// withdrawn holds cancels that arrived before their acquire call: calls on
 	// one connection are handled concurrently.
 	withdrawn map[peer.GrantKey]time.Duration
 	closed    bool
 }
 
+// adoption is a shifted request that an earlier owner granted.
+type adoption struct {
+	origin int
+	// until is when the request has ended at the latest.
+	until time.Duration
+}
+
 // withdrawnTime is how long a cancel waits for its acquire call.
 const withdrawnTime = 5 * time.Second
 
@@ -55,17 +67,25 @@
 }
 
 // NewPool returns the pool of a service in a region under a configuration.
-// clock is the monotonic time of the process.
-func NewPool(c *config.Config, service, region string, clock func() time.Duration, valid func() bool, rng *rand.Rand) *Pool {
+// clock is the monotonic time of the process, limit the end of the lease.
+func NewPool(c *config.Config, service, region string, clock func() time.Duration, limit time.Duration, rng *rand.Rand) *Pool {
 	params := sched.ParamsFor(c, service, region)
-	return &Pool{
-		service: service, region: region, clock: clock, valid: valid,
+	p := &Pool{
+		service: service, region: region, clock: clock,
 		sched: sched.NewPool(clock(), params, rng), index: newIndex(c, params),
 		waiting: map[uint64]*waiter{}, keys: map[peer.GrantKey]uint64{}, grants: map[peer.GrantKey]sched.GrantID{},
-		withdrawn: map[peer.GrantKey]time.Duration{},
+		withdrawn: map[peer.GrantKey]time.Duration{}, adopted: map[peer.GrantKey]adoption{},
 	}
+	p.SetLimit(limit)
+	return p
 }
 
+// SetLimit sets the end of the lease on the pool.
+func (p *Pool) SetLimit(limit time.Duration) { p.limit.Store(int64(limit)) }
+
+// valid tells whether the lease on the pool is still held.
+func (p *Pool) valid() bool { return p.clock() < time.Duration(p.limit.Load()) }
+
 func newIndex(c *config.Config, p sched.Params) index {
 	x := index{ranks: map[string]int{}, customers: map[string]int{}, origins: map[string]int{}, addresses: map[string]string{}}
 	for i, r := range p.Ranks {
@@ -99,10 +119,18 @@
 	p.perform()
 }
 
+// Gate is the gate for shifted requests.
+type Gate interface {
+	sched.Gate
+	// Adopt counts a request that an earlier owner of the pool has granted.
+	Adopt(origin int)
+}
+
 // SetGate sets the gate for shifted requests.
-func (p *Pool) SetGate(g sched.Gate) {
+func (p *Pool) SetGate(g Gate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.gate = g
 	p.sched.SetGate(g)
 }
 
@@ -161,22 +189,30 @@
 	return w, peer.AcquireReply{}
 }
 
-// perform carries out the scheduler's actions. The caller holds p.mu.
+// perform carries out the scheduler's actions. The caller holds p.mu. A grant
+// made after the end of the lease is taken back, which may cause further ones.
 func (p *Pool) perform() {
-	for _, act := range p.acts {
-		w, ok := p.waiting[act.Key]
-		if !ok {
+	for i := 0; i < len(p.acts); i++ {
+		act := p.acts[i]
+		w, waits := p.waiting[act.Key]
+		if act.Kind == sched.Grant && (!waits || !p.valid()) {
+			p.acts = p.sched.Release(p.clock(), act.Grant, sched.Result{Status: sched.Canceled}, p.acts)
+		}
+		if !waits {
 			continue
 		}
 		delete(p.waiting, act.Key)
 		delete(p.keys, w.key)
-		if act.Kind == sched.Refuse {
+		switch {
+		case act.Kind == sched.Refuse:
 			w.decided <- refused(act.Outcome.Reason, act.Outcome.RetryAfter)
-			continue
+		case !p.valid():
+			w.decided <- refused(outcome.ReasonNoOwner, leaseRetry)
+		default:
+			name := p.sched.ServerName(act.Server)
+			p.grants[w.key] = act.Grant
+			w.decided <- peer.AcquireReply{Granted: true, Server: name, Address: p.index.addresses[name], Grant: uint64(act.Grant)}
 		}
-		name := p.sched.ServerName(act.Server)
-		p.grants[w.key] = act.Grant
-		w.decided <- peer.AcquireReply{Granted: true, Server: name, Address: p.index.addresses[name], Grant: uint64(act.Grant)}
 	}
 }
 
@@ -212,6 +248,7 @@
 		return
 	}
 	delete(p.grants, r.Key)
+	p.endAdoption(r.Key)
 	p.acts = p.sched.Release(p.clock(), g, sched.Result{Status: status(r.Status),
 		ServiceTime: time.Duration(r.ServiceMicros) * time.Microsecond, Draining: r.Draining}, p.acts[:0])
 	p.perform()
@@ -241,10 +278,13 @@
 			delete(p.withdrawn, key)
 		}
 	}
-	if p.valid() {
-		p.acts = p.sched.Tick(now, p.acts[:0])
-		p.perform()
+	for key, a := range p.adopted {
+		if now > a.until {
+			p.endAdoption(key)
+		}
 	}
+	p.acts = p.sched.Tick(now, p.acts[:0])
+	p.perform()
 	return p.sched.NextWake(now) - now
 }
 
--- a/internal/owner/pool_state.go
+++ b/internal/owner/pool_state.go
@@ -21,6 +21,13 @@
 	return p.sched.Headroom(p.clock())
 }
 
+// Idle tells whether the pool has neither waiting calls nor grants.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Idle() && len(p.adopted) == 0
+}
+
 // SetLeaving marks a backend server as leaving, or takes the mark back.
 func (p *Pool) SetLeaving(server string, leaving bool) {
 	p.mu.Lock()
@@ -37,14 +44,12 @@
 	p.sched.ReportLoad(now, server, sched.Load{InFlight: inFlight, Healthy: healthy, At: now})
 }
 
-// ReserveAll keeps every slot of the pool from being granted until a time: an
-// earlier owner may have granted them to edges that have not reported yet.
-func (p *Pool) ReserveAll(servers map[string]int, until time.Duration) {
+// Reserve keeps the slots of a server that silent edges may still use from
+// being granted until a time. It replaces the server's earlier reservation.
+func (p *Pool) Reserve(server string, slots int, until time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name, slots := range servers {
-		p.sched.Reserve(p.clock(), name, slots, until)
-	}
+	p.sched.Reserve(p.clock(), server, slots, until)
 }
 
 // Adopt counts the slots that an edge holds from an earlier owner, so that the
@@ -63,10 +68,31 @@
 		}
 		if g, ok := p.sched.Adopt(now, h.Server, rank, now+time.Duration(h.LeftMillis)*time.Millisecond); ok {
 			p.grants[h.Key] = g
+			p.adoptShifted(h, now)
 		}
 	}
 }
 
+// adoptShifted counts a request of another region against the gate. The caller
+// holds p.mu.
+func (p *Pool) adoptShifted(h peer.HeldSlot, now time.Duration) {
+	origin := p.index.origins[h.Origin]
+	if origin == 0 || p.gate == nil {
+		return
+	}
+	p.gate.Adopt(origin)
+	p.adopted[h.Key] = adoption{origin: origin, until: now + time.Duration(h.LeftMillis)*time.Millisecond}
+}
+
+// endAdoption ends the use of the gate by an adopted request. The caller holds
+// p.mu.
+func (p *Pool) endAdoption(key peer.GrantKey) {
+	if a, ok := p.adopted[key]; ok {
+		delete(p.adopted, key)
+		p.gate.Release(p.clock(), a.origin)
+	}
+}
+
 // InFlight returns the granted requests of a backend server.
 func (p *Pool) InFlight(server string) int {
 	p.mu.Lock()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -107,8 +107,9 @@
 type Report struct {
 	Service string `json:"service"`
 	Region  string `json:"region"`
-	// Epoch is the lessor's epoch under which the new owner got the pool.
-	Epoch uint64 `json:"epoch"`
+	// Owner and Takeover name the new owner and its count of pools taken over.
+	Owner    host.Incarnation `json:"owner"`
+	Takeover uint64           `json:"takeover"`
 }
 
 // HeldSlot is one slot in use by an edge.
--- a/internal/quickstart/cluster.go
+++ b/internal/quickstart/cluster.go
@@ -4,6 +4,7 @@
 package quickstart
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -16,9 +17,12 @@
 
 	"github.com/galenabeam/galenabeam/config"
 	"github.com/galenabeam/galenabeam/internal/adapter/hostlist"
+	"github.com/galenabeam/galenabeam/internal/adapter/storehttp"
+	"github.com/galenabeam/galenabeam/internal/confsync"
 	"github.com/galenabeam/galenabeam/internal/daemon"
 	"github.com/galenabeam/galenabeam/internal/fake/backend"
 	fakelist "github.com/galenabeam/galenabeam/internal/fake/hostlist"
+	fakestore "github.com/galenabeam/galenabeam/internal/fake/store"
 	"github.com/galenabeam/galenabeam/internal/host"
 	"github.com/galenabeam/galenabeam/internal/member"
 
@@ -43,6 +47,8 @@
 type cluster struct {
 	log    *logrus.Logger
 	list   *fakelist.List
+	store  *fakestore.Service
+	storeS *fakestore.Server
 	listS  *httptest.Server
 	config *config.Config
 
@@ -56,6 +62,7 @@
 type entryHost struct {
 	d      *daemon.Daemon
 	stop   context.CancelFunc
+	force  chan struct{}
 	ended  chan struct{}
 	region int
 }
@@ -73,6 +80,11 @@
 	c := &cluster{log: log, list: fakelist.New(time.Now)}
 	c.list.SetLag(listLag)
 	c.listS = httptest.NewServer(http.HandlerFunc(c.list.ServeHTTP))
+	c.store = fakestore.New()
+	var err error
+	if c.storeS, err = c.store.Listen("127.0.0.1:0"); err != nil {
+		return c, trace.Wrap(err, "starting the store's stand-in")
+	}
 	if err := c.startBackends(); err != nil {
 		return c, err
 	}
@@ -119,9 +131,16 @@
 	c.mu.Unlock()
 	ip := entryIP(region, serial)
 	domain := c.config.Regions[region].FailureDomains[serial%2]
+	st, err := storehttp.New(storehttp.Config{URL: c.storeS.URL(), Client: ip})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	force := make(chan struct{})
 	d, err := daemon.New(daemon.Options{
-		ID: host.ID(fmt.Sprintf("entry-%s-%d", regionNames[region], serial)), Region: regionNames[region], FailureDomain: domain,
+		Force: force,
+		ID:    host.ID(fmt.Sprintf("entry-%s-%d", regionNames[region], serial)), Region: regionNames[region], FailureDomain: domain,
 		HTTPAddress: ip + ":0", RPCAddress: ip + ":0", ShutdownLimit: shutdownLimit, Log: c.log,
+		Store:    st,
 		HostList: hostlist.New(c.listS.URL, http.DefaultClient, metrics.NewRegistry()),
 	})
 	if err != nil {
@@ -130,9 +149,8 @@
 	self := d.Self()
 	c.list.Put(member.Listed{ID: self.ID, Region: self.Region, FailureDomain: self.FailureDomain, RPCAddress: self.RPCAddress,
 		HTTPAddress: self.HTTPAddress, State: member.ListedLive})
-	d.Control().SetConfig(c.config, 1)
 	ctx, stop := context.WithCancel(context.Background())
-	h := &entryHost{d: d, stop: stop, ended: make(chan struct{}), region: region}
+	h := &entryHost{d: d, stop: stop, force: force, ended: make(chan struct{}), region: region}
 	go func() {
 		defer close(h.ended)
 		if err := d.Run(ctx); err != nil {
@@ -145,6 +163,23 @@
 	return nil
 }
 
+// submit puts the configuration into the store through an entry host.
+func (c *cluster) submit(ctx context.Context) error {
+	var text bytes.Buffer
+	if err := config.Print(&text, c.config); err != nil {
+		return trace.Wrap(err)
+	}
+	v, err := c.hosts[0].d.Control().Submit(ctx, confsync.Request{Text: text.Bytes(),
+		Audit: confsync.Audit{Operation: "quickstart-1", Who: "quickstart", When: time.Now().UTC(), Why: "first configuration"}})
+	if err != nil {
+		return trace.Wrap(err, "submitting the configuration")
+	}
+	if v.Verdict != confsync.Accepted {
+		return trace.Errorf("configuration not accepted: %s: %v", v.Verdict, v.Err)
+	}
+	return nil
+}
+
 // replaceHost starts a new entry host and shuts an old one down gracefully, as
 // the platform does when it replaces a machine.
 func (c *cluster) replaceHost(n int) (old, fresh host.ID, err error) {
@@ -186,6 +221,7 @@
 	c.mu.Unlock()
 	for _, h := range hosts {
 		h.stop()
+		close(h.force)
 	}
 	for _, h := range hosts {
 		<-h.ended
@@ -194,6 +230,9 @@
 		b.Close()
 	}
 	c.listS.Close()
+	if c.storeS != nil {
+		_ = c.storeS.Close()
+	}
 }
 
 // ran returns how often a piece of work ran over all backend servers.
@@ -224,7 +263,7 @@
 		Ranks: []config.Rank{
 			{Name: rankNames[0], Order: 1, Target: 250 * time.Millisecond, Deadline: time.Second, Worth: 100, Floor: 0, Idempotent: true, Hedge: true},
 			{Name: rankNames[1], Order: 2, Target: time.Second, Deadline: 5 * time.Second, Worth: 30, Floor: 0.1},
-			{Name: rankNames[2], Order: 3, Target: 10 * time.Second, Deadline: 15 * time.Second, Worth: 1, Floor: 0.05},
+			{Name: rankNames[2], Order: 3, Target: 4 * time.Second, Deadline: 5 * time.Second, Worth: 1, Floor: 0.05},
 		},
 		Customers: []config.Customer{{Name: "analysts", Weight: 4}, {Name: "hotels", Weight: 2}, {Name: "buses", Weight: 1}},
 	}
--- a/internal/quickstart/load.go
+++ b/internal/quickstart/load.go
@@ -130,7 +130,8 @@
 	work := fmt.Sprintf("%s-%s-%d", regionNames[region], rankNames[wl.rank], l.serial.Add(1))
 	begun := time.Now()
 	res, err := l.clients[region][w].Do(context.Background(), client.Request{Service: service, Rank: rankNames[wl.rank],
-		Path: fmt.Sprintf("/work?work=%s&ms=%d", work, wl.serviceMS), Body: make([]byte, wl.body), Idempotent: wl.idempotent})
+		Path: fmt.Sprintf("/work?work=%s&ms=%d", work, wl.serviceMS), Body: make([]byte, wl.body), Idempotent: wl.idempotent,
+		Timeout: l.cluster.config.Ranks[wl.rank].Deadline})
 	s := sample{rank: wl.rank, work: work, kind: client.NotRun, latency: time.Since(begun)}
 	if err == nil {
 		s.kind = res.Kind
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -14,8 +14,8 @@
 const (
 	floodStart  = 3 * time.Second
 	replaceTime = 5 * time.Second
-	floodEnd    = 8 * time.Second
-	loadEnd     = 10 * time.Second
+	floodEnd    = 7 * time.Second
+	loadEnd     = 9 * time.Second
 	// readyTimeout bounds the wait for the first served request.
 	readyTimeout = 5 * time.Second
 )
@@ -38,6 +38,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := c.submit(ctx); err != nil {
+		return nil, err
+	}
 	if err := waitReady(ctx, c); err != nil {
 		return nil, err
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,12 +4,12 @@
 package view
 
 import (
-	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/galenabeam/galenabeam/config"
 	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/steer"
 )
 
 // PoolKey names a pool: the backend servers of one service in one region.
@@ -43,19 +43,11 @@
 
 	services map[string]*config.Service
 	ranks    map[string]*config.Rank
-	steer    Steering
-}
-
-// Steering finds entry hosts for a caller.
-type Steering interface {
-	// Region returns the region of a caller's address.
-	Region(client netip.Addr) (string, bool)
-	// Hosts appends the entry hosts for a caller and a service, best first.
-	Hosts(service string, client netip.Addr, buf []host.Info) []host.Info
+	steer    *steer.Table
 }
 
 // New returns a snapshot with its look-up indexes built. cfg may be nil.
-func New(cfg *config.Config, revision uint64, pools map[string]Pool, regions map[string]RegionView, steer Steering) *Snapshot {
+func New(cfg *config.Config, revision uint64, pools map[string]Pool, regions map[string]RegionView, steer *steer.Table) *Snapshot {
 	s := &Snapshot{Config: cfg, Revision: revision, Pools: pools, Regions: regions, steer: steer,
 		services: map[string]*config.Service{}, ranks: map[string]*config.Rank{}}
 	if cfg == nil {
@@ -83,7 +75,7 @@
 }
 
 // Steering returns the steering table, or nil before there is one.
-func (s *Snapshot) Steering() Steering { return s.steer }
+func (s *Snapshot) Steering() *steer.Table { return s.steer }
 
 // Publisher hands snapshots from the control goroutine to traffic.
 type Publisher struct{ p atomic.Pointer[Snapshot] }
