--- a/internal/steer/bench_test.go
+++ b/internal/steer/bench_test.go
@@ -103,10 +103,13 @@
 			runtime.KeepAlive(d)
 
 			const deltas = 1000
-			names := []string{"region-0", "region-1", "region-2"}
+			var names []string
+			for _, r := range d.SetRegions {
+				names = append(names, r.Name)
+			}
 			start, changed := time.Now(), table
 			for i := range deltas {
-				block := Block{benchPrefix(rng), names[i%3]}
+				block := Block{benchPrefix(rng), names[i%len(names)]}
 				changed, err = changed.Apply(Delta{SetBlocks: []Block{block}, SetHosts: []Host{benchHost(i%size.hosts, names, rng)}})
 				if err != nil {
 					b.Fatal(err)
--- a/internal/steer/delta.go
+++ b/internal/steer/delta.go
@@ -16,6 +16,13 @@
 	"github.com/galenabeam/galenabeam/internal/host"
 )
 
+// MaxWeight is the largest weight of a host. Weights below minWeight count as
+// zero, so that sums and inverses of weights stay finite.
+const (
+	MaxWeight = 1e12
+	minWeight = 1e-9
+)
+
 // maxRegions bounds the region names that one table has ever known.
 const maxRegions = 1 << 16
 
@@ -263,10 +270,11 @@
 		if !found {
 			return trace.NotFound("host %s: unknown region %q", h.ID, h.Region)
 		}
-		if !(h.Weight >= 0) || math.IsInf(h.Weight, 1) {
-			return trace.BadParameter("host %s: weight %v; want a finite number of at least 0", h.ID, h.Weight)
+		if !(h.Weight >= 0 && h.Weight <= MaxWeight) {
+			return trace.BadParameter("host %s: weight %v; want 0 to %g", h.ID, h.Weight, float64(MaxWeight))
 		}
 		remove(h.ID)
+		h.seed = xxhash.Sum64String(string(h.ID))
 		r := edit(i)
 		at, _ := find(r.members, h.ID)
 		r.members = slices.Insert(r.members, at, &h)
@@ -286,13 +294,13 @@
 // live returns the hosts that may be given out. Without any headroom in the
 // region all hosts that are not leaving count alike.
 func live(members []*Host) pool {
-	var weighted, staying []*Host
+	weighted, staying := make([]*Host, 0, len(members)), make([]*Host, 0, len(members))
 	for _, h := range members {
 		if h.Leaving {
 			continue
 		}
 		staying = append(staying, h)
-		if h.Weight > 0 {
+		if h.Weight >= minWeight {
 			weighted = append(weighted, h)
 		}
 	}
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -37,6 +37,9 @@
 	Weight float64
 	// Leaving hosts are never given out.
 	Leaving bool
+
+	// seed is the hash of the ID, set by Apply.
+	seed uint64
 }
 
 // Status tells whether an answer has hosts, and why not.
@@ -183,13 +186,12 @@
 const firstPass = 8
 
 func newPool(hosts []*Host, weight func(*Host) float64) pool {
-	var p pool
 	sum := 0.0
 	for _, h := range hosts {
 		sum += weight(h)
 	}
-	p.bound = firstPass / sum
-	for _, h := range hosts {
+	p := pool{filters: make([]filter, len(hosts)), inverse: make([]float64, len(hosts)), hosts: hosts, bound: firstPass / sum}
+	for i, h := range hosts {
 		w := weight(h)
 		// The score is at least v/w, so a score below the bound needs v below
 		// bound*w.
@@ -197,9 +199,8 @@
 		if share := p.bound * w; share < 1 {
 			limit = uint64(math.Ceil(share*0x1p53)) << 11
 		}
-		p.filters = append(p.filters, filter{seed: xxhash.Sum64String(string(h.ID)), limit: limit})
-		p.inverse = append(p.inverse, 1/w)
-		p.hosts = append(p.hosts, h)
+		p.filters[i] = filter{seed: h.seed, limit: limit}
+		p.inverse[i] = 1 / w
 	}
 	return p
 }
--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -303,6 +303,7 @@
 	}{
 		{"host of unknown region", Delta{SetHosts: h("nope", 1)}, `host h1: unknown region "nope"`},
 		{"negative weight", Delta{SetHosts: h("r", -1)}, "host h1: weight -1"},
+		{"infinite weight", Delta{SetHosts: h("r", math.Inf(1))}, "host h1: weight +Inf; want 0 to 1e+12"},
 		{"weight that is no number", Delta{SetHosts: h("r", math.NaN())}, "host h1: weight NaN"},
 		{"block of unknown region", Delta{SetBlocks: []Block{{netip.MustParsePrefix("10.0.0.0/8"), "nope"}}}, `client block 10.0.0.0/8: unknown region "nope"`},
 		{"invalid block", Delta{SetBlocks: []Block{{netip.Prefix{}, "r"}}}, "want an IPv4 or IPv6 prefix"},
