--- a/config/parse.go
+++ b/config/parse.go
@@ -52,6 +52,9 @@
 	problems Problems
 	current  block
 	seen     map[string]int
+	// delta allows headers of removed items, which removed collects.
+	delta   bool
+	removed []string
 }
 
 // Parse reads INI text that Print wrote. It refuses unknown sections and keys,
@@ -59,10 +62,17 @@
 // them together as *Problems. A parsed configuration may still fail Check,
 // which compares items with each other.
 func Parse(text []byte) (*Config, error) {
+	p := &parser{config: &Config{}, seen: make(map[string]int)}
+	if err := p.parse(text); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return Normalize(p.config), nil
+}
+
+func (p *parser) parse(text []byte) error {
 	if len(text) > MaxTextBytes {
-		return nil, trace.LimitExceeded("configuration text has %d bytes; want at most %d", len(text), MaxTextBytes)
+		return trace.LimitExceeded("configuration text has %d bytes; want at most %d", len(text), MaxTextBytes)
 	}
-	p := &parser{config: &Config{}, seen: make(map[string]int)}
 	number := 0
 	for len(text) > 0 {
 		var line []byte
@@ -71,10 +81,7 @@
 		p.line(number, line)
 	}
 	p.flush()
-	if err := p.problems.err(); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return Normalize(p.config), nil
+	return p.problems.err()
 }
 
 func (p *parser) refuse(line int, item, format string, args ...any) {
@@ -151,6 +158,10 @@
 		return
 	}
 	p.seen[name] = number
+	if p.delta && words[0] == removeWord {
+		p.removed = append(p.removed, strings.Join(words[1:], " "))
+		return
+	}
 	for _, s := range sections {
 		if s.name() == words[0] {
 			p.current.header, p.current.section, p.current.names = name, s, words[1:]
--- a/config/section.go
+++ b/config/section.go
@@ -18,6 +18,8 @@
 	checkItems(c *Config, problems *Problems)
 	normalize(from, to *Config)
 	diff(a, b *Config) []Change
+	delta(a, b *Config, d *Delta)
+	apply(next, set *Config, removed []string) error
 }
 
 // sections lists all kinds in printing order.
--- a/internal/steer/config.go
+++ b/internal/steer/config.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/galenabeam/galenabeam/config"
@@ -22,6 +23,33 @@
 	return d
 }
 
+// ChangesOf returns the same as Changes for a configuration that delta led to.
+// Unlike Changes, it does not compare the client blocks.
+func ChangesOf(delta config.Delta, before, after *config.Config) Delta {
+	var d Delta
+	if len(delta.Set.Regions)+len(delta.Set.Links) > 0 || removes(delta, "region ", "link ") {
+		d.regions(before, after)
+	}
+	if len(delta.Set.Services)+len(delta.Set.BackendServers) > 0 || removes(delta, "service ", "backend-server ") {
+		d.services(before, after)
+	}
+	for _, item := range delta.Remove {
+		if prefix, found := strings.CutPrefix(item, "client-blocks "); found {
+			d.RemoveBlocks = append(d.RemoveBlocks, netip.MustParsePrefix(prefix))
+		}
+	}
+	for _, b := range delta.Set.ClientBlocks {
+		d.SetBlocks = append(d.SetBlocks, Block{Prefix: netip.MustParsePrefix(b.Prefix), Region: b.Region})
+	}
+	return d
+}
+
+func removes(delta config.Delta, words ...string) bool {
+	return slices.ContainsFunc(delta.Remove, func(item string) bool {
+		return slices.ContainsFunc(words, func(word string) bool { return strings.HasPrefix(item, word) })
+	})
+}
+
 func (d *Delta) regions(before, after *config.Config) {
 	if slices.EqualFunc(before.Regions, after.Regions, func(a, b config.Region) bool { return a.Name == b.Name }) &&
 		slices.Equal(before.Links, after.Links) {
--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/galenabeam/galenabeam/config"
 	"github.com/galenabeam/galenabeam/examples/deployments"
 	"github.com/galenabeam/galenabeam/internal/host"
 )
@@ -339,6 +340,7 @@
 	after.Services = after.Services[:2]
 	after.BackendServers = after.BackendServers[:34]
 	d := Changes(before, after)
+	g.Expect(ChangesOf(config.MakeDelta(before, after), before, after)).To(Equal(d))
 	g.Expect(d.SetBlocks).To(Equal([]Block{{netip.MustParsePrefix("127.0.0.0/16"), "austur"}}))
 	g.Expect(d.RemoveBlocks).To(Equal([]netip.Prefix{netip.MustParsePrefix("192.0.2.0/24")}))
 	g.Expect(d.RemoveServices).To(Equal([]string{"mottaka"}))
