--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/galenabeam/galenabeam/config"
 	"github.com/galenabeam/galenabeam/examples/deployments"
 	"github.com/galenabeam/galenabeam/internal/host"
 )
@@ -303,6 +304,7 @@
 	}{
 		{"host of unknown region", Delta{SetHosts: h("nope", 1)}, `host h1: unknown region "nope"`},
 		{"negative weight", Delta{SetHosts: h("r", -1)}, "host h1: weight -1"},
+		{"infinite weight", Delta{SetHosts: h("r", math.Inf(1))}, "host h1: weight +Inf; want 0 to 1e+12"},
 		{"weight that is no number", Delta{SetHosts: h("r", math.NaN())}, "host h1: weight NaN"},
 		{"block of unknown region", Delta{SetBlocks: []Block{{netip.MustParsePrefix("10.0.0.0/8"), "nope"}}}, `client block 10.0.0.0/8: unknown region "nope"`},
 		{"invalid block", Delta{SetBlocks: []Block{{netip.Prefix{}, "r"}}}, "want an IPv4 or IPv6 prefix"},
@@ -338,6 +340,7 @@
 	after.Services = after.Services[:2]
 	after.BackendServers = after.BackendServers[:34]
 	d := Changes(before, after)
+	g.Expect(ChangesOf(config.MakeDelta(before, after), before, after)).To(Equal(d))
 	g.Expect(d.SetBlocks).To(Equal([]Block{{netip.MustParsePrefix("127.0.0.0/16"), "austur"}}))
 	g.Expect(d.RemoveBlocks).To(Equal([]netip.Prefix{netip.MustParsePrefix("192.0.2.0/24")}))
 	g.Expect(d.RemoveServices).To(Equal([]string{"mottaka"}))
