sched: weigh the reserve by the worth of the ranks

A slot stays free for more urgent work when the requests that would be late are worth more than the work that the slot could do. A customer with a short queue is no longer judged by the rate at which it was served: in bursts, that estimate refused urgent requests with an expected wait of 50 ms.

--- a/internal/policybench/workload_test.go
+++ b/internal/policybench/workload_test.go
@@ -53,13 +53,13 @@
 	name             string
 	shortest, range_ time.Duration
 	target, deadline time.Duration
-	floor            float64
+	floor, worth     float64
 }
 
 var works = [ranks]work{
-	{"urgent", 20 * ms, 40 * ms, 250 * ms, sec, 0},
-	{"second", 60 * ms, 90 * ms, sec, 5 * sec, 0.10},
-	{"bulk", 500 * ms, 1500 * ms, 30 * sec, 60 * sec, 0.05},
+	{"urgent", 20 * ms, 40 * ms, 250 * ms, sec, 0, 100},
+	{"second", 60 * ms, 90 * ms, sec, 5 * sec, 0.10, 10},
+	{"bulk", 500 * ms, 1500 * ms, 30 * sec, 60 * sec, 0.05, 1},
 }
 
 func (w *work) mean() time.Duration { return w.shortest + w.range_/2 }
@@ -80,7 +80,7 @@
 	}
 	for _, w := range works {
 		p.Ranks = append(p.Ranks, sched.Rank{
-			Name: w.name, Target: w.target, Deadline: w.deadline, Floor: w.floor,
+			Name: w.name, Target: w.target, Deadline: w.deadline, Floor: w.floor, Worth: w.worth,
 			ServiceTime: max(40*ms, w.target/20),
 		})
 	}
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -18,12 +18,15 @@
 	// serviceSamples is the number of observations that a service time
 	// estimate averages over.
 	serviceSamples = 128
+	// rateSamples is the least queue of a customer that is judged by its rate.
+	rateSamples = 10
 	// targetUse is the part of a rank's target that a standing queue may use
 	// up. The rest covers the spread of service times and the network.
 	targetUse = 0.8
-	// waitRisk is the part of more urgent requests that may wait too long for
-	// a slot because less urgent work holds the slots.
-	waitRisk = 1e-4
+	// leastRisk and mostRisk bound the part of more urgent requests that may
+	// wait too long for a slot because less urgent work holds the slots.
+	leastRisk = 1e-6
+	mostRisk  = 3e-4
 	// waitUse is the part of a more urgent request's slack that it may wait.
 	waitUse = 0.7
 	// maxQueued bounds the queue of a rank when estimates are far off.
@@ -123,12 +126,13 @@
 		r := &p.ranks[i]
 		r.floorSlots = r.Floor * float64(p.slots)
 		r.reserve = 0
-		load, rate, square := 0.0, 0.0, 0.0
+		load, rate, square, worth := 0.0, 0.0, 0.0, 0.0
 		for q := 0; q < i; q++ {
 			u := &p.ranks[q]
 			load += u.load()
 			rate += max(u.fast, u.slow)
 			square += max(u.fast, u.slow) * u.square
+			worth += max(u.fast, u.slow) * u.Worth
 			wait := waitUse * (u.Target.Seconds() - 1.5*u.service)
 			if load < 0.01 || wait <= 0 || r.service <= wait {
 				continue
@@ -138,7 +142,10 @@
 			// shorter by half of one plus the squared coefficient of variation.
 			service := load / rate
 			spread := min(max(square/rate/(service*service), 1), 4) / 2
-			need := slotsFor(load, service*spread, wait, freed, p.slots)
+			// A slot left free costs the work that it could do, and saves
+			// the worth of the requests that would otherwise be late.
+			risk := min(max(r.Worth/r.service/max(worth, 1e-9), leastRisk), mostRisk)
+			need := slotsFor(load, service*spread, wait, freed, risk, p.slots)
 			r.reserve = max(r.reserve, need+p.between(q, i, wait))
 		}
 	}
@@ -159,10 +166,10 @@
 
 // slotsFor returns the fewest slots with which work of an offered load and a
 // mean service time waits longer than wait with a probability of at most
-// waitRisk. Freed is the mean number of slots that other work frees within
+// risk. Freed is the mean number of slots that other work frees within
 // wait. It is the Erlang C formula, P(W > t) = C exp(-(slots-load) t/service),
 // where freed slots count like slots in the exponent.
-func slotsFor(load, service, wait, freed float64, most int) float64 {
+func slotsFor(load, service, wait, freed, risk float64, most int) float64 {
 	before := 1.0
 	blocking := 1.0 // Erlang B, by recursion over the number of slots
 	for n := 1; n < most; n++ {
@@ -175,22 +182,22 @@
 		if spare > 0 {
 			queued = float64(n) * blocking / (float64(n) - load*(1-blocking))
 		}
-		risk := queued * math.Exp(-(spare+freed)*wait/service)
-		if risk <= waitRisk {
-			return float64(n) - fraction(risk, before)
+		late := queued * math.Exp(-(spare+freed)*wait/service)
+		if late <= risk {
+			return float64(n) - fraction(late, before, risk)
 		}
-		before = risk
+		before = late
 	}
 	return float64(most)
 }
 
 // fraction interpolates, in the logarithm, the part of the last slot that is
-// not needed to reach waitRisk.
-func fraction(risk, before float64) float64 {
-	if before <= waitRisk || risk <= 0 {
+// not needed to reach the risk.
+func fraction(late, before, risk float64) float64 {
+	if before <= risk || late <= 0 {
 		return 0
 	}
-	return math.Log(waitRisk/risk) / math.Log(before/risk)
+	return math.Log(risk/late) / math.Log(before/late)
 }
 
 // share returns the slots that a rank can expect to be served by.
@@ -255,13 +262,14 @@
 
 // customerWait estimates the wait from the rate at which the customer has been
 // served while it had a queue. Customers that arrive later and weigh more take
-// share from the queue, which a count of the requests ahead does not show.
+// share from the queue, which a count of the requests ahead does not show. The
+// rate of a customer with a short queue is too uncertain to refuse by.
 func (r *rankQueue) customerWait(now time.Duration, customer int) time.Duration {
 	if customer < 0 || customer >= len(r.flows) {
 		customer = len(r.flows) - 1
 	}
 	f := &r.flows[customer]
-	if !f.active || now-f.activeSince < r.Target {
+	if f.queued < rateSamples || now-f.activeSince < r.Target {
 		return 0
 	}
 	if f.rate*longestRetry.Seconds() <= float64(f.queued+1) {
--- a/internal/sched/params.go
+++ b/internal/sched/params.go
@@ -31,6 +31,9 @@
 	// Floor is the share of the slots that the rank keeps while it has queued
 	// work, from 0 to 1.
 	Floor float64
+	// Worth is the value of one request answered in time, relative to other
+	// ranks.
+	Worth float64
 	// ServiceTime is the estimate used before the first observation.
 	ServiceTime time.Duration
 }
@@ -93,7 +96,7 @@
 	slices.SortStableFunc(ranks, func(a, b config.Rank) int { return a.Order - b.Order })
 	for _, r := range ranks {
 		p.Ranks = append(p.Ranks, Rank{
-			Name: r.Name, Target: r.Target, Deadline: r.Deadline, Floor: r.Floor,
+			Name: r.Name, Target: r.Target, Deadline: r.Deadline, Floor: r.Floor, Worth: r.Worth,
 			ServiceTime: max(serviceTime, r.Target/seedTargetShare),
 		})
 	}
