--- a/internal/policybench/workload_test.go
+++ b/internal/policybench/workload_test.go
@@ -111,6 +111,9 @@
 
 func (a arrivals) start(c *clock, rng *rand.Rand, keys *uint64, deliver func(*job)) {
 	w := &works[a.rank]
+	if a.slots <= 0 {
+		return
+	}
 	perSecond := a.slots / w.mean().Seconds()
 	var next func()
 	next = func() {
