sched: see a rise of urgent work sooner

The fast arrival rate averages over 0.5 s in place of 1 s, and a reserve uses a little more of the slack.

--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -13,7 +13,7 @@
 	// fastRate and slowRate are the time constants of the arrival rates. The
 	// greater of both counts, so that a rise is seen soon and a lull of some
 	// seconds does not give the slots away.
-	fastRate = time.Second
+	fastRate = 500 * time.Millisecond
 	slowRate = 4 * time.Second
 	// serviceSamples is the number of observations that a service time
 	// estimate averages over.
@@ -28,7 +28,7 @@
 	leastRisk = 1e-6
 	mostRisk  = 3e-4
 	// waitUse is the part of a more urgent request's slack that it may wait.
-	waitUse = 0.7
+	waitUse = 0.74
 	// maxQueued bounds the queue of a rank when estimates are far off.
 	maxQueued = 1 << 16
 	// shortestRetry and longestRetry bound a refusal's retry-after.
