--- a/internal/policybench/model_test.go
+++ b/internal/policybench/model_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenabeam/galenabeam/internal/invariant"
+	"github.com/galenabeam/galenabeam/internal/outcome"
 	"github.com/galenabeam/galenabeam/internal/sched"
 )
 
@@ -16,8 +17,9 @@
 
 // poolModel is one pool with its entry hosts, callers and network delays.
 type poolModel struct {
-	clock
+	*clock
 	dep     *deployment
+	region  int
 	params  sched.Params
 	rng     *rand.Rand
 	keys    uint64
@@ -27,10 +29,19 @@
 	tally   tally
 	idle    [][]int // idle connections by entry host and server
 	running []int   // requests at each server
+	hooks   hooks
+}
+
+// hooks let a scenario follow requests. Each may be nil.
+type hooks struct {
+	started func(j *job, server int, end time.Duration)
+	ended   func(j *job, server int)
+	// moved takes a request that the owner refused and reports whether it did.
+	moved func(j *job, o outcome.Outcome) bool
 }
 
 func newPoolModel(dep *deployment, svc *service, region int, seed int64) *poolModel {
-	m := &poolModel{dep: dep, params: svc.params(region), rng: rand.New(rand.NewSource(seed)),
+	m := &poolModel{clock: &clock{}, dep: dep, region: region, params: svc.params(region), rng: rand.New(rand.NewSource(seed)),
 		load: invariant.NewRegionNotOverloaded()}
 	for _, s := range m.params.Servers {
 		m.slots += s.Slots
@@ -47,7 +58,8 @@
 // feed starts an ordinary or flooding stream of arrivals.
 func (m *poolModel) feed(a arrivals) {
 	rng := rand.New(rand.NewSource(m.rng.Int63()))
-	a.start(&m.clock, rng, &m.keys, func(j *job) {
+	a.start(m.clock, rng, &m.keys, func(j *job) {
+		j.home = m.region
 		m.tally.offered(j)
 		m.after(m.dep.clientDelay, func() { m.policy.submit(j) })
 	})
@@ -98,7 +110,7 @@
 	p.m.after(p.hop(j), func() {
 		p.jobs[j.key] = j
 		p.act(p.pool.Enqueue(p.m.now, sched.Request{
-			Key: j.key, Rank: j.rank, Customer: j.customer,
+			Key: j.key, Rank: j.rank, Customer: j.customer, Origin: j.origin,
 			Deadline: j.sent + works[j.rank].deadline - p.m.dep.clientDelay,
 		}, p.acts[:0]))
 	})
@@ -118,7 +130,7 @@
 		j := p.jobs[a.Key]
 		delete(p.jobs, a.Key)
 		if a.Kind == sched.Refuse {
-			p.m.after(p.hop(j), func() { p.m.refused(j) })
+			p.refused(j, a.Outcome)
 			continue
 		}
 		p.granted(j, a)
@@ -133,6 +145,14 @@
 	}
 }
 
+func (p *pooled) refused(j *job, o outcome.Outcome) {
+	p.m.after(p.hop(j), func() {
+		if p.m.hooks.moved == nil || !p.m.hooks.moved(j, o) {
+			p.m.refused(j)
+		}
+	})
+}
+
 // granted runs the job: owner to entry host, to the server and back, and the
 // release to the owner.
 func (p *pooled) granted(j *job, a sched.Action) {
@@ -143,12 +163,18 @@
 	m.running[a.Server]++
 	send := p.hop(j) + m.connect(j.edge, a.Server)
 	toServer := m.hop(j.edge, a.Server)
+	if m.hooks.started != nil {
+		m.hooks.started(j, a.Server, m.now+send+toServer+j.service)
+	}
 	m.after(send+toServer+j.service+toServer, func() {
 		m.idle[j.edge][a.Server]++
 		m.answered(j)
 		m.after(p.hop(j), func() {
 			m.load.End(m.now, name)
 			m.running[a.Server]--
+			if m.hooks.ended != nil {
+				m.hooks.ended(j, a.Server)
+			}
 			m.tally.hold(j, held, m.now)
 			res := sched.Result{Status: sched.OK, ServiceTime: j.service + 2*toServer}
 			p.act(p.pool.Release(m.now, a.Grant, res, p.acts[:0]))
--- a/internal/policybench/workload_test.go
+++ b/internal/policybench/workload_test.go
@@ -97,7 +97,9 @@
 	edge           int
 	sent           time.Duration
 	service        time.Duration
-	flood          bool // comes from the flood, not from the ordinary load
+	home, origin   int    // region of the caller, and its index at the pool
+	id             uint64 // of the caller's operation, within its region
+	flood          bool   // comes from the flood, not from the ordinary load
 }
 
 // arrivals feeds Poisson arrivals of a rank with an offered load in slots to
@@ -122,7 +124,7 @@
 		}
 		*keys++
 		j := &job{
-			key: *keys, rank: a.rank, customer: rng.Intn(customers), edge: rng.Intn(hostsPerRegion), sent: c.now,
+			key: *keys, id: *keys, rank: a.rank, customer: rng.Intn(customers), edge: rng.Intn(hostsPerRegion), sent: c.now,
 			service: w.shortest + time.Duration(rng.Int63n(int64(w.range_))), flood: a.flood,
 		}
 		if a.flood {
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -50,6 +50,9 @@
 func (p *Pool) dispatch(now time.Duration, acts []Action) []Action {
 	p.undealt = false
 	acts = p.expire(now, acts)
+	if p.slots <= 0 && len(p.queued) > 0 && p.noServer() {
+		return p.refuseAll(acts)
+	}
 	p.accrue(now)
 	for p.free > 0 && len(p.queued) > 0 {
 		rank := p.nextRank()
@@ -225,6 +228,20 @@
 	return acts
 }
 
+// refuseAll empties the queues of a pool whose servers have all left, so that
+// the requests can go to another region at once.
+func (p *Pool) refuseAll(acts []Action) []Action {
+	for rank := range p.ranks {
+		r := &p.ranks[rank]
+		for len(r.late) > 0 {
+			i := r.late[0]
+			acts = append(acts, p.refusal(p.entries.items[i].req.Key, rank, outcome.ReasonNoServer))
+			p.unqueue(i)
+		}
+	}
+	return acts
+}
+
 // trim refuses the newest request of the customer with the longest queue by
 // weight while the rank holds more than it can serve in time. A customer that
 // comes later then finds room for its share.
--- a/internal/sched/pool_test.go
+++ b/internal/sched/pool_test.go
@@ -162,6 +162,21 @@
 	}
 }
 
+// TestLastServerLeaves guards against requests that wait for their deadline at
+// a pool without servers, while other regions could serve them.
+func TestLastServerLeaves(t *testing.T) {
+	g := NewWithT(t)
+	p := testPool(1, 1)
+	p.Enqueue(0, local(1, 0, sec), nil)
+	p.Enqueue(0, local(2, 0, sec), nil)
+	p.Enqueue(0, local(3, 2, 60*sec), nil)
+	acts := p.SetLeaving(0, "s0", true, nil)
+	g.Expect(keysOf(acts, Refuse)).To(ConsistOf(uint64(2), uint64(3)))
+	g.Expect(acts[0].Outcome.Reason).To(Equal(outcome.ReasonNoServer))
+	g.Expect(p.Enqueue(0, local(4, 0, sec), nil)[0].Outcome.Reason).To(Equal(outcome.ReasonNoServer))
+	g.Expect(p.InFlight("s0")).To(Equal(1))
+}
+
 type testGate struct{ open, used map[int]int }
 
 func (g *testGate) Acquire(_ time.Duration, origin int, _ int64) bool {
