sched: expect urgent work at a new owner

A new owner has seen no arrivals, so a bulk flood took every slot. The most urgent rank now starts with an expected load of half the slots, which the observed rate replaces within about 4 s.

--- a/internal/policybench/onset_test.go
+++ b/internal/policybench/onset_test.go
@@ -41,3 +41,24 @@
 	sc.dep = &quiet
 	return sc.run()
 }
+
+// BenchmarkTakeover starts pools without observations in the middle of a bulk
+// flood, as after a new owner has taken over, and reports the urgent share in
+// time in the first second and the next nine.
+func BenchmarkTakeover(b *testing.B) {
+	for i := range deployments {
+		b.Run(deployments[i].name, func(b *testing.B) {
+			for n := 0; n < b.N; n++ {
+				sc := scenario{dep: &deployments[i], length: sec}
+				sc.prepare = func(m *poolModel, _ *pooled) {
+					m.feed(arrivals{rank: 2, slots: 10 * float64(m.slots), to: 10 * sec, flood: true})
+				}
+				b.ReportMetric(sc.run().rank[0].share(), "urgent_in_time_1s")
+				sc.settle, sc.length = sec, 9*sec
+				res := sc.run()
+				b.ReportMetric(res.rank[0].share(), "urgent_in_time_10s")
+				b.ReportMetric(res.utilization(), "utilization_10s")
+			}
+		})
+	}
+}
--- a/internal/policybench/workload_test.go
+++ b/internal/policybench/workload_test.go
@@ -84,6 +84,7 @@
 			ServiceTime: max(40*ms, w.target/20),
 		})
 	}
+	p.Ranks[0].Load = 0.5 // as sched.ParamsFor sets it
 	for c := 0; c < customers; c++ {
 		p.Customers = append(p.Customers, sched.Customer{Name: fmt.Sprint("customer", c), Weight: 1 + c%5})
 	}
--- a/internal/sched/configure.go
+++ b/internal/sched/configure.go
@@ -121,6 +121,11 @@
 	}
 	p.mergeServers(now, first)
 	p.refresh(now)
+	for i := range p.ranks {
+		r := &p.ranks[i]
+		r.slow = r.Load * float64(p.slots) / r.service
+	}
+	p.setLimits()
 	p.nextUpdate = now + updatePeriod
 }
 
--- a/internal/sched/params.go
+++ b/internal/sched/params.go
@@ -36,6 +36,9 @@
 	Worth float64
 	// ServiceTime is the estimate used before the first observation.
 	ServiceTime time.Duration
+	// Load is the share of the slots that the rank is expected to need, until
+	// arrivals have been observed for some seconds.
+	Load float64
 }
 
 // Customer is a party with its share of a rank's slots relative to others.
@@ -67,6 +70,11 @@
 // starts with the short service time of the whole service and takes every slot.
 const seedTargetShare = 20
 
+// seedLoad is the expected load of the most urgent rank of a new owner. Without
+// it, a flood of bulk work takes every slot in the first second, before the
+// owner has seen how much urgent work arrives.
+const seedLoad = 0.5
+
 // ParamsFor extracts the parameters of a pool from a configuration that has
 // passed its checks. Customers keep their index in c.Customers; origins other
 // than the pool's region follow in the order of c.Regions.
@@ -100,6 +108,9 @@
 			ServiceTime: max(serviceTime, r.Target/seedTargetShare),
 		})
 	}
+	if len(p.Ranks) > 1 {
+		p.Ranks[0].Load = seedLoad
+	}
 	for _, cu := range c.Customers {
 		p.Customers = append(p.Customers, Customer{Name: cu.Name, Weight: cu.Weight})
 	}
