shift: satisfy the demand of urgent ranks first

Max-min division by pool gave bulk pools their full demand while the pool of lookups was cut. Reports tell demand by rank, and the granter divides the cap rank by rank. Acquire and Release remain for callers without rank.

go test ./internal/shift passes with a test for the order of ranks.

--- a/internal/shift/granter.go
+++ b/internal/shift/granter.go
@@ -213,7 +213,7 @@
 		for i := range a.origins {
 			e := &a.origins[i]
 			e.reported.BytesPerSecond, e.granted.BytesPerSecond = 0, 0
-			e.reported.Want, e.reported.WantBytesPerSecond, e.reported.Peak = 0, 0, 0
+			e.reported.Want, e.reported.WantBytesPerSecond, e.reported.Peak = nil, 0, 0
 		}
 	}
 }
@@ -289,9 +289,7 @@
 	if g.learning(now) {
 		ceiling = min(ceiling, o.learned)
 	}
-	wants, self := g.wants(a, func(h *account) int64 { return spacious(h.origins[origin].reported.Want) })
-	fair := int(divide(int64(ceiling), wants)[self])
-	share := min(fair, max(0, ceiling-others))
+	share := min(g.fair(origin, a, ceiling), max(0, ceiling-others))
 	// Growth up to the level lately in use is free, since its caches are warm.
 	if rise := others + max(e.concurrent(), share) - max(total, level); rise > 0 {
 		o.credit -= float64(rise)
@@ -299,11 +297,28 @@
 	return share
 }
 
-// spacious adds room for fluctuations until the next report.
-func spacious(want int) int64 {
-	if want == 0 {
+// fair is the holder's part of a concurrency: the demand of the most urgent
+// rank comes first, and is divided by max-min fairness.
+func (g *Granter) fair(origin int, a *account, total int) int {
+	left, part := int64(total), int64(0)
+	for rank := range MaxRanks {
+		wants, self := g.wants(a, func(h *account) int64 { return h.origins[origin].reported.wantOf(rank) })
+		parts := divide(left, wants)
+		part += parts[self]
+		for _, p := range parts {
+			left -= p
+		}
+	}
+	return int(part)
+}
+
+// wantOf is the demand of one rank with room for fluctuations until the next
+// report.
+func (r *OriginReport) wantOf(rank int) int64 {
+	if rank >= len(r.Want) || r.Want[rank] == 0 {
 		return 0
 	}
+	want := r.Want[rank]
 	return int64(want + want/4 + 2)
 }
 
--- a/internal/shift/messages.go
+++ b/internal/shift/messages.go
@@ -55,8 +55,9 @@
 	// number since the previous report.
 	InUse int `json:"in_use"`
 	Peak  int `json:"peak"`
-	// Want and WantBytesPerSecond are the demand since the previous report.
-	Want               int   `json:"want"`
+	// Want is the demand for slots since the previous report, by rank with the
+	// most urgent one first. WantBytesPerSecond is the demand for bytes.
+	Want               []int `json:"want,omitempty"`
 	WantBytesPerSecond int64 `json:"want_bytes_per_second"`
 }
 
--- a/internal/shift/share.go
+++ b/internal/shift/share.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// MaxRanks bounds the ranks that demand is told apart by. More ranks count
+	// as the last one.
+	MaxRanks = 8
 	// wantStep is how far beyond its peak a holder may ask in one report, in
 	// requests. Refused requests are tried again and would be counted twice,
 	// so that demand may at most double per report.
@@ -43,13 +46,16 @@
 	limit            int
 	rate             int64
 	inUse, peak      int
-	refused          int
+	ranks            [MaxRanks]rankUse
 	tokens           float64 // bytes; negative after larger answers than declared
 	filledAt         time.Duration
 	admitted, denied int64 // bytes since the previous report
 	largest          int64 // largest request denied since the previous report, bytes
 }
 
+// rankUse is the use and demand of one rank.
+type rankUse struct{ inUse, peak, refused int }
+
 // NewShare returns the holder side of the pool owner with the given
 // incarnation. origins names the other regions; Acquire refers to them by
 // index.
@@ -61,50 +67,63 @@
 	return s
 }
 
-// Acquire takes one slot and bytes from the share of an origin for a request
-// that is about to be granted. It returns false if the share is used up or its
-// time limit has passed. bytes is the body length plus the usual answer size.
+// Acquire is AcquireRank for the most urgent rank.
 func (s *Share) Acquire(now time.Duration, origin int, bytes int64) bool {
+	return s.AcquireRank(now, origin, 0, bytes)
+}
+
+// AcquireRank takes one slot and bytes from the share of an origin for a
+// request that is about to be granted. It returns false if the share is used
+// up or its time limit has passed. bytes is the body length plus the usual
+// answer size. rank is 0 for the most urgent rank; demand of urgent ranks is
+// satisfied first when the lessor divides the cap.
+func (s *Share) AcquireRank(now time.Duration, origin, rank int, bytes int64) bool {
 	o := &s.origins[origin]
-	if now >= s.expires {
-		s.stats.Expired++
-		o.want(bytes)
-		return false
-	}
-	if o.inUse >= o.limit {
-		s.stats.OverConcurrent++
-		o.want(bytes)
+	use := &o.ranks[min(rank, MaxRanks-1)]
+	if now >= s.expires || o.inUse >= o.limit {
+		if now >= s.expires {
+			s.stats.Expired++
+		} else {
+			s.stats.OverConcurrent++
+		}
+		use.refused++
+		o.deny(bytes)
 		return false
 	}
 	o.fill(now)
 	if o.tokens < float64(bytes) {
 		s.stats.OverBytes++
-		o.denied += bytes
-		o.largest = max(o.largest, bytes)
+		o.deny(bytes)
 		return false
 	}
 	o.tokens -= float64(bytes)
 	o.admitted += bytes
 	o.inUse++
 	o.peak = max(o.peak, o.inUse)
+	use.inUse++
+	use.peak = max(use.peak, use.inUse)
 	s.stats.Acquired++
 	return true
 }
 
-// want notes a request that found no slot in the share.
-func (o *originShare) want(bytes int64) {
-	o.refused++
+// deny notes the bytes of a request that was not admitted.
+func (o *originShare) deny(bytes int64) {
 	o.denied += bytes
 	o.largest = max(o.largest, bytes)
 }
 
-// Release returns the slot of a request that has ended.
-func (s *Share) Release(_ time.Duration, origin int) {
+// Release is ReleaseRank for the most urgent rank.
+func (s *Share) Release(now time.Duration, origin int) { s.ReleaseRank(now, origin, 0) }
+
+// ReleaseRank returns the slot of a request that has ended.
+func (s *Share) ReleaseRank(_ time.Duration, origin, rank int) {
 	o := &s.origins[origin]
-	if o.inUse == 0 {
+	use := &o.ranks[min(rank, MaxRanks-1)]
+	if o.inUse == 0 || use.inUse == 0 {
 		panic("shift: release without acquire")
 	}
 	o.inUse--
+	use.inUse--
 }
 
 // Charge adds bytes to an origin's debt, for an answer that was larger than
@@ -116,11 +135,13 @@
 }
 
 // Adopt counts requests that an earlier owner of a pool had granted and that
-// are still in flight. They may exceed the share.
+// are still in flight. They may exceed the share and are released as requests
+// of the most urgent rank.
 func (s *Share) Adopt(origin, requests int) {
 	o := &s.origins[origin]
 	o.inUse += requests
 	o.peak = max(o.peak, o.inUse)
+	o.ranks[0].inUse += requests
 }
 
 // fill adds the tokens since the last call. The depth follows the rate, so
@@ -169,8 +190,7 @@
 
 func (o *originShare) report(period time.Duration) (OriginReport, bool) {
 	r := OriginReport{
-		Origin: o.name, Concurrent: o.limit, BytesPerSecond: o.rate, InUse: o.inUse, Peak: o.peak,
-		Want: min(o.peak+o.refused, 2*o.peak+wantStep),
+		Origin: o.name, Concurrent: o.limit, BytesPerSecond: o.rate, InUse: o.inUse, Peak: o.peak, Want: o.want(),
 	}
 	if wanted := o.admitted + o.denied; wanted > 0 {
 		rate := int64(float64(wanted) / period.Seconds())
@@ -178,8 +198,27 @@
 		// A bucket must hold the largest request, or it could never pass.
 		r.WantBytesPerSecond = max(min(rate, 4*known+wantBytesStep), o.largest)
 	}
-	o.peak, o.refused, o.admitted, o.denied, o.largest = o.inUse, 0, 0, 0, 0
-	return r, r.Concurrent > 0 || r.BytesPerSecond > 0 || r.Peak > 0 || r.Want > 0 || r.WantBytesPerSecond > 0
+	o.peak, o.admitted, o.denied, o.largest = o.inUse, 0, 0, 0
+	return r, r.Concurrent > 0 || r.BytesPerSecond > 0 || r.Peak > 0 || len(r.Want) > 0 || r.WantBytesPerSecond > 0
+}
+
+// want returns the demand by rank, without ranks at the end that want nothing,
+// and starts counting anew.
+func (o *originShare) want() []int {
+	var wants [MaxRanks]int
+	count := 0
+	for i := range o.ranks {
+		use := &o.ranks[i]
+		wants[i] = min(use.peak+use.refused, 2*use.peak+wantStep)
+		if wants[i] > 0 {
+			count = i + 1
+		}
+		use.peak, use.refused = use.inUse, 0
+	}
+	if count == 0 {
+		return nil
+	}
+	return append([]int(nil), wants[:count]...)
 }
 
 // Apply puts a grant into force and returns true, or ignores it. It ignores
--- a/internal/shift/takeover_test.go
+++ b/internal/shift/takeover_test.go
@@ -67,3 +67,31 @@
 	grant, _ = second.Grant(now, want(now, b))
 	g.Expect(grant.Origins).NotTo(BeEmpty(), "the share of a silent holder is free at last")
 }
+
+// Guards against bulk work of one pool that takes the cap from urgent work of
+// another.
+func TestUrgentDemandComesFirst(t *testing.T) {
+	g := NewWithT(t)
+	granter := NewGranter(-time.Hour, takeoverConfig(1))
+	bulk, urgent := NewShare(1, []string{"austur"}), NewShare(2, []string{"austur"})
+	var now time.Duration
+	for range 6 {
+		for range 20 {
+			bulk.AcquireRank(now, 0, 2, 1)
+			if urgent.InUse(0) < 6 {
+				urgent.AcquireRank(now, 0, 0, 1)
+			}
+		}
+		for bulk.InUse(0) > 0 {
+			bulk.ReleaseRank(now, 0, 2)
+		}
+		for _, s := range []*Share{bulk, urgent} {
+			grant, _ := granter.Grant(now, s.Report(now))
+			s.Apply(now, grant)
+		}
+		now += 500 * time.Millisecond
+	}
+	g.Expect(urgent.InUse(0)).To(Equal(6))
+	limit, _ := bulk.Limit(now, 0)
+	g.Expect(limit).To(BeNumerically("<=", 4))
+}
