--- a/internal/shift/granter.go
+++ b/internal/shift/granter.go
@@ -1,7 +1,6 @@
 package shift
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -39,25 +38,10 @@
 	started time.Duration
 	holders []*account // sorted by incarnation
 	origins []*originState
+	settled bool
 	stats   GranterStats
 }
 
-// GranterStats counts reports.
-type GranterStats struct {
-	Granted, Ignored int64
-}
-
-// OriginStats tells how a cap is used.
-type OriginStats struct {
-	Cap Cap
-	// Granted is the concurrency that holders may use, the shares of silent
-	// holders included. GrantedBytes is the same for bytes per second.
-	Granted      int
-	GrantedBytes int64
-	// Level is the concurrency that was lately in use.
-	Level int
-}
-
 type account struct {
 	holder   host.Incarnation
 	number   uint64
@@ -164,11 +148,16 @@
 
 // account finds or adds the account of a holder.
 func (g *Granter) account(holder host.Incarnation) (*account, bool) {
-	i, ok := slices.BinarySearchFunc(g.holders, holder, func(a *account, h host.Incarnation) int { return cmp.Compare(a.holder, h) })
-	if !ok {
-		g.holders = slices.Insert(g.holders, i, &account{holder: holder, origins: make([]entry, len(g.origins))})
+	if a, ok := g.find(holder); ok {
+		return a, true
 	}
-	return g.holders[i], ok
+	a := &account{holder: holder, origins: make([]entry, len(g.origins))}
+	i := slices.IndexFunc(g.holders, func(b *account) bool { return b.holder > holder })
+	if i < 0 {
+		i = len(g.holders)
+	}
+	g.holders = slices.Insert(g.holders, i, a)
+	return a, false
 }
 
 // record takes over what the report says. Grants that answer earlier reports
@@ -197,6 +186,9 @@
 // learning tells whether holders that have not reported yet may have shares
 // of an earlier granter, or requests in flight under them.
 func (g *Granter) learning(now time.Duration) bool {
+	if g.settled {
+		return now < g.started+g.config.Validity
+	}
 	return now < g.started+g.config.Validity+g.config.LongestDeadline
 }
 
@@ -374,20 +366,3 @@
 	}
 	return o.levels[0].level
 }
-
-// Stats returns the counts of reports.
-func (g *Granter) Stats() GranterStats { return g.stats }
-
-// Origins returns how each cap is used.
-func (g *Granter) Origins(now time.Duration) []OriginStats {
-	g.forget(now)
-	var all []OriginStats
-	for i, o := range g.origins {
-		s := OriginStats{Cap: o.cap, Granted: g.total(i), Level: o.level(now)}
-		for _, a := range g.holders {
-			s.GrantedBytes += a.origins[i].bytes()
-		}
-		all = append(all, s)
-	}
-	return all
-}
--- a/internal/shift/handover.go
+++ b/internal/shift/handover.go
@@ -82,3 +82,26 @@
 // Learning tells whether shares of an earlier granter may still be in use by
 // holders that have not reported.
 func (g *Granter) Learning(now time.Duration) bool { return g.learning(now) }
+
+func (g *Granter) find(holder host.Incarnation) (*account, bool) {
+	for _, a := range g.holders {
+		if a.holder == holder {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
+// Reported tells whether a holder has reported a share or requests in flight
+// of this granter's epoch.
+func (g *Granter) Reported(holder host.Incarnation) bool {
+	a, ok := g.find(holder)
+	return ok && a.learned
+}
+
+// Settle ends learning as soon as the time limit of the earlier granter's
+// shares has passed. The caller makes sure that the reports cover all requests
+// in flight: each pool of the region has an owner for which Reported is true,
+// and the owners had adopted all requests of earlier owners before. Until
+// then, requests of silent holders count until the longest deadline.
+func (g *Granter) Settle() { g.settled = true }
