--- a/internal/policybench/workload_test.go
+++ b/internal/policybench/workload_test.go
@@ -53,13 +53,13 @@
 	name             string
 	shortest, range_ time.Duration
 	target, deadline time.Duration
-	floor            float64
+	floor, worth     float64
 }
 
 var works = [ranks]work{
-	{"urgent", 20 * ms, 40 * ms, 250 * ms, sec, 0},
-	{"second", 60 * ms, 90 * ms, sec, 5 * sec, 0.10},
-	{"bulk", 500 * ms, 1500 * ms, 30 * sec, 60 * sec, 0.05},
+	{"urgent", 20 * ms, 40 * ms, 250 * ms, sec, 0, 100},
+	{"second", 60 * ms, 90 * ms, sec, 5 * sec, 0.10, 10},
+	{"bulk", 500 * ms, 1500 * ms, 30 * sec, 60 * sec, 0.05, 1},
 }
 
 func (w *work) mean() time.Duration { return w.shortest + w.range_/2 }
@@ -80,10 +80,11 @@
 	}
 	for _, w := range works {
 		p.Ranks = append(p.Ranks, sched.Rank{
-			Name: w.name, Target: w.target, Deadline: w.deadline, Floor: w.floor,
+			Name: w.name, Target: w.target, Deadline: w.deadline, Floor: w.floor, Worth: w.worth,
 			ServiceTime: max(40*ms, w.target/20),
 		})
 	}
+	p.Ranks[0].Load = 0.5 // as sched.ParamsFor sets it
 	for c := 0; c < customers; c++ {
 		p.Customers = append(p.Customers, sched.Customer{Name: fmt.Sprint("customer", c), Weight: 1 + c%5})
 	}
@@ -97,7 +98,9 @@
 	edge           int
 	sent           time.Duration
 	service        time.Duration
-	flood          bool // comes from the flood, not from the ordinary load
+	home, origin   int    // region of the caller, and its index at the pool
+	id             uint64 // of the caller's operation, within its region
+	flood          bool   // comes from the flood, not from the ordinary load
 }
 
 // arrivals feeds Poisson arrivals of a rank with an offered load in slots to
@@ -111,6 +114,9 @@
 
 func (a arrivals) start(c *clock, rng *rand.Rand, keys *uint64, deliver func(*job)) {
 	w := &works[a.rank]
+	if a.slots <= 0 {
+		return
+	}
 	perSecond := a.slots / w.mean().Seconds()
 	var next func()
 	next = func() {
@@ -119,7 +125,7 @@
 		}
 		*keys++
 		j := &job{
-			key: *keys, rank: a.rank, customer: rng.Intn(customers), edge: rng.Intn(hostsPerRegion), sent: c.now,
+			key: *keys, id: *keys, rank: a.rank, customer: rng.Intn(customers), edge: rng.Intn(hostsPerRegion), sent: c.now,
 			service: w.shortest + time.Duration(rng.Int63n(int64(w.range_))), flood: a.flood,
 		}
 		if a.flood {
--- a/internal/sched/params.go
+++ b/internal/sched/params.go
@@ -31,8 +31,14 @@
 	// Floor is the share of the slots that the rank keeps while it has queued
 	// work, from 0 to 1.
 	Floor float64
+	// Worth is the value of one request answered in time, relative to other
+	// ranks.
+	Worth float64
 	// ServiceTime is the estimate used before the first observation.
 	ServiceTime time.Duration
+	// Load is the share of the slots that the rank is expected to need, until
+	// arrivals have been observed for some seconds.
+	Load float64
 }
 
 // Customer is a party with its share of a rank's slots relative to others.
@@ -64,6 +70,11 @@
 // starts with the short service time of the whole service and takes every slot.
 const seedTargetShare = 20
 
+// seedLoad is the expected load of the most urgent rank of a new owner. Without
+// it, a flood of bulk work takes every slot in the first second, before the
+// owner has seen how much urgent work arrives.
+const seedLoad = 0.5
+
 // ParamsFor extracts the parameters of a pool from a configuration that has
 // passed its checks. Customers keep their index in c.Customers; origins other
 // than the pool's region follow in the order of c.Regions.
@@ -93,10 +104,13 @@
 	slices.SortStableFunc(ranks, func(a, b config.Rank) int { return a.Order - b.Order })
 	for _, r := range ranks {
 		p.Ranks = append(p.Ranks, Rank{
-			Name: r.Name, Target: r.Target, Deadline: r.Deadline, Floor: r.Floor,
+			Name: r.Name, Target: r.Target, Deadline: r.Deadline, Floor: r.Floor, Worth: r.Worth,
 			ServiceTime: max(serviceTime, r.Target/seedTargetShare),
 		})
 	}
+	if len(p.Ranks) > 1 {
+		p.Ranks[0].Load = seedLoad
+	}
 	for _, cu := range c.Customers {
 		p.Customers = append(p.Customers, Customer{Name: cu.Name, Weight: cu.Weight})
 	}
--- a/internal/shift/granter.go
+++ b/internal/shift/granter.go
@@ -1,7 +1,6 @@
 package shift
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -39,25 +38,10 @@
 	started time.Duration
 	holders []*account // sorted by incarnation
 	origins []*originState
+	settled bool
 	stats   GranterStats
 }
 
-// GranterStats counts reports.
-type GranterStats struct {
-	Granted, Ignored int64
-}
-
-// OriginStats tells how a cap is used.
-type OriginStats struct {
-	Cap Cap
-	// Granted is the concurrency that holders may use, the shares of silent
-	// holders included. GrantedBytes is the same for bytes per second.
-	Granted      int
-	GrantedBytes int64
-	// Level is the concurrency that was lately in use.
-	Level int
-}
-
 type account struct {
 	holder   host.Incarnation
 	number   uint64
@@ -164,11 +148,16 @@
 
 // account finds or adds the account of a holder.
 func (g *Granter) account(holder host.Incarnation) (*account, bool) {
-	i, ok := slices.BinarySearchFunc(g.holders, holder, func(a *account, h host.Incarnation) int { return cmp.Compare(a.holder, h) })
-	if !ok {
-		g.holders = slices.Insert(g.holders, i, &account{holder: holder, origins: make([]entry, len(g.origins))})
+	if a, ok := g.find(holder); ok {
+		return a, true
+	}
+	a := &account{holder: holder, origins: make([]entry, len(g.origins))}
+	i := slices.IndexFunc(g.holders, func(b *account) bool { return b.holder > holder })
+	if i < 0 {
+		i = len(g.holders)
 	}
-	return g.holders[i], ok
+	g.holders = slices.Insert(g.holders, i, a)
+	return a, false
 }
 
 // record takes over what the report says. Grants that answer earlier reports
@@ -197,6 +186,9 @@
 // learning tells whether holders that have not reported yet may have shares
 // of an earlier granter, or requests in flight under them.
 func (g *Granter) learning(now time.Duration) bool {
+	if g.settled {
+		return now < g.started+g.config.Validity
+	}
 	return now < g.started+g.config.Validity+g.config.LongestDeadline
 }
 
@@ -213,7 +205,7 @@
 		for i := range a.origins {
 			e := &a.origins[i]
 			e.reported.BytesPerSecond, e.granted.BytesPerSecond = 0, 0
-			e.reported.Want, e.reported.WantBytesPerSecond, e.reported.Peak = 0, 0, 0
+			e.reported.Want, e.reported.WantBytesPerSecond, e.reported.Peak = nil, 0, 0
 		}
 	}
 }
@@ -289,9 +281,7 @@
 	if g.learning(now) {
 		ceiling = min(ceiling, o.learned)
 	}
-	wants, self := g.wants(a, func(h *account) int64 { return spacious(h.origins[origin].reported.Want) })
-	fair := int(divide(int64(ceiling), wants)[self])
-	share := min(fair, max(0, ceiling-others))
+	share := min(g.fair(origin, a, ceiling), max(0, ceiling-others))
 	// Growth up to the level lately in use is free, since its caches are warm.
 	if rise := others + max(e.concurrent(), share) - max(total, level); rise > 0 {
 		o.credit -= float64(rise)
@@ -299,11 +289,28 @@
 	return share
 }
 
-// spacious adds room for fluctuations until the next report.
-func spacious(want int) int64 {
-	if want == 0 {
+// fair is the holder's part of a concurrency: the demand of the most urgent
+// rank comes first, and is divided by max-min fairness.
+func (g *Granter) fair(origin int, a *account, total int) int {
+	left, part := int64(total), int64(0)
+	for rank := range MaxRanks {
+		wants, self := g.wants(a, func(h *account) int64 { return h.origins[origin].reported.wantOf(rank) })
+		parts := divide(left, wants)
+		part += parts[self]
+		for _, p := range parts {
+			left -= p
+		}
+	}
+	return int(part)
+}
+
+// wantOf is the demand of one rank with room for fluctuations until the next
+// report.
+func (r *OriginReport) wantOf(rank int) int64 {
+	if rank >= len(r.Want) || r.Want[rank] == 0 {
 		return 0
 	}
+	want := r.Want[rank]
 	return int64(want + want/4 + 2)
 }
 
@@ -359,20 +366,3 @@
 	}
 	return o.levels[0].level
 }
-
-// Stats returns the counts of reports.
-func (g *Granter) Stats() GranterStats { return g.stats }
-
-// Origins returns how each cap is used.
-func (g *Granter) Origins(now time.Duration) []OriginStats {
-	g.forget(now)
-	var all []OriginStats
-	for i, o := range g.origins {
-		s := OriginStats{Cap: o.cap, Granted: g.total(i), Level: o.level(now)}
-		for _, a := range g.holders {
-			s.GrantedBytes += a.origins[i].bytes()
-		}
-		all = append(all, s)
-	}
-	return all
-}
