sched: expect no urgent work after a quiet time

The reserve outlived the last urgent arrival by some 20 s. Five seconds without an arrival now set the expected rate to zero.

--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -15,6 +15,8 @@
 	// seconds does not give the slots away.
 	fastRate = 500 * time.Millisecond
 	slowRate = 4 * time.Second
+	// quietTime is the time without an arrival after which none is expected.
+	quietTime = 5 * time.Second
 	// serviceSamples is the number of observations that a service time
 	// estimate averages over.
 	serviceSamples = 128
@@ -39,6 +41,7 @@
 // estimate is what a rank's own observations say.
 type estimate struct {
 	arrivals   int // since the last update
+	arrivedAt  time.Duration
 	fast, slow float64
 	service    float64 // seconds
 	square     float64 // mean square of the service time, seconds squared
@@ -81,7 +84,11 @@
 			// kept free for long after it.
 			rate = min(rate, float64(p.slots)/r.service)
 			r.slow += (rate - r.slow) * decay(dt, slowRate)
-			r.arrivals = 0
+			if r.arrivals > 0 {
+				r.arrivedAt, r.arrivals = now, 0
+			} else if now > r.arrivedAt+quietTime {
+				r.fast, r.slow = 0, 0
+			}
 			r.updateFlows(dt)
 		}
 		if now/peakWindow != p.lastUpdate/peakWindow {
