--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -153,7 +153,9 @@
 			// the worth of the requests that would otherwise be late.
 			risk := min(max(r.Worth/r.service/max(worth, 1e-9), leastRisk), mostRisk)
 			need := slotsFor(load, service*spread, wait, freed, risk, p.slots)
-			r.reserve = max(r.reserve, need+p.between(q, i, wait))
+			// One slot stays open to less urgent work, except in a pool of one.
+			need = min(need+p.between(q, i, wait), float64(max(1, p.slots-1)))
+			r.reserve = max(r.reserve, need)
 		}
 	}
 }
