--- a/internal/sched/regress_test.go
+++ b/internal/sched/regress_test.go
@@ -12,10 +12,10 @@
 func TestRefusalGrantsFreedSlots(t *testing.T) {
 	g := NewWithT(t)
 	p := testPool(1, 2)
-	p.Reserve(0, "s0", 1, sec)
+	p.Reserve(0, "s0", 1, 500*ms)
 	g.Expect(keysOf(p.Enqueue(0, local(1, 1, 5*sec), nil), Grant)).To(Equal([]uint64{1}))
 	g.Expect(p.Enqueue(0, local(2, 1, 5*sec), nil)).To(BeEmpty())
-	acts := p.Enqueue(2*sec, local(3, 0, 2*sec), nil)
+	acts := p.Enqueue(600*ms, local(3, 0, 600*ms), nil)
 	g.Expect(keysOf(acts, Refuse)).To(Equal([]uint64{3}))
 	g.Expect(keysOf(acts, Grant)).To(Equal([]uint64{2}))
 }
