router: choose regions from digests and announce released pools

Cause: every request was served in its own region, and a pool handed over stayed without an owner until the next renewals, up to 1 s.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,6 +34,7 @@
 	HostList member.HostList
 	Store    store.Store
 	Edge     Edge
+	Router   Router
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	// Seed starts the random source of the decisions.
@@ -48,6 +49,17 @@
 	Expire()
 }
 
+// Router chooses regions for requests. Control tells it what it knows of them.
+type Router interface {
+	// Configure puts a configuration in force, with the number of entry hosts
+	// of all regions and of this one.
+	Configure(now time.Duration, c *config.Config, hosts, localHosts int)
+	// Observe takes over a region's digest that was made at a time.
+	Observe(at time.Duration, d peer.RegionDigest)
+	// Tick moves the control loops by the time since the last call.
+	Tick(now time.Duration)
+}
+
 // Control owns the control state. Run must be called once.
 type Control struct {
 	Options
@@ -78,6 +90,7 @@
 	config       *config.Config
 	revision     uint64
 	steering     steering
+	routerSize   routerSize
 	replica      replica
 	caps         caps
 	dirty        bool
@@ -103,7 +116,7 @@
 		member:   member.New(member.DefaultConfig(), o.Self, rng),
 		pings:    map[uint64]chan member.Pong{}, pingReqs: map[uint64]chan member.PingReqAnswer{},
 		leases: newLeases(o.Self, o.Seed), takeovers: map[string]*takeover{},
-		digests:   digests{byRegion: map[string]knownDigest{}, pools: map[string]knownPool{}},
+		digests:   digests{byRegion: map[string]knownDigest{}, pools: map[string]knownPool{}, used: map[string]bool{}},
 		firstSeen: map[lease.Ref]time.Duration{}, departed: map[lease.Ref]time.Duration{},
 		replica: replica{machine: confsync.NewReplica(newRand(o.Seed)), pushes: map[uint64]chan confsync.PushAnswer{},
 			pulls: map[uint64]chan confsync.PullAnswer{}},
@@ -172,6 +185,8 @@
 			c.tickTakeovers(now)
 			c.stepReplica(now, confsync.Tick{})
 			c.sendDigests(now)
+			c.expireDigests(now)
+			c.Router.Tick(now)
 			c.tickPools()
 			c.expire(now)
 			c.checkReleased()
--- a/internal/control/digest.go
+++ b/internal/control/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/galenabeam/galenabeam/internal/lease"
@@ -24,7 +25,9 @@
 	// byRegion holds the latest digest of each other region.
 	byRegion map[string]knownDigest
 	// pools holds the latest reports of this region's pool owners.
-	pools    map[string]knownPool
+	pools map[string]knownPool
+	// used tells which regions' digests are young enough to be used.
+	used     map[string]bool
 	sequence uint64
 	sent     time.Duration
 }
@@ -63,14 +66,27 @@
 // learnDigest keeps a digest of another region if it is newer.
 func (c *Control) learnDigest(now time.Duration, d peer.RegionDigest) {
 	old, have := c.digests.byRegion[d.Region]
-	if d.Region == c.Self.Region || (have && !d.Newer(&old.digest)) {
+	if have && !d.Newer(&old.digest) {
 		return
 	}
-	c.digests.byRegion[d.Region] = knownDigest{digest: d, made: now - time.Duration(d.AgeMillis)*time.Millisecond}
-	c.dirty = true
+	k := knownDigest{digest: d, made: now - time.Duration(d.AgeMillis)*time.Millisecond}
+	c.digests.byRegion[d.Region] = k
+	c.Router.Observe(k.made, d)
+	c.dirty = c.dirty || !slices.Equal(old.digest.Hosts, d.Hosts) || (have && now-old.made >= digestLimit)
 }
 
-// digestsFor returns the digests of other regions with their present age.
+// expireDigests publishes a new snapshot when the digest of a region has become
+// too old to be used.
+func (c *Control) expireDigests(now time.Duration) {
+	for name, k := range c.digests.byRegion {
+		if used := c.digests.used[name]; used != (now-k.made < digestLimit) {
+			c.digests.used[name] = !used
+			c.dirty = true
+		}
+	}
+}
+
+// digestsFor returns the digests of all regions with their present age.
 func (c *Control) digestsFor(now time.Duration) []peer.RegionDigest {
 	var out []peer.RegionDigest
 	for _, k := range c.digests.byRegion {
@@ -82,7 +98,8 @@
 }
 
 // sendDigests tells one host of each other region about this one. Only the
-// primary lessor does so.
+// primary lessor does so. The hosts of this region get the digest with their
+// next renewal.
 func (c *Control) sendDigests(now time.Duration) {
 	if c.leases.lessor.Role() != lease.Primary || now-c.digests.sent < digestPeriod || c.config == nil {
 		return
@@ -95,6 +112,7 @@
 			d.Pools = append(d.Pools, p.digest)
 		}
 	}
+	c.learnDigest(now, d)
 	for _, to := range c.digestTargets() {
 		c.async(func() {
 			ctx, cancel := c.callContext(digestPeriod)
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -200,6 +200,10 @@
 		c.learnPools(now, r)
 		c.leases.asked[call] = r
 		c.stepLessor(now, lease.RenewReceived{Token: call, Request: r.Lease})
+		if len(r.Lease.Released) > 0 {
+			// A released pool can be granted with the next renewal of any host.
+			c.announceChange()
+		}
 	})
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/galenabeam/galenabeam/config"
 	"github.com/galenabeam/galenabeam/internal/host"
 	"github.com/galenabeam/galenabeam/internal/steer"
@@ -25,11 +27,15 @@
 	regions := map[string]view.RegionView{c.Self.Region: {Name: c.Self.Region, Hosts: workers}}
 	now := c.Now()
 	for name, k := range c.digests.byRegion {
+		if name == c.Self.Region {
+			continue
+		}
 		if age := now - k.made; age < digestLimit {
 			regions[name] = view.RegionView{Name: name, Hosts: k.digest.Hosts, Age: age}
 		}
 	}
 	c.updateSteering(regions)
+	c.updateRouter(now, regions)
 	c.Views.Publish(view.New(c.config, c.revision, pools, regions, c.steering.table))
 }
 
@@ -69,3 +75,26 @@
 	}
 	c.steering = steering{table: table, config: c.config, hosts: present}
 }
+
+// updateRouter tells the router of a new configuration or number of hosts.
+func (c *Control) updateRouter(now time.Duration, regions map[string]view.RegionView) {
+	hosts := 0
+	for _, r := range regions {
+		hosts += len(r.Hosts)
+	}
+	size := routerSize{config: c.config, hosts: hosts, local: len(regions[c.Self.Region].Hosts)}
+	if size == c.routerSize {
+		return
+	}
+	c.routerSize = size
+	c.Router.Configure(now, c.config, size.hosts, size.local)
+	for _, k := range c.digests.byRegion {
+		c.Router.Observe(k.made, k.digest)
+	}
+}
+
+// routerSize is what the router was last configured with.
+type routerSize struct {
+	config       *config.Config
+	hosts, local int
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,8 +21,8 @@
 	"github.com/galenabeam/galenabeam/internal/control"
 	"github.com/galenabeam/galenabeam/internal/edge"
 	"github.com/galenabeam/galenabeam/internal/host"
-	"github.com/galenabeam/galenabeam/internal/outcome"
 	"github.com/galenabeam/galenabeam/internal/owner"
+	"github.com/galenabeam/galenabeam/internal/router"
 	"github.com/galenabeam/galenabeam/internal/settings"
 	"github.com/galenabeam/galenabeam/internal/view"
 )
@@ -44,6 +44,7 @@
 	edge     *edge.Edge
 	control  *control.Control
 	views    *view.Publisher
+	router   *router.Router
 	http     *http.Server
 	rpc      *rpc.Server
 }
@@ -76,10 +77,11 @@
 func (d *Daemon) assemble() {
 	d.peers = rpc.NewClient(d.opts.PeerClientTLS)
 	d.backends = backend.NewClient()
+	d.router = router.New(d.self.Region)
 	d.slots = owner.NewSlots(d.self.Incarnation, d.views, d.peers)
 	d.edge = edge.New(edge.Config{Self: d.self, LookupTTL: edge.DefaultLookupTTL, IdentityWindow: edge.DefaultIdentityWindow,
-		LedgerCapacity: edge.DefaultLedgerCapacity}, d.views, d.slots, d.backends, localRouter{region: d.self.Region}, d.peers, d.log, d.metrics)
-	d.control = control.New(control.Options{Self: d.self, Views: d.views, Slots: d.slots, Peers: d.peers, HostList: d.opts.HostList, Store: d.opts.Store, Edge: d.edge,
+		LedgerCapacity: edge.DefaultLedgerCapacity}, d.views, d.slots, d.backends, d.router, d.peers, d.log, d.metrics)
+	d.control = control.New(control.Options{Self: d.self, Views: d.views, Slots: d.slots, Peers: d.peers, HostList: d.opts.HostList, Store: d.opts.Store, Edge: d.edge, Router: d.router,
 		Log: d.log, Metrics: d.metrics, Seed: int64(d.self.Incarnation)})
 	d.rpc = rpc.NewServer(d.opts.PeerServerTLS)
 	d.handlePeers()
@@ -87,14 +89,6 @@
 		MaxHeaderBytes: d.opts.MaxHeaderBytes, ErrorLog: quietLog()}
 }
 
-// localRouter serves every request in this region.
-type localRouter struct{ region string }
-
-// Route implements edge.Router.
-func (r localRouter) Route(*view.Snapshot, edge.RouteRequest) (string, *outcome.Outcome) {
-	return r.region, nil
-}
-
 // quietLog drops what net/http would print about single connections: broken
 // ones are normal, and aborted answers are counted by the edge.
 func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,8 @@
 type Router interface {
 	// Route returns the region, or a refusal when no region can help.
 	Route(s *view.Snapshot, r RouteRequest) (region string, refusal *outcome.Outcome)
+	// Result tells how an attempt in a region ended.
+	Result(r RouteRequest, region string, o outcome.Outcome)
 }
 
 // RouteRequest is what a routing decision depends on.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -50,7 +50,8 @@
 func (e *Edge) execute(ctx context.Context, s *view.Snapshot, r *request) (outcome.Outcome, *answer) {
 	e.countRequest(r)
 	for attempt := 1; ; attempt++ {
-		region, refusal := e.router.Route(s, RouteRequest{Service: r.service.Name, Rank: r.rank.Name, Origin: r.origin, Left: r.left(), Forwarded: r.forwarded})
+		question := RouteRequest{Service: r.service.Name, Rank: r.rank.Name, Origin: r.origin, Left: r.left(), Forwarded: r.forwarded}
+		region, refusal := e.router.Route(s, question)
 		if refusal != nil {
 			return *refusal, nil
 		}
@@ -61,6 +62,7 @@
 		} else {
 			o, a = e.forward(ctx, s, r, region)
 		}
+		e.router.Result(question, region, o)
 		if a != nil || !e.mayRetry(ctx, r, o, attempt) {
 			return o, a
 		}
--- a/internal/quickstart/load.go
+++ b/internal/quickstart/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenabeam/galenabeam/client"
+	"github.com/galenabeam/galenabeam/internal/httpapi"
 )
 
 var rankNames = []string{"lookup", "declaration", "manifest"}
@@ -31,9 +32,12 @@
 
 // sample is how one request ended.
 type sample struct {
-	rank    int
-	work    string
-	kind    client.Kind
+	rank   int
+	work   string
+	kind   client.Kind
+	reason string
+	// region is where the request ran.
+	region  string
 	latency time.Duration
 	// crossed tells that the answer was not the request's own.
 	crossed bool
@@ -133,10 +137,13 @@
 		Path: fmt.Sprintf("/work?work=%s&ms=%d", work, wl.serviceMS), Body: make([]byte, wl.body), Idempotent: wl.idempotent,
 		Timeout: l.cluster.config.Ranks[wl.rank].Deadline})
 	s := sample{rank: wl.rank, work: work, kind: client.NotRun, latency: time.Since(begun)}
-	if err == nil {
-		s.kind = res.Kind
+	if err != nil {
+		s.reason = err.Error()
+	} else {
+		s.kind, s.reason = res.Kind, res.Reason
 		if res.Kind == client.Done {
 			body := string(res.Body)
+			s.region = res.Header.Get(httpapi.HeaderRegion)
 			s.cut = !strings.HasSuffix(body, "\n")
 			s.crossed = !strings.Contains(body, " work="+work+" ")
 		}
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -8,6 +8,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/client"
 )
 
 // Phases of the run, from its start.
@@ -18,6 +20,7 @@
 	loadEnd     = 9 * time.Second
 	// readyTimeout bounds the wait for the first served request.
 	readyTimeout = 5 * time.Second
+	readyPause   = 50 * time.Millisecond
 )
 
 // Options of a run.
@@ -69,22 +72,31 @@
 	}
 	deadline := time.Now().Add(readyTimeout)
 	for region := range regionNames {
-		for {
-			before := len(l.results())
-			l.running.Add(1)
-			l.one(region, 0, serviceNames[0])
-			if s := l.results(); s[before].kind == "done" {
-				break
-			}
-			if ctx.Err() != nil || time.Now().After(deadline) {
-				return trace.LimitExceeded("region %s serves no request after %v", regionNames[region], readyTimeout)
+		for _, service := range serviceNames {
+			if err := waitServed(ctx, l, region, service, deadline); err != nil {
+				return err
 			}
-			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	return nil
 }
 
+// waitServed sends requests until one is served in the caller's region.
+func waitServed(ctx context.Context, l *load, region int, service string, deadline time.Time) error {
+	for {
+		before := len(l.results())
+		l.running.Add(1)
+		l.one(region, 0, service)
+		if s := l.results()[before]; s.kind == client.Done && s.region == regionNames[region] {
+			return nil
+		}
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return trace.LimitExceeded("region %s does not serve %s after %v", regionNames[region], service, readyTimeout)
+		}
+		time.Sleep(readyPause)
+	}
+}
+
 // direct causes the events of the run and reports progress each second.
 func direct(ctx context.Context, c *cluster, l *load, w io.Writer) {
 	begun := time.Now()
--- a/internal/quickstart/report.go
+++ b/internal/quickstart/report.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -138,17 +140,24 @@
 // progress prints one line about the time since the last one.
 func progress(w io.Writer, at time.Duration, samples []sample, note string) {
 	done := make([]int, len(rankNames))
-	refused := make([]int, len(rankNames))
+	refused := make([]map[string]int, len(rankNames))
+	for i := range refused {
+		refused[i] = map[string]int{}
+	}
 	for _, s := range samples {
 		if s.kind == client.Done {
 			done[s.rank]++
 		} else {
-			refused[s.rank]++
+			refused[s.rank][s.reason]++
 		}
 	}
 	fmt.Fprintf(w, "%4.0fs ", at.Seconds())
 	for i, name := range rankNames {
-		fmt.Fprintf(w, " %s %d done %d refused;", name, done[i], refused[i])
+		fmt.Fprintf(w, " %s %d done", name, done[i])
+		for _, reason := range slices.Sorted(maps.Keys(refused[i])) {
+			fmt.Fprintf(w, ", %d %s", refused[i][reason], reason)
+		}
+		fmt.Fprint(w, ";")
 	}
 	fmt.Fprintln(w, "", note)
 }
