admin: report internal errors to the daemon

Their text was neither shown to the client nor kept. The test of refused calls checks that exactly the internal ones are reported; another test checks that the audit identity names the client certificate.

go test -race -count=3 ./internal/adapter/admin ./internal/tlsconf: ok.

--- a/internal/adapter/admin/api.go
+++ b/internal/adapter/admin/api.go
@@ -46,6 +46,8 @@
 	BodyTimeout time.Duration
 	// MaxHeaderBytes bounds a header. Default settings.DefaultMaxHeaderBytes.
 	MaxHeaderBytes int
+	// InternalError, if set, is told the errors whose text clients do not see.
+	InternalError func(path string, err error)
 }
 
 func (o *Options) setDefaults() {
@@ -126,7 +128,11 @@
 			return
 		}
 		if err := h(w, r, c); err != nil {
-			a.refuse(w, r, asProblem(err))
+			p := asProblem(err)
+			if p.Status == http.StatusInternalServerError && a.options.InternalError != nil {
+				a.options.InternalError(r.URL.Path, err)
+			}
+			a.refuse(w, r, p)
 		}
 	})
 }
--- a/internal/adapter/admin/api_test.go
+++ b/internal/adapter/admin/api_test.go
@@ -5,6 +5,9 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -137,7 +140,8 @@
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
-			api, ports := newAPI(admin.Options{MaxConfigBytes: 1 << 20})
+			var internal []error
+			api, ports := newAPI(admin.Options{MaxConfigBytes: 1 << 20, InternalError: func(_ string, err error) { internal = append(internal, err) }})
 			ports.err = c.err
 			w := c.call.do(api)
 			var p admin.Problem
@@ -147,6 +151,7 @@
 			g.Expect(p.Detail + strings.Join(p.Problems, "\n")).To(ContainSubstring(c.detail))
 			g.Expect(w.Body.String()).NotTo(Or(ContainSubstring("internal detail"), ContainSubstring("-secret")))
 			g.Expect(ports.submitted).To(BeEmpty())
+			g.Expect(internal).To(HaveLen(map[bool]int{true: 1}[c.status == 500]))
 		})
 	}
 }
@@ -229,6 +234,20 @@
 	g.Expect(ports.revisions[3].Config.Drains).To(HaveLen(1))
 }
 
+// Guards against audit records without the certificate that was presented.
+func TestAuditIdentityNamesTheCertificate(t *testing.T) {
+	g := NewWithT(t)
+	api, ports := newAPI(admin.Options{})
+	r := httptest.NewRequest("POST", "/v1/drains", strings.NewReader(drainOwn))
+	r.Header.Set("Authorization", "bearer root-secret")
+	r.Header.Set(admin.HeaderOperation, "a")
+	r.TLS = &tls.ConnectionState{VerifiedChains: [][]*x509.Certificate{{{Subject: pkix.Name{CommonName: "laptop-7"}}}}}
+	w := httptest.NewRecorder()
+	api.ServeHTTP(w, r)
+	g.Expect(w.Code).To(Equal(201))
+	g.Expect(ports.submitted[0].Who).To(Equal("root (laptop-7)"))
+}
+
 // Guards against unlimited attempts, with and without a token, and against
 // tokens that stay valid after they were removed.
 func TestRateLimits(t *testing.T) {
