--- a/internal/adapter/rpc/client.go
+++ b/internal/adapter/rpc/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -23,7 +22,7 @@
 // connects again on the next call after a connection has ended. It implements
 // peer.Caller.
 type Client struct {
-	tls *tls.Config
+	dial DialFunc
 
 	mu    sync.Mutex
 	conns map[string]*clientConn
@@ -38,9 +37,15 @@
 
 var _ peer.Caller = (*Client)(nil)
 
-// NewClient returns a client. tlsConfig is nil for plain text.
-func NewClient(tlsConfig *tls.Config) *Client {
-	return &Client{tls: tlsConfig, conns: map[string]*clientConn{}}
+// DialFunc connects to an address, for example with a TLS handshake.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client. A nil dial connects in plain text.
+func NewClient(dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Client{dial: dial, conns: map[string]*clientConn{}}
 }
 
 // Call implements peer.Caller.
@@ -99,7 +104,7 @@
 	if !ok {
 		cc = &clientConn{ready: make(chan struct{})}
 		c.conns[address] = cc
-		go c.dial(address, cc)
+		go c.connect(address, cc)
 	}
 	c.mu.Unlock()
 	select {
@@ -113,16 +118,13 @@
 	return cc.conn, nil
 }
 
-func (c *Client) dial(address string, cc *clientConn) {
+func (c *Client) connect(address string, cc *clientConn) {
 	defer close(cc.ready)
-	d := net.Dialer{Timeout: dialTimeout}
-	var nc net.Conn
-	if c.tls != nil {
-		nc, cc.err = (&tls.Dialer{NetDialer: &d, Config: c.tls}).Dial("tcp", address)
-	} else {
-		nc, cc.err = d.Dial("tcp", address)
-	}
-	if cc.err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	nc, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		cc.err = err
 		c.forget(address, cc)
 		return
 	}
--- /dev/null
+++ b/internal/control/backends.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/adapter/backend"
+	"github.com/galenabeam/galenabeam/internal/member"
+	"github.com/galenabeam/galenabeam/internal/owner"
+)
+
+// Backends reads the load of backend servers.
+type Backends interface {
+	Load(ctx context.Context, address string) (backend.Load, error)
+}
+
+// Times of load reports. A leaving server must get no new work 3 s after its
+// first signal, which leaves room for one report that is lost.
+const (
+	loadPeriod  = time.Second
+	loadTimeout = 800 * time.Millisecond
+)
+
+// pollBackends asks the backend servers of the pools that this process owns
+// for their load, and applies what the platform lists as leaving.
+func (c *Control) pollBackends(now time.Duration) {
+	if c.config == nil || now-c.polled < loadPeriod {
+		return
+	}
+	c.polled = now
+	leaving := c.listedLeaving()
+	for _, b := range c.config.BackendServers {
+		p, owned := c.Slots.Local(b.Service)
+		if b.Region != c.Self.Region || !owned {
+			continue
+		}
+		c.setLeaving(p, b.Name, "host list", leaving[b.Name])
+		c.async(func() {
+			ctx, cancel := c.callContext(loadTimeout)
+			defer cancel()
+			l, err := c.Backends.Load(ctx, b.Address)
+			if err != nil {
+				c.count("backend.load_failures")
+				return
+			}
+			p.ReportLoad(b.Name, l.InFlight, l.Healthy)
+			c.post(func(time.Duration) { c.setLeaving(p, b.Name, "load report", l.Draining) })
+		})
+	}
+}
+
+// setLeaving notes what one source says about a backend server. The server is
+// leaving while any source says so.
+func (c *Control) setLeaving(p *owner.Pool, server, source string, leaving bool) {
+	sources := c.leaving[server]
+	if sources[source] == leaving {
+		return
+	}
+	if sources == nil {
+		sources = map[string]bool{}
+		c.leaving[server] = sources
+	}
+	sources[source] = leaving
+	any := false
+	for _, l := range sources {
+		any = any || l
+	}
+	p.SetLeaving(server, any)
+	c.Log.WithFields(logrus.Fields{"server": server, "source": source, "leaving": leaving}).Info("backend server changed")
+}
+
+// listedLeaving returns the backend servers that the platform lists as leaving.
+func (c *Control) listedLeaving() map[string]bool {
+	out := map[string]bool{}
+	for _, h := range c.listedBackends {
+		if h.State == member.ListedLeaving {
+			out[string(h.ID)] = true
+		}
+	}
+	return out
+}
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -234,6 +234,19 @@
 	c.post(func(now time.Duration) { c.stepReplica(now, confsync.Committed{Head: *v.Head, Text: text}) })
 }
 
+// ConfigStatus returns the state of the configuration of this process.
+func (c *Control) ConfigStatus() confsync.Status {
+	out := make(chan confsync.Status, 1)
+	c.post(func(time.Duration) { out <- c.replica.machine.Status() })
+	select {
+	case v := <-out:
+		return v
+	case <-c.done:
+	case <-time.After(stateTimeout):
+	}
+	return confsync.Status{}
+}
+
 // Configuration returns the text and the revision in force.
 func (c *Control) Configuration() (text []byte, revision uint64) {
 	type current struct {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -35,6 +35,7 @@
 	Store    store.Store
 	Edge     Edge
 	Router   Router
+	Backends Backends
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	// Seed starts the random source of the decisions.
@@ -73,27 +74,30 @@
 	calls    sync.WaitGroup
 
 	// The fields below belong to the control goroutine.
-	ctx          context.Context // ends with the control goroutine
-	member       *member.Machine
-	leases       leases
-	digests      digests
-	closing      []*owner.Pool
-	takeovers    map[string]*takeover
-	firstSeen    map[lease.Ref]time.Duration
-	departed     map[lease.Ref]time.Duration
-	expired      time.Duration
-	leaseStopped bool
-	pings        map[uint64]chan member.Pong
-	pingReqs     map[uint64]chan member.PingReqAnswer
-	nextCall     uint64
-	listed       []member.Listed
-	config       *config.Config
-	revision     uint64
-	steering     steering
-	routerSize   routerSize
-	replica      replica
-	caps         caps
-	dirty        bool
+	ctx            context.Context // ends with the control goroutine
+	member         *member.Machine
+	leases         leases
+	digests        digests
+	closing        []*owner.Pool
+	takeovers      map[string]*takeover
+	firstSeen      map[lease.Ref]time.Duration
+	departed       map[lease.Ref]time.Duration
+	expired        time.Duration
+	leaseStopped   bool
+	pings          map[uint64]chan member.Pong
+	pingReqs       map[uint64]chan member.PingReqAnswer
+	nextCall       uint64
+	listed         []member.Listed
+	listedBackends []member.Listed
+	leaving        map[string]map[string]bool // by backend server and source
+	polled         time.Duration
+	config         *config.Config
+	revision       uint64
+	steering       steering
+	routerSize     routerSize
+	replica        replica
+	caps           caps
+	dirty          bool
 }
 
 // Limits of the control goroutine.
@@ -117,6 +121,7 @@
 		pings:    map[uint64]chan member.Pong{}, pingReqs: map[uint64]chan member.PingReqAnswer{},
 		leases: newLeases(o.Self, o.Seed), takeovers: map[string]*takeover{},
 		digests:   digests{byRegion: map[string]knownDigest{}, pools: map[string]knownPool{}, used: map[string]bool{}},
+		leaving:   map[string]map[string]bool{},
 		firstSeen: map[lease.Ref]time.Duration{}, departed: map[lease.Ref]time.Duration{},
 		replica: replica{machine: confsync.NewReplica(newRand(o.Seed)), pushes: map[uint64]chan confsync.PushAnswer{},
 			pulls: map[uint64]chan confsync.PullAnswer{}},
@@ -186,6 +191,7 @@
 			c.stepReplica(now, confsync.Tick{})
 			c.sendDigests(now)
 			c.expireDigests(now)
+			c.pollBackends(now)
 			c.Router.Tick(now)
 			c.tickPools()
 			c.expire(now)
@@ -236,8 +242,8 @@
 				c.stepMember(now, member.ListFailed{})
 				return
 			}
-			c.listed = hosts
-			c.stepMember(now, member.ListReceived{Hosts: hosts})
+			c.setListed(hosts)
+			c.stepMember(now, member.ListReceived{Hosts: c.listed})
 			c.stepLessor(now, c.listRead())
 		})
 		select {
@@ -247,6 +253,18 @@
 	}
 }
 
+// setListed takes over an answer of the platform's list.
+func (c *Control) setListed(hosts []member.Listed) {
+	c.listed, c.listedBackends = nil, nil
+	for _, h := range hosts {
+		if h.Kind == member.ListedBackendServer {
+			c.listedBackends = append(c.listedBackends, h)
+			continue
+		}
+		c.listed = append(c.listed, h)
+	}
+}
+
 // listRead tells the lessor which hosts of the region are listed.
 func (c *Control) listRead() lease.ListRead {
 	var ev lease.ListRead
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -393,12 +393,20 @@
 
 // losePool stops granting the slots of a pool.
 func (c *Control) losePool(service string) {
+	if c.config == nil {
+		return
+	}
 	if p := c.Slots.Remove(service); p != nil {
 		p.Close()
 		c.closing = append(c.closing, p)
 		c.Log.WithField("service", service).Info("pool given up")
 	}
 	delete(c.takeovers, service)
+	for _, b := range c.config.BackendServers {
+		if b.Service == service {
+			delete(c.leaving, b.Name)
+		}
+	}
 }
 
 // gainPool starts to grant the slots of a pool.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenabeam/galenabeam/internal/confsync"
 	"github.com/galenabeam/galenabeam/internal/lease"
 	"github.com/galenabeam/galenabeam/internal/member"
 	"github.com/galenabeam/galenabeam/internal/peer"
@@ -10,14 +11,15 @@
 
 // State is the control state for the state dump.
 type State struct {
-	Revision uint64       `json:"revision"`
-	Members  member.State `json:"membership"`
-	Lessor   lease.State  `json:"lessor"`
+	Config  confsync.Status `json:"configuration"`
+	Members member.State    `json:"membership"`
+	Lessor  lease.State     `json:"lessor"`
 	// Owners names the owners of the region's pools.
 	Owners map[string]lease.Ref `json:"owners"`
 	// Takeovers names the processes that a new owner still waits for, by service.
 	Takeovers map[string][]lease.Ref `json:"takeovers"`
 	Regions   []peer.RegionDigest    `json:"regions"`
+	Caps      []peer.CapState        `json:"caps,omitempty"`
 }
 
 // stateTimeout bounds the wait for the control goroutine.
@@ -38,8 +40,8 @@
 }
 
 func (c *Control) state(now time.Duration) State {
-	s := State{Revision: c.revision, Members: c.member.State(), Lessor: c.leases.lessor.State(), Owners: c.leases.owners,
-		Takeovers: map[string][]lease.Ref{}, Regions: c.digestsFor(now)}
+	s := State{Config: c.replica.machine.Status(), Members: c.member.State(), Lessor: c.leases.lessor.State(), Owners: c.leases.owners,
+		Takeovers: map[string][]lease.Ref{}, Regions: c.digestsFor(now), Caps: c.capStates(now)}
 	for service, t := range c.takeovers {
 		for ref := range t.silent {
 			s.Takeovers[service] = append(s.Takeovers[service], ref)
--- /dev/null
+++ b/internal/daemon/admin_config.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/galenabeam/galenabeam/config"
+	"github.com/galenabeam/galenabeam/internal/adapter/admin"
+	"github.com/galenabeam/galenabeam/internal/confsync"
+	"github.com/galenabeam/galenabeam/internal/store"
+)
+
+// adminConfig implements admin.Configurations over the store and the
+// configuration in force.
+type adminConfig struct {
+	d     *Daemon
+	store store.Store
+}
+
+// submitTimeout bounds a submission.
+const submitTimeout = 15 * time.Second
+
+// Read implements admin.Configurations.
+func (a *adminConfig) Read(ctx context.Context, number int64) (admin.Revision, error) {
+	current, err := a.inForce()
+	if err != nil || number == 0 || number == current.Number {
+		return current, err
+	}
+	if number < 0 || number > current.Number {
+		return admin.Revision{}, admin.ErrNotFound
+	}
+	return a.fromHistory(ctx, confsync.Revision(number))
+}
+
+// inForce returns the configuration that this host has applied.
+func (a *adminConfig) inForce() (admin.Revision, error) {
+	s := a.d.views.Load()
+	if s.Config == nil {
+		return admin.Revision{}, admin.ErrNoConfig
+	}
+	status := a.d.control.ConfigStatus()
+	return admin.Revision{Number: int64(s.Revision), Digest: string(status.Digest), Who: status.Audit.Who, When: status.Audit.When,
+		Why: status.Audit.Why, Config: s.Config}, nil
+}
+
+// fromHistory reads an earlier revision from the store, which keeps its audit
+// record longer than its text.
+func (a *adminConfig) fromHistory(ctx context.Context, r confsync.Revision) (admin.Revision, error) {
+	head, err := a.head(ctx, confsync.HistoryKey(r))
+	if err != nil {
+		return admin.Revision{}, err
+	}
+	var text bytes.Buffer
+	for _, p := range head.Parts {
+		e, err := a.store.Get(ctx, p.Key)
+		if err != nil {
+			return admin.Revision{}, storeProblem(err)
+		}
+		text.Write(e.Value)
+	}
+	if confsync.DigestOf(text.Bytes()) != head.Digest {
+		return admin.Revision{}, trace.Wrap(confsync.ErrDamaged, "text of revision %d", r)
+	}
+	c, err := config.Parse(text.Bytes())
+	if err != nil {
+		return admin.Revision{}, trace.Wrap(err, "text of revision %d", r)
+	}
+	return revisionOf(head, c), nil
+}
+
+func revisionOf(h confsync.Head, c *config.Config) admin.Revision {
+	return admin.Revision{Number: int64(h.Revision), Digest: string(h.Digest), Who: h.Who, When: h.When, Why: h.Why, Config: c}
+}
+
+func (a *adminConfig) head(ctx context.Context, key string) (confsync.Head, error) {
+	e, err := a.store.Get(ctx, key)
+	if err != nil {
+		return confsync.Head{}, storeProblem(err)
+	}
+	return confsync.DecodeHead(e.Value)
+}
+
+// storeProblem maps an error of a read of the store.
+func storeProblem(err error) error {
+	if errors.Is(err, store.ErrNotFound) {
+		return admin.ErrNotFound
+	}
+	return admin.ErrUnavailable
+}
+
+// Submit implements admin.Configurations.
+func (a *adminConfig) Submit(ctx context.Context, s admin.Submission) (admin.Revision, error) {
+	var text bytes.Buffer
+	if err := config.Print(&text, s.Config); err != nil {
+		return admin.Revision{}, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	request := confsync.Request{Base: confsync.Revision(s.Base), Text: text.Bytes(),
+		Audit: confsync.Audit{Operation: s.Operation, Who: s.Who, When: time.Now().UTC(), Why: s.Why}}
+	if base, revision := a.d.control.Configuration(); revision == uint64(s.Base) {
+		request.BaseText = base
+	}
+	v, err := a.d.control.Submit(ctx, request)
+	if err != nil {
+		return admin.Revision{}, admin.ErrUncertain
+	}
+	switch v.Verdict {
+	case confsync.Accepted:
+		r := admin.Revision{Number: int64(v.Revision), Digest: string(confsync.DigestOf(text.Bytes())), Who: s.Who, When: request.When, Why: s.Why, Config: s.Config}
+		if v.Head != nil {
+			r = revisionOf(*v.Head, s.Config)
+		}
+		return r, nil
+	case confsync.Conflict:
+		return admin.Revision{}, &admin.ConflictError{Revision: int64(v.Winner.Revision), Who: v.Winner.Who}
+	case confsync.Uncertain:
+		return admin.Revision{}, admin.ErrUncertain
+	}
+	switch {
+	case errors.Is(v.Err, confsync.ErrReusedOperation):
+		return admin.Revision{}, admin.ErrOperationReused
+	case errors.Is(v.Err, confsync.ErrNotApplied):
+		return admin.Revision{}, admin.ErrUnavailable
+	default:
+		return admin.Revision{}, trace.Wrap(v.Err)
+	}
+}
+
+// Operation implements admin.Configurations.
+func (a *adminConfig) Operation(ctx context.Context, operation string) (admin.Revision, error) {
+	head, err := a.head(ctx, confsync.HeadKey)
+	if err != nil {
+		return admin.Revision{}, err
+	}
+	for _, w := range head.Recent {
+		if w.Operation != operation {
+			continue
+		}
+		r, err := a.Read(ctx, int64(w.Revision))
+		if errors.Is(err, admin.ErrNotFound) {
+			return admin.Revision{Number: int64(w.Revision), Who: w.Who, When: w.When}, nil
+		}
+		return r, err
+	}
+	return admin.Revision{}, admin.ErrNotFound
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/galenabeam/galenabeam/internal/adapter/admin"
 	"github.com/galenabeam/galenabeam/internal/adapter/backend"
 	"github.com/galenabeam/galenabeam/internal/adapter/rpc"
 	"github.com/galenabeam/galenabeam/internal/control"
@@ -24,6 +25,7 @@
 	"github.com/galenabeam/galenabeam/internal/owner"
 	"github.com/galenabeam/galenabeam/internal/router"
 	"github.com/galenabeam/galenabeam/internal/settings"
+	"github.com/galenabeam/galenabeam/internal/tlsconf"
 	"github.com/galenabeam/galenabeam/internal/view"
 )
 
@@ -38,6 +40,8 @@
 	metrics  metrics.Registry
 	httpL    net.Listener
 	rpcL     net.Listener
+	adminL   net.Listener // nil without an administration API
+	admin    *http.Server
 	peers    *rpc.Client
 	backends *backend.Client
 	slots    *owner.Slots
@@ -66,7 +70,14 @@
 		_ = httpL.Close()
 		return nil, trace.Wrap(err, "listening for entry hosts on %s", o.RPCAddress)
 	}
-	d := &Daemon{opts: o, httpL: httpL, rpcL: rpcL, metrics: metrics.NewRegistry(), views: &view.Publisher{}}
+	var adminL net.Listener
+	if o.AdminAddress != "" {
+		if adminL, err = net.Listen("tcp", o.AdminAddress); err != nil {
+			_, _ = httpL.Close(), rpcL.Close()
+			return nil, trace.Wrap(err, "listening for operators on %s", o.AdminAddress)
+		}
+	}
+	d := &Daemon{opts: o, httpL: httpL, rpcL: rpcL, adminL: adminL, metrics: metrics.NewRegistry(), views: &view.Publisher{}}
 	d.self = host.Info{ID: o.ID, Incarnation: host.NewIncarnation(time.Now()), Region: o.Region, FailureDomain: o.FailureDomain,
 		RPCAddress: advertised(o.AdvertiseRPC, rpcL), HTTPAddress: advertised(o.AdvertiseHTTP, httpL)}
 	d.log = o.Log.WithFields(logrus.Fields{"host": o.ID, "region": o.Region})
@@ -75,14 +86,20 @@
 }
 
 func (d *Daemon) assemble() {
-	d.peers = rpc.NewClient(d.opts.PeerClientTLS)
+	d.peers = rpc.NewClient(d.opts.PeerDial)
 	d.backends = backend.NewClient()
 	d.router = router.New(d.self.Region)
 	d.slots = owner.NewSlots(d.self.Incarnation, d.views, d.peers)
 	d.edge = edge.New(edge.Config{Self: d.self, LookupTTL: edge.DefaultLookupTTL, IdentityWindow: edge.DefaultIdentityWindow,
 		LedgerCapacity: edge.DefaultLedgerCapacity}, d.views, d.slots, d.backends, d.router, d.peers, d.log, d.metrics)
-	d.control = control.New(control.Options{Self: d.self, Views: d.views, Slots: d.slots, Peers: d.peers, HostList: d.opts.HostList, Store: d.opts.Store, Edge: d.edge, Router: d.router,
+	d.control = control.New(control.Options{Self: d.self, Views: d.views, Slots: d.slots, Peers: d.peers, HostList: d.opts.HostList, Store: d.opts.Store, Edge: d.edge, Router: d.router, Backends: d.backends,
 		Log: d.log, Metrics: d.metrics, Seed: int64(d.self.Incarnation)})
+	api := admin.New(&adminConfig{d: d, store: d.opts.Store}, &adminState{d: d}, d.metrics, d.opts.Tokens, admin.Options{
+		InternalError: func(path string, err error) {
+			d.log.WithField("path", path).WithError(err).Error("administration call failed")
+		}})
+	d.admin = api.Server()
+	d.admin.TLSConfig, d.admin.ErrorLog = d.opts.AdminTLS, quietLog()
 	d.rpc = rpc.NewServer(d.opts.PeerServerTLS)
 	d.handlePeers()
 	d.http = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: d.opts.HeaderTimeout, IdleTimeout: idleTimeout,
@@ -107,6 +124,12 @@
 	g.Add(func() error { return d.control.Run(controlCtx) }, func(error) { stopControl() })
 	g.Add(func() error { return d.rpc.Serve(d.rpcL) }, func(error) { _ = d.rpcL.Close(); d.rpc.Close() })
 	g.Add(func() error { return d.serveHTTP(waitCtx) }, func(error) { _ = d.http.Close() })
+	if d.adminL != nil {
+		g.Add(func() error { return d.serveAdmin(waitCtx) }, func(error) { _ = d.admin.Close() })
+	}
+	if len(d.opts.TLSSources) > 0 {
+		g.Add(func() error { return d.reloadTLS(waitCtx) }, func(error) { stopWait() })
+	}
 	g.Add(func() error { return d.waitShutdown(ctx, waitCtx) }, func(error) { stopWait() })
 	d.log.WithFields(logrus.Fields{"http": d.self.HTTPAddress, "rpc": d.self.RPCAddress, "incarnation": d.self.Incarnation}).Info("entry host started")
 	err := g.Run()
@@ -116,6 +139,44 @@
 	return err
 }
 
+// serveAdmin serves operators until the end of the shutdown.
+func (d *Daemon) serveAdmin(stop context.Context) error {
+	var err error
+	if d.admin.TLSConfig != nil {
+		err = d.admin.ServeTLS(d.adminL, "", "")
+	} else {
+		err = d.admin.Serve(d.adminL)
+	}
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-stop.Done()
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// reloadTLS loads certificates again when their files change.
+func (d *Daemon) reloadTLS(stop context.Context) error {
+	for _, src := range d.opts.TLSSources {
+		go src.Run(stop, tlsconf.PollInterval, func(err error) {
+			if err != nil {
+				d.log.WithError(err).Error("certificates not reloaded")
+				return
+			}
+			d.log.WithField("expires", src.Expires()).Info("certificates reloaded")
+		})
+	}
+	<-stop.Done()
+	return nil
+}
+
+// AdminAddress returns the address of the administration API, or "".
+func (d *Daemon) AdminAddress() string {
+	if d.adminL == nil {
+		return ""
+	}
+	return d.adminL.Addr().String()
+}
+
 // serveHTTP serves callers. After a graceful end it waits for the other steps
 // of the shutdown, because the first actor that returns ends all of them.
 func (d *Daemon) serveHTTP(stop context.Context) error {
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -14,18 +14,21 @@
 
 // Dump is the state of the whole process.
 type Dump struct {
-	At      time.Time                 `json:"at"`
-	Self    host.Info                 `json:"self"`
-	Active  int                       `json:"active_requests"`
-	Control control.State             `json:"control"`
-	Pools   map[string]sched.State    `json:"pools"`
-	Metrics map[string]map[string]any `json:"metrics"`
+	At      time.Time              `json:"at"`
+	Self    host.Info              `json:"self"`
+	Active  int                    `json:"active_requests"`
+	Control control.State          `json:"control"`
+	Pools   map[string]sched.State `json:"pools"`
+	// Spill is the share of local requests that goes to each region, by
+	// service, rank and region.
+	Spill   map[string]map[string]map[string]float64 `json:"spill"`
+	Metrics map[string]map[string]any                `json:"metrics"`
 }
 
 // Dump returns a copy of the state.
 func (d *Daemon) Dump() Dump {
 	out := Dump{At: time.Now().UTC(), Self: d.self, Active: d.edge.Active(), Control: d.control.State(), Pools: map[string]sched.State{},
-		Metrics: snapshotMetrics(d.metrics)}
+		Spill: d.router.Spill(), Metrics: snapshotMetrics(d.metrics)}
 	for service, p := range d.slots.Pools() {
 		out.Pools[service] = p.State()
 	}
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -11,11 +11,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenabeam/galenabeam/internal/adapter/hostlist"
+	"github.com/galenabeam/galenabeam/internal/adapter/rpc"
 	"github.com/galenabeam/galenabeam/internal/adapter/storehttp"
 	"github.com/galenabeam/galenabeam/internal/host"
 	"github.com/galenabeam/galenabeam/internal/member"
 	"github.com/galenabeam/galenabeam/internal/settings"
 	"github.com/galenabeam/galenabeam/internal/store"
+	"github.com/galenabeam/galenabeam/internal/tlsconf"
 )
 
 // Options describe one entry host.
@@ -31,8 +33,16 @@
 	AdvertiseHTTP, AdvertiseRPC string
 	HostList                    member.HostList
 	Store                       store.Store
-	// PeerServerTLS and PeerClientTLS secure JSON-RPC; nil means plain text.
-	PeerServerTLS, PeerClientTLS *tls.Config
+	// PeerServerTLS and PeerDial secure JSON-RPC; nil means plain text.
+	PeerServerTLS *tls.Config
+	PeerDial      rpc.DialFunc
+	// AdminAddress is the listen address of the administration API; empty
+	// means none. AdminTLS secures it; nil means plain text.
+	AdminAddress string
+	AdminTLS     *tls.Config
+	Tokens       []settings.Token
+	// TLSSources reload the certificates; the daemon runs them.
+	TLSSources []*tlsconf.Source
 	// HeaderTimeout and MaxHeaderBytes bound the header of a caller's request.
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
@@ -58,9 +68,35 @@
 		HostList: hostlist.New(s.HostListURL, &http.Client{Timeout: platformTimeout}, metrics.NewRegistry()),
 		Store:    st, HeaderTimeout: s.HeaderTimeout, MaxHeaderBytes: s.MaxHeaderBytes, ShutdownLimit: s.ShutdownLimit, Log: log,
 	}
+	o.AdminAddress = s.Admin.Listen
+	if o.Tokens, err = settings.LoadTokens(s.TokensFile); err != nil {
+		return Options{}, trace.Wrap(err)
+	}
+	if s.AdminTLS.Enabled() {
+		src, err := o.addTLS(tlsconf.Files{Certificate: s.AdminTLS.Certificate, Key: s.AdminTLS.Key, CA: s.AdminTLS.CA})
+		if err != nil {
+			return Options{}, trace.Wrap(err, "certificates of the administration API")
+		}
+		o.AdminTLS = src.Server()
+	}
+	if s.PeerTLS.Enabled() {
+		src, err := o.addTLS(tlsconf.Files{Certificate: s.PeerTLS.Certificate, Key: s.PeerTLS.Key, CA: s.PeerTLS.CA, SameCA: true})
+		if err != nil {
+			return Options{}, trace.Wrap(err, "certificates between entry hosts")
+		}
+		o.PeerServerTLS, o.PeerDial = src.Server(), src.Dial
+	}
 	return o, nil
 }
 
+func (o *Options) addTLS(f tlsconf.Files) (*tlsconf.Source, error) {
+	src, err := tlsconf.New(f, time.Now)
+	if err == nil {
+		o.TLSSources = append(o.TLSSources, src)
+	}
+	return src, err
+}
+
 // advertised returns the address to tell others.
 func advertised(configured string, l net.Listener) string {
 	if configured != "" {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -70,8 +70,19 @@
 	RPCAddress    string    `json:"rpc_address"`
 	HTTPAddress   string    `json:"http_address"`
 	State         ListState `json:"state"`
+	// Kind tells what runs on the host; empty means an entry host.
+	Kind ListKind `json:"kind,omitempty"`
 }
 
+// ListKind is what runs on a listed host.
+type ListKind string
+
+// Kinds of listed hosts. The id of a backend server's host is the server's name.
+const (
+	ListedEntryHost     ListKind = "entry-host"
+	ListedBackendServer ListKind = "backend-server"
+)
+
 // HostList is the port to the platform's lagging list of hosts.
 type HostList interface {
 	// Hosts returns the listed hosts of all regions in order of their ids, or
