sched: correct wrong estimates and cut only queues that persist

An estimated service time above the deadline refused every request, so that no observation could correct it; it now refuses nothing once it has not been confirmed for a while. A pool whose slots are all reserved refused everything as late; it now queues what can wait. After such a stall, requests past their target were refused although their deadline could be met; the cut now needs arrivals above 80% of the rank's share of the slots.

--- a/internal/sched/configure.go
+++ b/internal/sched/configure.go
@@ -106,7 +106,8 @@
 	p.ranks = make([]rankQueue, len(params.Ranks))
 	for i := range p.ranks {
 		r := &p.ranks[i]
-		r.Rank, r.current, r.lastEmpty, r.arrivedAt = params.Ranks[i], none, now, now
+		r.Rank, r.current, r.lastEmpty = params.Ranks[i], none, now
+		r.arrivedAt, r.observedAt = now, now
 		r.service = max(r.ServiceTime.Seconds(), 1e-3)
 		r.square = 2 * r.service * r.service
 		r.byOrigin = make([]int, len(p.origins))
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -205,7 +205,7 @@
 	for rank := range p.ranks {
 		r := &p.ranks[rank]
 		for {
-			at, ok := r.firstLate(&p.entries)
+			at, ok := r.firstLate(now, &p.entries)
 			if !ok {
 				break
 			}
@@ -213,7 +213,7 @@
 			e := &p.entries.items[i]
 			reason := outcome.ReasonLate
 			if now <= at {
-				if !p.standing(now, r) || now+r.mean() <= e.arrived+r.Target {
+				if !p.standing(now, rank) || now+r.mean() <= e.arrived+r.goal() {
 					break
 				}
 				reason = outcome.ReasonQueueFull
@@ -247,7 +247,7 @@
 // comes later then finds room for its share.
 func (p *Pool) trim(now time.Duration, rank int, acts []Action) []Action {
 	r := &p.ranks[rank]
-	for r.queued > 1 && p.standing(now, r) && p.wait(rank, float64(r.queued-1))+r.mean() > r.queueTime() {
+	for r.queued > 1 && p.standing(now, rank) && p.wait(rank, float64(r.queued-1))+r.mean() > r.queueTime() {
 		longest := none
 		c := r.current
 		for n := 0; n < r.active; n++ {
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -17,6 +17,9 @@
 	slowRate = 4 * time.Second
 	// quietTime is the time without an arrival after which none is expected.
 	quietTime = 5 * time.Second
+	// staleMean is the least time without an observation after which a mean
+	// service time refuses no request any more.
+	staleMean = time.Second
 	// serviceSamples is the number of observations that a service time
 	// estimate averages over.
 	serviceSamples = 128
@@ -25,6 +28,9 @@
 	// targetUse is the part of a rank's target that a standing queue may use
 	// up. The rest covers the spread of service times and the network.
 	targetUse = 0.8
+	// fullShare is the part of its share of the slots from which on a rank's
+	// queue may persist.
+	fullShare = 0.8
 	// leastRisk and mostRisk bound the part of more urgent requests that may
 	// wait too long for a slot because less urgent work holds the slots.
 	leastRisk = 1e-6
@@ -46,23 +52,35 @@
 	service    float64 // seconds
 	square     float64 // mean square of the service time, seconds squared
 	samples    int
+	observedAt time.Duration
 }
 
 // mean returns the estimated service time.
 func (e *estimate) mean() time.Duration { return time.Duration(e.service * float64(time.Second)) }
 
+// least returns the service time that a request is at least given to meet its
+// deadline. A mean that has not been confirmed for a while counts as zero: it
+// would refuse every request, and nothing would ever correct it.
+func (e *estimate) least(now time.Duration) time.Duration {
+	if now > e.observedAt+max(staleMean, 4*e.mean()) {
+		return 0
+	}
+	return e.mean()
+}
+
 // load returns the slots that all arrivals of the rank would keep busy.
 func (e *estimate) load() float64 { return max(e.fast, e.slow) * e.service }
 
 // observeService learns how long a grant kept its slot. That includes the
 // messages between owner and edge, during which the slot is not free either.
-func (p *Pool) observeService(g grant, d time.Duration) {
+func (p *Pool) observeService(now time.Duration, g grant, d time.Duration) {
 	if d <= 0 {
 		return
 	}
 	r := &p.ranks[g.rank]
 	x := d.Seconds()
 	r.samples = min(r.samples+1, serviceSamples)
+	r.observedAt = now
 	if f := &r.flows[g.customer]; f.active {
 		// Pays the difference between the slot time charged at the grant and
 		// the slot time used, so that long requests do not gain a share.
@@ -244,6 +262,10 @@
 	if r.queued == 0 && p.free > 0 && p.allowed(rank) {
 		return 0
 	}
+	if p.slots <= 0 {
+		// Reservations, ejections or warm-up end at the next change.
+		return min(longestRetry, max(0, p.nextChange-p.lastUpdate))
+	}
 	work := (ahead + 1) * r.service
 	for q := 0; q < rank; q++ {
 		work += float64(p.ranks[q].queued) * p.ranks[q].service
@@ -294,10 +316,10 @@
 		return outcome.ReasonNoServer
 	}
 	wait := max(p.wait(req.Rank, r.ahead(req.Customer)), r.customerWait(now, req.Customer))
-	if now+wait+r.mean() > req.Deadline {
+	if now+wait+r.least(now) > req.Deadline {
 		return outcome.ReasonLate
 	}
-	if r.queued >= maxQueued || (p.standing(now, r) && wait+r.mean() > r.queueTime()) {
+	if r.queued >= maxQueued || (p.standing(now, req.Rank) && wait+r.mean() > r.queueTime()) {
 		return outcome.ReasonQueueFull
 	}
 	if req.Origin != 0 && p.gate != nil && p.gateFull(now, req) {
@@ -306,16 +328,26 @@
 	return ""
 }
 
-// standing reports whether the rank has had a queue for a quarter of its
-// target. A burst may use the whole deadline; a standing queue is cut to what
-// the target allows, because it would make every request of the rank late.
-func (p *Pool) standing(now time.Duration, r *rankQueue) bool {
-	return r.queued > 0 && now-r.lastEmpty > r.Target/4
+// standing reports whether the rank has had a queue for a quarter of its target
+// and gets nearly as much work as its share of the slots serves, or more. Other
+// queues come from a burst or a stall, drain by themselves, and may use the whole
+// deadline. A standing queue is cut to what the target allows, because it would
+// make every request of the rank late.
+func (p *Pool) standing(now time.Duration, rank int) bool {
+	r := &p.ranks[rank]
+	if r.queued == 0 || now-r.lastEmpty <= r.Target/4 || p.slots <= 0 {
+		return false
+	}
+	return r.load() > fullShare*p.share(rank)
 }
 
+// goal is the time within which requests of a standing queue are to be
+// answered: the target, or more when even requests without a wait miss it.
+func (r *rankQueue) goal() time.Duration { return max(r.Target, 2*r.mean()) }
+
 // queueTime is the longest time from arrival to answer in a standing queue.
 func (r *rankQueue) queueTime() time.Duration {
-	return time.Duration(targetUse * float64(r.Target))
+	return time.Duration(targetUse * float64(r.goal()))
 }
 
 // noServer reports whether no server can become usable without a change from
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -193,7 +193,7 @@
 	}
 	for i := range p.ranks {
 		r := &p.ranks[i]
-		if at, ok := r.firstLate(&p.entries); ok {
+		if at, ok := r.firstLate(now, &p.entries); ok {
 			wake = min(wake, at)
 		}
 		if p.gate != nil && r.queued > r.byOrigin[0] && p.free > 0 {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -307,9 +307,9 @@
 
 // firstLate returns when the first queued request can no longer be served
 // before its deadline.
-func (r *rankQueue) firstLate(s *entrySlab) (time.Duration, bool) {
+func (r *rankQueue) firstLate(now time.Duration, s *entrySlab) (time.Duration, bool) {
 	if len(r.late) == 0 {
 		return 0, false
 	}
-	return s.items[r.late[0]].req.Deadline - r.mean(), true
+	return s.items[r.late[0]].req.Deadline - r.least(now), true
 }
--- a/internal/sched/regress_test.go
+++ b/internal/sched/regress_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -70,6 +71,33 @@
 	}
 }
 
+// TestWrongMeanIsCorrected guards against a service time estimate above the
+// deadline that refuses every request, so that nothing corrects it.
+func TestWrongMeanIsCorrected(t *testing.T) {
+	g := NewWithT(t)
+	params := testParams(1, 2)
+	params.Ranks[0].ServiceTime = 2 * sec
+	p := NewPool(0, params, rand.New(rand.NewSource(1)))
+	g.Expect(keysOf(p.Enqueue(sec, local(1, 0, 2*sec), nil), Refuse)).To(HaveLen(1))
+	acts := p.Enqueue(9*sec, local(2, 0, 10*sec), nil)
+	g.Expect(keysOf(acts, Grant)).To(Equal([]uint64{2}))
+	p.Release(9*sec+40*ms, acts[0].Grant, Result{}, nil)
+	g.Expect(keysOf(p.Enqueue(9*sec+50*ms, local(3, 0, 10*sec), nil), Grant)).To(Equal([]uint64{3}))
+}
+
+// TestReservedPoolQueues guards against a pool that refuses work as late while
+// all its slots are reserved for a time that the work can wait.
+func TestReservedPoolQueues(t *testing.T) {
+	g := NewWithT(t)
+	p := testPool(1, 1)
+	p.Reserve(0, "s0", 1, 500*ms)
+	g.Expect(p.Enqueue(0, local(1, 0, sec), nil)).To(BeEmpty())
+	acts := p.Enqueue(0, local(2, 0, 300*ms), nil)
+	g.Expect(keysOf(acts, Refuse)).To(Equal([]uint64{2}))
+	g.Expect(acts[0].Outcome.RetryAfter).To(BeNumerically("<", sec))
+	g.Expect(keysOf(p.Tick(500*ms, nil), Grant)).To(Equal([]uint64{1}))
+}
+
 // TestReserveKeepsOrder guards against short work of a less urgent rank that
 // passes a more urgent rank while a reserve holds that one back.
 func TestReserveKeepsOrder(t *testing.T) {
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -144,7 +144,7 @@
 	s := &p.servers[g.server]
 	switch res.Status {
 	case OK:
-		p.observeService(g, max(res.ServiceTime, now-g.at))
+		p.observeService(now, g, max(res.ServiceTime, now-g.at))
 		s.bad, s.lastOK = 0, now
 		if now > s.ejectedTill+longestEjection {
 			s.ejections = 0
