shift: report mean demand by rank, and the room it needs

Pools of all services asked for their peaks of urgent work plus a fixed step, so that a cap was divided nearly evenly and the pool of lookups, with most of the demand, fell short. Bytes were asked for too late: large requests are rare, and a period without one reset the demand.

Reports now carry the mean use plus waiting requests by rank, and the room for fluctuations apart; demand for bytes falls slowly and unwanted bytes are spread over the holders. Waiting lets the pool owner report its queue.

regionbench: floors hold for slots, not for shares of caps; the deadline covers the way back and equals the target for lookups.

--- a/internal/regionbench/pool_test.go
+++ b/internal/regionbench/pool_test.go
@@ -1,6 +1,7 @@
 package regionbench
 
 import (
+	"math"
 	"time"
 
 	"github.com/galenabeam/galenabeam/internal/host"
@@ -66,6 +67,19 @@
 	return views
 }
 
+// tellWaiting reports the slots that would serve the queued shifted requests
+// within a second.
+func (p *pool) tellWaiting() {
+	for rank, work := range p.s.sc.ranks {
+		for origin, queue := range p.queues[rank] {
+			if origin != p.region {
+				slots := math.Ceil(float64(len(queue)) * min(1, work.service.Seconds()))
+				p.share.Waiting(p.origin(origin), rank, int(slots))
+			}
+		}
+	}
+}
+
 // arrive queues a request or refuses it if its deadline cannot be met.
 func (p *pool) arrive(r request) {
 	need := p.s.sc.ranks[r.rank].service
@@ -96,17 +110,19 @@
 
 func (p *pool) next() (request, bool) {
 	if p.s.naive {
-		return p.oldest([]int{0, 1, 2})
+		return p.oldest([]int{0, 1, 2}, false)
 	}
 	for rank := len(p.s.sc.ranks) - 1; rank > 0; rank-- {
 		if float64(p.running[rank]+1) <= p.s.sc.ranks[rank].floor*float64(p.slots) {
-			if r, ok := p.oldest([]int{rank}); ok {
+			// Floors hold for slots. A floor on the share of a cap would let long
+			// requests fill it.
+			if r, ok := p.oldest([]int{rank}, true); ok {
 				return r, true
 			}
 		}
 	}
 	for rank := range p.s.sc.ranks {
-		if r, ok := p.oldest([]int{rank}); ok {
+		if r, ok := p.oldest([]int{rank}, false); ok {
 			return r, true
 		}
 	}
@@ -114,13 +130,16 @@
 }
 
 // oldest takes the oldest request of the given ranks whose origin has a slot.
-func (p *pool) oldest(ranks []int) (request, bool) {
+func (p *pool) oldest(ranks []int, localOnly bool) (request, bool) {
 	var blocked [3][3]bool
 	for {
 		var best *[]request
 		rank, origin := 0, 0
 		for _, r := range ranks {
 			for o := range p.queues[r] {
+				if localOnly && o != p.region {
+					continue
+				}
 				p.expire(r, o)
 				if q := &p.queues[r][o]; len(*q) > 0 && !blocked[r][o] && (best == nil || (*q)[0].sent < (*best)[0].sent) {
 					best, rank, origin = q, r, o
--- a/internal/regionbench/region_test.go
+++ b/internal/regionbench/region_test.go
@@ -1,6 +1,7 @@
 package regionbench
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -68,6 +69,34 @@
 
 func (s *sim) share(rank int) float64 { return float64(s.inTime[rank]) / float64(s.sent[rank]) }
 
+// possible is the share of the urgent requests that slots and caps allow to
+// serve: floors of other ranks are kept, and each slot is held for a round
+// trip in the region longer than the service time.
+func (s *sim) possible() float64 {
+	urgent := s.sc.ranks[0]
+	held := 1 + 2*s.sc.lan.Seconds()/urgent.service.Seconds()
+	served, offered := 0.0, 0.0
+	for region := range s.sc.regions {
+		if region == s.lost {
+			continue
+		}
+		capLeft := float64(s.sc.concurrent)
+		for _, def := range s.sc.pools {
+			local := s.sc.load * def.mix[0] * float64(def.slots[region]) * held
+			shifted := s.sc.load * def.mix[0] * float64(def.slots[s.lost]) * held / 2
+			usable := float64(def.slots[region])
+			for _, other := range s.sc.ranks[1:] {
+				usable -= math.Floor(other.floor * float64(def.slots[region]))
+			}
+			admitted := min(shifted, capLeft)
+			capLeft -= admitted
+			offered += local + shifted
+			served += min(local+admitted, usable)
+		}
+	}
+	return served / offered
+}
+
 // capUse is the mean use of the caps from the lost region, by the limit that
 // binds.
 func (s *sim) capUse() float64 {
@@ -108,6 +137,7 @@
 
 func report(b *testing.B, s, n *sim) {
 	b.ReportMetric(s.share(0), "urgent_in_time")
+	b.ReportMetric(s.possible(), "urgent_possible")
 	b.ReportMetric(s.share(1), "second_in_time")
 	b.ReportMetric(s.share(2), "third_in_time")
 	b.ReportMetric(float64(s.excess), "cap_excess")
--- a/internal/regionbench/scenario_test.go
+++ b/internal/regionbench/scenario_test.go
@@ -4,10 +4,12 @@
 
 // work is one rank of requests.
 type work struct {
-	name     string
-	service  time.Duration
-	bytes    int64
-	target   time.Duration
+	name    string
+	service time.Duration
+	bytes   int64
+	target  time.Duration
+	// deadline equals the target for lookups, so that a full pool refuses them
+	// early in place of answering all of them late.
 	deadline time.Duration
 	floor    float64 // share of the slots
 }
@@ -52,7 +54,7 @@
 			{"mottaka", split(12, 3), [3]float64{0.1, 0.2, 0.7}},
 		},
 		ranks: []work{
-			{"lookups", 20 * time.Millisecond, 4 << 10, 250 * time.Millisecond, time.Second, 0.05},
+			{"lookups", 20 * time.Millisecond, 4 << 10, 250 * time.Millisecond, 250 * time.Millisecond, 0.05},
 			{"declarations", 100 * time.Millisecond, 64 << 10, 2 * time.Second, 5 * time.Second, 0.1},
 			{"manifests", time.Second, 1 << 20, 30 * time.Second, 60 * time.Second, 0.1},
 		},
@@ -70,7 +72,7 @@
 			{"voice-svc", split(12, 3), [3]float64{0.1, 0.1, 0.8}},
 		},
 		ranks: []work{
-			{"phrases", 25 * time.Millisecond, 2 << 10, 250 * time.Millisecond, time.Second, 0.05},
+			{"phrases", 25 * time.Millisecond, 2 << 10, 250 * time.Millisecond, 250 * time.Millisecond, 0.05},
 			{"purchases", 120 * time.Millisecond, 16 << 10, 2 * time.Second, 5 * time.Second, 0.1},
 			{"recordings", 1500 * time.Millisecond, 1 << 20, 30 * time.Second, 60 * time.Second, 0.1},
 		},
--- a/internal/regionbench/sim_test.go
+++ b/internal/regionbench/sim_test.go
@@ -250,6 +250,7 @@
 			delay += s.sc.wan
 		}
 	}
+	r.deadline -= s.sc.lan + s.wayBack(r, region) // the answer must be back in time
 	s.after(delay, func() {
 		if s.up(region) {
 			s.pools[region][r.service].arrive(r)
@@ -275,6 +276,7 @@
 	if !s.up(region) {
 		return
 	}
+	p.tellWaiting()
 	report := p.share.Report(s.now)
 	delay := func() time.Duration { return s.sc.lan + time.Duration(s.rng.Int64N(int64(s.sc.lan))) }
 	if s.rng.Float64() < messageLoss {
--- a/internal/shift/divide.go
+++ b/internal/shift/divide.go
@@ -31,21 +31,28 @@
 	return parts
 }
 
-// divideSpare is like divide, but where total exceeds the wants, each part grows
-// in proportion up to twice what it wants, so that bursts within the period of
-// a report find room.
+const (
+	// spareUsed is the share of a cap on bytes that is given out when it is not
+	// wanted in full; the rest is for holders that start to want some.
+	spareUsed = 0.75
+	// spareFactor bounds how much more than it wants a holder gets.
+	spareFactor = 8
+)
+
+// divideSpare is like divide, but where total exceeds the wants, each part
+// grows in proportion, so that bursts until the next report find room.
 func divideSpare(total int64, wants []int64) []int64 {
 	parts := divide(total, wants)
 	var sum int64
 	for _, p := range parts {
 		sum += p
 	}
-	if sum == 0 || sum >= total {
+	if sum == 0 {
 		return parts
 	}
-	factor := float64(total) / float64(sum)
+	factor := min(spareFactor, max(1, spareUsed*float64(total)/float64(sum)))
 	for i := range parts {
-		parts[i] = int64(float64(parts[i]) * min(factor, 2))
+		parts[i] = int64(float64(parts[i]) * factor)
 	}
 	return parts
 }
--- a/internal/shift/granter.go
+++ b/internal/shift/granter.go
@@ -205,7 +205,7 @@
 		for i := range a.origins {
 			e := &a.origins[i]
 			e.reported.BytesPerSecond, e.granted.BytesPerSecond = 0, 0
-			e.reported.Want, e.reported.WantBytesPerSecond, e.reported.Peak = nil, 0, 0
+			e.reported.Want, e.reported.Room, e.reported.WantBytesPerSecond, e.reported.Peak = nil, nil, 0, 0
 		}
 	}
 }
@@ -290,28 +290,32 @@
 }
 
 // fair is the holder's part of a concurrency: the demand of the most urgent
-// rank comes first, and is divided by max-min fairness.
+// rank comes first, and is divided by max-min fairness. What is left is given
+// out in the same order as room for fluctuations until the next report.
 func (g *Granter) fair(origin int, a *account, total int) int {
 	left, part := int64(total), int64(0)
-	for rank := range MaxRanks {
-		wants, self := g.wants(a, func(h *account) int64 { return h.origins[origin].reported.wantOf(rank) })
-		parts := divide(left, wants)
-		part += parts[self]
-		for _, p := range parts {
-			left -= p
+	for _, list := range []func(*OriginReport) []int{wanted, room} {
+		for rank := range MaxRanks {
+			wants, self := g.wants(a, func(h *account) int64 { return at(list(&h.origins[origin].reported), rank) })
+			parts := divide(left, wants)
+			part += parts[self]
+			for _, p := range parts {
+				left -= p
+			}
 		}
 	}
 	return int(part)
 }
 
-// wantOf is the demand of one rank with room for fluctuations until the next
-// report.
-func (r *OriginReport) wantOf(rank int) int64 {
-	if rank >= len(r.Want) || r.Want[rank] == 0 {
+func wanted(r *OriginReport) []int { return r.Want }
+
+func room(r *OriginReport) []int { return r.Room }
+
+func at(list []int, rank int) int64 {
+	if rank >= len(list) {
 		return 0
 	}
-	want := r.Want[rank]
-	return int64(want + want/4 + 2)
+	return int64(max(0, list[rank]))
 }
 
 func (g *Granter) bytes(now time.Duration, origin int, a *account) int64 {
--- a/internal/shift/messages.go
+++ b/internal/shift/messages.go
@@ -55,9 +55,11 @@
 	// number since the previous report.
 	InUse int `json:"in_use"`
 	Peak  int `json:"peak"`
-	// Want is the demand for slots since the previous report, by rank with the
-	// most urgent one first. WantBytesPerSecond is the demand for bytes.
-	Want               []int `json:"want,omitempty"`
+	// Want is the mean demand for slots since the previous report, by rank with
+	// the most urgent one first, and Room what fluctuations need beyond it.
+	Want []int `json:"want,omitempty"`
+	Room []int `json:"room,omitempty"`
+	// WantBytesPerSecond is the demand for bytes.
 	WantBytesPerSecond int64 `json:"want_bytes_per_second"`
 }
 
--- a/internal/shift/share.go
+++ b/internal/shift/share.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -11,11 +12,12 @@
 	// MaxRanks bounds the ranks that demand is told apart by. More ranks count
 	// as the last one.
 	MaxRanks = 8
-	// wantStep is how far beyond its peak a holder may ask in one report, in
-	// requests. Refused requests are tried again and would be counted twice,
-	// so that demand may at most double per report.
-	wantStep = 8
-	// wantBytesStep does the same for bytes per second, which may grow by four.
+	// wantPart and wantStep bound how far beyond its peak a rank may ask in one
+	// report: by a part of the peak and some requests. Waiting requests are
+	// refused many times, so that their number says little.
+	wantPart = 4
+	wantStep = 2
+	// wantBytesStep bounds the same for bytes per second, which may grow by four.
 	wantBytesStep = 64 << 10
 	// minPeriod bounds the rates that are computed from reports in quick succession.
 	minPeriod = 100 * time.Millisecond
@@ -51,10 +53,25 @@
 	filledAt         time.Duration
 	admitted, denied int64 // bytes since the previous report
 	largest          int64 // largest request denied since the previous report, bytes
+	wantBytes        int64 // demand of the previous report
 }
 
 // rankUse is the use and demand of one rank.
-type rankUse struct{ inUse, peak, refused int }
+type rankUse struct {
+	inUse, peak, refused int
+	waiting              int // slots
+	// area is the integral of inUse since the previous report, in seconds.
+	area float64
+	at   time.Duration
+}
+
+// advance adds the use up to now to the area.
+func (u *rankUse) advance(now time.Duration) {
+	if now > u.at {
+		u.area += float64(u.inUse) * (now - u.at).Seconds()
+		u.at = now
+	}
+}
 
 // NewShare returns the holder side of the pool owner with the given
 // incarnation. origins names the other regions; Acquire refers to them by
@@ -100,6 +117,7 @@
 	o.admitted += bytes
 	o.inUse++
 	o.peak = max(o.peak, o.inUse)
+	use.advance(now)
 	use.inUse++
 	use.peak = max(use.peak, use.inUse)
 	s.stats.Acquired++
@@ -116,16 +134,24 @@
 func (s *Share) Release(now time.Duration, origin int) { s.ReleaseRank(now, origin, 0) }
 
 // ReleaseRank returns the slot of a request that has ended.
-func (s *Share) ReleaseRank(_ time.Duration, origin, rank int) {
+func (s *Share) ReleaseRank(now time.Duration, origin, rank int) {
 	o := &s.origins[origin]
 	use := &o.ranks[min(rank, MaxRanks-1)]
 	if o.inUse == 0 || use.inUse == 0 {
 		panic("shift: release without acquire")
 	}
+	use.advance(now)
 	o.inUse--
 	use.inUse--
 }
 
+// Waiting tells how many more slots of an origin's share a rank could use, for
+// the next report. Without it, demand beyond the share is found in small
+// steps.
+func (s *Share) Waiting(origin, rank, slots int) {
+	s.origins[origin].ranks[min(rank, MaxRanks-1)].waiting = slots
+}
+
 // Charge adds bytes to an origin's debt, for an answer that was larger than
 // declared. Later admissions pay for it.
 func (s *Share) Charge(now time.Duration, origin int, bytes int64) {
@@ -181,44 +207,51 @@
 	s.sentAt = now
 	report := Report{Holder: s.holder, Number: s.number, Epoch: s.epoch}
 	for i := range s.origins {
-		if r, ok := s.origins[i].report(period); ok {
+		if r, ok := s.origins[i].report(now, period); ok {
 			report.Origins = append(report.Origins, r)
 		}
 	}
 	return report
 }
 
-func (o *originShare) report(period time.Duration) (OriginReport, bool) {
+func (o *originShare) report(now, period time.Duration) (OriginReport, bool) {
 	r := OriginReport{
-		Origin: o.name, Concurrent: o.limit, BytesPerSecond: o.rate, InUse: o.inUse, Peak: o.peak, Want: o.want(),
-	}
-	if wanted := o.admitted + o.denied; wanted > 0 {
-		rate := int64(float64(wanted) / period.Seconds())
-		known := int64(float64(o.admitted) / period.Seconds())
-		// A bucket must hold the largest request, or it could never pass.
-		r.WantBytesPerSecond = max(min(rate, 4*known+wantBytesStep), o.largest)
+		Origin: o.name, Concurrent: o.limit, BytesPerSecond: o.rate, InUse: o.inUse, Peak: o.peak,
 	}
+	r.Want, r.Room = o.want(now, period)
+	rate := int64(float64(o.admitted+o.denied) / period.Seconds())
+	known := int64(float64(o.admitted) / period.Seconds())
+	// A bucket must hold the largest request, or it could never pass. Demand
+	// falls slowly, since large requests are rare.
+	o.wantBytes = max(min(rate, 4*known+wantBytesStep), o.largest, o.wantBytes*3/4)
+	r.WantBytesPerSecond = o.wantBytes
 	o.peak, o.admitted, o.denied, o.largest = o.inUse, 0, 0, 0
 	return r, r.Concurrent > 0 || r.BytesPerSecond > 0 || r.Peak > 0 || len(r.Want) > 0 || r.WantBytesPerSecond > 0
 }
 
-// want returns the demand by rank, without ranks at the end that want nothing,
-// and starts counting anew.
-func (o *originShare) want() []int {
-	var wants [MaxRanks]int
+// want returns the mean demand by rank and the room for fluctuations, without
+// ranks at the end that want nothing, and starts counting anew.
+func (o *originShare) want(now, period time.Duration) (want, room []int) {
+	var wants, rooms [MaxRanks]int
 	count := 0
 	for i := range o.ranks {
 		use := &o.ranks[i]
-		wants[i] = min(use.peak+use.refused, 2*use.peak+wantStep)
-		if wants[i] > 0 {
+		use.advance(now)
+		wants[i] = min(use.peak, int(math.Ceil(use.area/period.Seconds())))
+		rooms[i] = use.peak - wants[i]
+		if use.refused > 0 {
+			wants[i] += max(use.waiting, min(use.refused, use.peak/wantPart+wantStep))
+		}
+		if use.peak > 0 || use.refused > 0 {
 			count = i + 1
+			rooms[i]++
 		}
-		use.peak, use.refused = use.inUse, 0
+		use.peak, use.refused, use.waiting, use.area = use.inUse, 0, 0, 0
 	}
 	if count == 0 {
-		return nil
+		return nil, nil
 	}
-	return append([]int(nil), wants[:count]...)
+	return append(want, wants[:count]...), append(room, rooms[:count]...)
 }
 
 // Apply puts a grant into force and returns true, or ignores it. It ignores
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -180,7 +180,7 @@
 // Guards against message forms that lose a field on the way.
 func TestMessagesSurviveJSON(t *testing.T) {
 	g := NewWithT(t)
-	report := Report{Holder: 1 << 62, Number: 2, Epoch: 3, Origins: []OriginReport{{"austur", 1, 2, 3, 4, []int{5, 0, 1}, 6}}}
+	report := Report{Holder: 1 << 62, Number: 2, Epoch: 3, Origins: []OriginReport{{"austur", 1, 2, 3, 4, []int{5, 0, 1}, []int{1, 0, 2}, 6}}}
 	grant := Grant{Holder: 1 << 62, Answers: 2, Epoch: 3, Validity: DefaultValidity, Origins: []OriginGrant{{"austur", 1, 2}}}
 	var r Report
 	var got Grant
--- a/internal/shift/takeover_test.go
+++ b/internal/shift/takeover_test.go
@@ -18,6 +18,7 @@
 	for range 20 {
 		s.Acquire(now, 0, 1000)
 	}
+	s.Waiting(0, 0, 20)
 	return s.Report(now)
 }
 
