--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -147,8 +147,8 @@
 	hosts := map[string][]Listed{}
 	for _, n := range s.nodes {
 		if !without[n.info.ID] {
-			hosts[n.info.Region] = append(hosts[n.info.Region], Listed{n.info.ID, n.info.Region, n.info.FailureDomain,
-				n.info.RPCAddress, n.info.HTTPAddress, ListedLive})
+			hosts[n.info.Region] = append(hosts[n.info.Region], Listed{ID: n.info.ID, Region: n.info.Region, FailureDomain: n.info.FailureDomain,
+				RPCAddress: n.info.RPCAddress, HTTPAddress: n.info.HTTPAddress, State: ListedLive})
 		}
 	}
 	s.history = append(s.history, listing{s.now, hosts})
