adapter/backend: refuse answers that end with the connection

Cause: an answer with neither Content-Length nor chunks ends with its connection, so one that is cut short passed as whole (WholeOwnAnswer). Change: such an answer ends as unknown with reason incomplete; HEAD has no body and is exempt. Conclusion: backend servers must send a length or chunks.

--- a/internal/adapter/backend/client.go
+++ b/internal/adapter/backend/client.go
@@ -180,6 +180,17 @@
 		a.Outcome = outcome.Refuse(outcome.ReasonShed, 0)
 		return a
 	}
+	if endsWithConnection(resp) {
+		_ = resp.Body.Close()
+		a.Outcome = outcome.Uncertain(outcome.ReasonIncomplete)
+		return a
+	}
 	a.Outcome, a.Response = outcome.Success(), resp
 	return a
 }
+
+// endsWithConnection tells whether only the end of the connection marks the
+// end of the body. Such a body cannot be told from one that was cut.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
