owner: check the lease once per decision and forget lost grants

Grants of edges that died stayed in memory for ever, and a cancel of an adopted shifted request kept its part of the cap until the deadline. Change: one check per decision; records of grants end 2 s after the deadline, when the scheduler has ended them; cancels end adoptions; a call whose deadline passed ends as late, not canceled. Conclusion: a pool keeps nothing of callers that are gone.

--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,7 @@
 	next    uint64
 	waiting map[uint64]*waiter
 	keys    map[peer.GrantKey]uint64
-	grants  map[peer.GrantKey]sched.GrantID
+	grants  map[peer.GrantKey]granted
 	gate    Gate
 	// adopted holds the shifted requests of an earlier owner, which the
 	// scheduler does not count against the gate.
@@ -39,9 +40,26 @@
 	// withdrawn holds cancels that arrived before their acquire call: calls on
 	// one connection are handled concurrently.
 	withdrawn map[peer.GrantKey]time.Duration
+	nextPrune time.Duration
 	closed    bool
 }
 
+// granted is a grant that has not been released.
+type granted struct {
+	id sched.GrantID
+	// until is when the scheduler has ended the grant of a silent holder.
+	until time.Duration
+}
+
+// Times of the records of grants.
+const (
+	// grantKeep is how long after its deadline a grant is remembered. It
+	// exceeds the time after which the scheduler takes the slot back.
+	grantKeep = 2 * time.Second
+	// prunePeriod separates searches for records that are no longer needed.
+	prunePeriod = time.Second
+)
+
 // adoption is a shifted request that an earlier owner granted.
 type adoption struct {
 	origin int
@@ -56,6 +74,8 @@
 type waiter struct {
 	key     peer.GrantKey
 	decided chan peer.AcquireReply // buffered, receives once
+	// deadline is that of the request.
+	deadline time.Duration
 }
 
 // index maps the names of messages to the scheduler's numbers.
@@ -73,7 +93,7 @@
 	p := &Pool{
 		service: service, region: region, clock: clock,
 		sched: sched.NewPool(clock(), params, rng), index: newIndex(c, params),
-		waiting: map[uint64]*waiter{}, keys: map[peer.GrantKey]uint64{}, grants: map[peer.GrantKey]sched.GrantID{},
+		waiting: map[uint64]*waiter{}, keys: map[peer.GrantKey]uint64{}, grants: map[peer.GrantKey]granted{},
 		withdrawn: map[peer.GrantKey]time.Duration{}, adopted: map[peer.GrantKey]adoption{},
 	}
 	p.SetLimit(limit)
@@ -146,6 +166,9 @@
 		return reply
 	case <-ctx.Done():
 		p.Cancel(a.Key)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return refused(outcome.ReasonLate, 0)
+		}
 		return refused(outcome.ReasonCanceled, 0)
 	}
 }
@@ -181,21 +204,25 @@
 	}
 	now := p.clock()
 	p.next++
-	w := &waiter{key: a.Key, decided: make(chan peer.AcquireReply, 1)}
+	deadline := now + time.Duration(a.LeftMillis)*time.Millisecond
+	w := &waiter{key: a.Key, decided: make(chan peer.AcquireReply, 1), deadline: deadline}
 	p.waiting[p.next], p.keys[a.Key] = w, p.next
 	p.acts = p.sched.Enqueue(now, sched.Request{Key: p.next, Rank: rank, Customer: customer, Origin: origin,
-		Deadline: now + time.Duration(a.LeftMillis)*time.Millisecond, Bytes: a.Bytes + p.index.answerBytes}, p.acts[:0])
+		Deadline: deadline, Bytes: a.Bytes + p.index.answerBytes}, p.acts[:0])
 	p.perform()
 	return w, peer.AcquireReply{}
 }
 
 // perform carries out the scheduler's actions. The caller holds p.mu. A grant
 // made after the end of the lease is taken back, which may cause further ones.
+// The lease is checked once for each action: it may end or be renewed at any
+// moment, and a slot that was taken back must not be granted as well.
 func (p *Pool) perform() {
 	for i := 0; i < len(p.acts); i++ {
 		act := p.acts[i]
 		w, waits := p.waiting[act.Key]
-		if act.Kind == sched.Grant && (!waits || !p.valid()) {
+		valid := p.valid()
+		if act.Kind == sched.Grant && (!waits || !valid) {
 			p.acts = p.sched.Release(p.clock(), act.Grant, sched.Result{Status: sched.Canceled}, p.acts)
 		}
 		if !waits {
@@ -206,11 +233,11 @@
 		switch {
 		case act.Kind == sched.Refuse:
 			w.decided <- refused(act.Outcome.Reason, act.Outcome.RetryAfter)
-		case !p.valid():
+		case !valid:
 			w.decided <- refused(outcome.ReasonNoOwner, leaseRetry)
 		default:
 			name := p.sched.ServerName(act.Server)
-			p.grants[w.key] = act.Grant
+			p.grants[w.key] = granted{id: act.Grant, until: w.deadline + grantKeep}
 			w.decided <- peer.AcquireReply{Granted: true, Server: name, Address: p.index.addresses[name], Grant: uint64(act.Grant)}
 		}
 	}
@@ -222,9 +249,11 @@
 	defer p.mu.Unlock()
 	p.acts = p.acts[:0]
 	_, waits := p.keys[key]
-	_, granted := p.grants[key]
-	if !waits && !granted {
-		p.withdrawn[key] = p.clock() + withdrawnTime
+	_, holds := p.grants[key]
+	if !waits && !holds {
+		now := p.clock()
+		p.prune(now)
+		p.withdrawn[key] = now + withdrawnTime
 		return
 	}
 	if k, ok := p.keys[key]; ok {
@@ -234,7 +263,8 @@
 	}
 	if g, ok := p.grants[key]; ok {
 		delete(p.grants, key)
-		p.acts = p.sched.Release(p.clock(), g, sched.Result{Status: sched.Canceled}, p.acts)
+		p.endAdoption(key)
+		p.acts = p.sched.Release(p.clock(), g.id, sched.Result{Status: sched.Canceled}, p.acts)
 	}
 	p.perform()
 }
@@ -249,7 +279,7 @@
 	}
 	delete(p.grants, r.Key)
 	p.endAdoption(r.Key)
-	p.acts = p.sched.Release(p.clock(), g, sched.Result{Status: status(r.Status),
+	p.acts = p.sched.Release(p.clock(), g.id, sched.Result{Status: status(r.Status),
 		ServiceTime: time.Duration(r.ServiceMicros) * time.Microsecond, Draining: r.Draining}, p.acts[:0])
 	p.perform()
 }
@@ -273,11 +303,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
-	for key, until := range p.withdrawn {
-		if now > until {
-			delete(p.withdrawn, key)
-		}
-	}
+	p.prune(now)
 	for key, a := range p.adopted {
 		if now > a.until {
 			p.endAdoption(key)
@@ -288,6 +314,25 @@
 	return p.sched.NextWake(now) - now
 }
 
+// prune forgets cancels whose acquire call did not come and grants whose holder
+// went silent. The caller holds p.mu.
+func (p *Pool) prune(now time.Duration) {
+	if now < p.nextPrune {
+		return
+	}
+	p.nextPrune = now + prunePeriod
+	for key, until := range p.withdrawn {
+		if now > until {
+			delete(p.withdrawn, key)
+		}
+	}
+	for key, g := range p.grants {
+		if now > g.until {
+			delete(p.grants, key)
+		}
+	}
+}
+
 // Close refuses all waiting calls, because another process owns the pool now.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -296,5 +341,6 @@
 	for k, w := range p.waiting {
 		w.decided <- refused(outcome.ReasonNoOwner, leaseRetry)
 		delete(p.waiting, k)
+		delete(p.keys, w.key)
 	}
 }
--- a/internal/owner/pool_state.go
+++ b/internal/owner/pool_state.go
@@ -66,8 +66,9 @@
 		if !ok {
 			rank = len(p.index.rankNames) - 1
 		}
-		if g, ok := p.sched.Adopt(now, h.Server, rank, now+time.Duration(h.LeftMillis)*time.Millisecond); ok {
-			p.grants[h.Key] = g
+		deadline := now + time.Duration(h.LeftMillis)*time.Millisecond
+		if g, ok := p.sched.Adopt(now, h.Server, rank, deadline); ok {
+			p.grants[h.Key] = granted{id: g, until: deadline + grantKeep}
 			p.adoptShifted(h, now)
 		}
 	}
