--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,7 @@
 	// withdrawn holds cancels that arrived before their acquire call: calls on
 	// one connection are handled concurrently.
 	withdrawn map[peer.GrantKey]time.Duration
+	nextPrune time.Duration
 	closed    bool
 	timer     *time.Timer
 	wake      time.Duration // when the timer fires
@@ -47,6 +49,15 @@
 // minSleep bounds how often a pool wakes by itself.
 const minSleep = time.Millisecond
 
+// Times of the records of grants.
+const (
+	// grantKeep is how long after its deadline a grant is remembered. It
+	// exceeds the time after which the scheduler takes the slot back.
+	grantKeep = 2 * time.Second
+	// prunePeriod separates searches for records that are no longer needed.
+	prunePeriod = time.Second
+)
+
 // adoption is a shifted request that an earlier owner granted.
 type adoption struct {
 	origin int
@@ -73,10 +84,6 @@
 	until time.Duration
 }
 
-// forgetTime is how long after its deadline a grant without a release is
-// forgotten. The scheduler has ended it by then.
-const forgetTime = 2 * time.Second
-
 // index maps the names of messages to the scheduler's numbers.
 type index struct {
 	ranks, customers, origins map[string]int
@@ -165,6 +172,9 @@
 		return reply
 	case <-ctx.Done():
 		p.Cancel(a.Key)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return refused(outcome.ReasonLate, 0)
+		}
 		return refused(outcome.ReasonCanceled, 0)
 	}
 }
@@ -231,12 +241,15 @@
 
 // perform carries out the scheduler's actions. The caller holds p.mu. A grant
 // made after the end of the lease is taken back, which may cause further ones.
+// The lease is checked once for each action: it may end or be renewed at any
+// moment, and a slot that was taken back must not be granted as well.
 func (p *Pool) perform() {
 	defer p.arm()
 	for i := 0; i < len(p.acts); i++ {
 		act := p.acts[i]
 		w, waits := p.waiting[act.Key]
-		if act.Kind == sched.Grant && (!waits || !p.valid()) {
+		valid := p.valid()
+		if act.Kind == sched.Grant && (!waits || !valid) {
 			p.acts = p.sched.Release(p.clock(), act.Grant, sched.Result{Status: sched.Canceled}, p.acts)
 		}
 		if !waits {
@@ -247,7 +260,7 @@
 		switch {
 		case act.Kind == sched.Refuse:
 			w.decided <- refused(act.Outcome.Reason, act.Outcome.RetryAfter)
-		case !p.valid():
+		case !valid:
 			w.decided <- refused(outcome.ReasonNoOwner, leaseRetry)
 		default:
 			name := p.sched.ServerName(act.Server)
@@ -263,9 +276,11 @@
 	defer p.mu.Unlock()
 	p.acts = p.acts[:0]
 	_, waits := p.keys[key]
-	_, granted := p.grants[key]
-	if !waits && !granted {
-		p.withdrawn[key] = p.clock() + withdrawnTime
+	_, holds := p.grants[key]
+	if !waits && !holds {
+		now := p.clock()
+		p.prune(now)
+		p.withdrawn[key] = now + withdrawnTime
 		return
 	}
 	if k, ok := p.keys[key]; ok {
@@ -275,6 +290,7 @@
 	}
 	if g, ok := p.grants[key]; ok {
 		delete(p.grants, key)
+		p.endAdoption(key)
 		p.acts = p.sched.Release(p.clock(), g.id, sched.Result{Status: sched.Canceled}, p.acts)
 	}
 	p.perform()
@@ -314,6 +330,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
+	p.prune(now)
+	p.acts = p.sched.Tick(now, p.acts[:0])
+	p.perform()
+}
+
+// prune forgets cancels whose acquire call did not come and grants whose holder
+// went silent, and ends adopted requests that have passed their deadline. The
+// caller holds p.mu.
+func (p *Pool) prune(now time.Duration) {
+	if now < p.nextPrune {
+		return
+	}
+	p.nextPrune = now + prunePeriod
 	for key, until := range p.withdrawn {
 		if now > until {
 			delete(p.withdrawn, key)
@@ -325,12 +354,10 @@
 		}
 	}
 	for key, g := range p.grants {
-		if now > g.until+forgetTime {
+		if now > g.until+grantKeep {
 			delete(p.grants, key)
 		}
 	}
-	p.acts = p.sched.Tick(now, p.acts[:0])
-	p.perform()
 }
 
 // Close refuses all waiting calls, because another process owns the pool now.
@@ -341,6 +368,7 @@
 	for k, w := range p.waiting {
 		w.decided <- refused(outcome.ReasonNoOwner, leaseRetry)
 		delete(p.waiting, k)
+		delete(p.keys, w.key)
 	}
 	p.arm()
 }
