member: tell joining from live processes in summaries

A host that lost the update that a process is live took it for joining until its own probe, over a minute at 177 hosts, because summaries did not differ.

--- a/internal/member/claims.go
+++ b/internal/member/claims.go
@@ -11,10 +11,10 @@
 
 // presence returns a process's part of the digest: its incarnation and whether
 // it has announced its shutdown. Suspicions and refutations are left out, since
-// they come and go, and so are processes that are gone or were never heard of,
-// since hosts forget them at different times.
+// they come and go, and so are processes that are gone or have not answered
+// yet, since hosts forget them at different times.
 func presence(c Claim, left bool) uint64 {
-	if c.Incarnation == 0 || c.Status == Gone {
+	if c.Incarnation == 0 || c.Status == Gone || c.Status == Joining {
 		return 0
 	}
 	const prime = 0x9E3779B185EBCA87
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -24,3 +24,14 @@
 	g.Expect(s.disagreements()).To(BeEmpty())
 	g.Expect(s.falseDeaths).To(BeEmpty())
 }
+
+// Guards against a host that took a process for joining for over a minute: the
+// update that it is live was lost, and the summaries did not show it.
+func TestSummaryTellsStates(t *testing.T) {
+	g := NewWithT(t)
+	of := func(s Status) uint64 { return presence(Claim{ID: "a", Incarnation: 1, Status: s}, s == Leaving) }
+	g.Expect(of(Joining)).NotTo(Equal(of(Live)))
+	g.Expect(of(Leaving)).NotTo(Equal(of(Live)))
+	g.Expect(of(Gone)).NotTo(Equal(of(Live)))
+	g.Expect(of(Suspect)).To(Equal(of(Live)), "a suspicion would make all hosts exchange their state")
+}
