ctl: add the operators' commands and the report

Cause: galenabeamctl had only quickstart. Change: package ctl holds one file per command and a client of the administration API; package ctl/report compares two results in a page.

--- /dev/null
+++ b/internal/ctl/apiclient.go
@@ -0,0 +1,223 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"mime"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/galenabeam/galenabeam/config"
+	"github.com/galenabeam/galenabeam/internal/adapter/admin"
+)
+
+const (
+	dialTimeout = 5 * time.Second
+	// requestTimeout covers a large configuration over a narrow link.
+	requestTimeout = 2 * time.Minute
+	// maxAnswerBytes leaves room for the longest configuration text in JSON.
+	maxAnswerBytes = 2 * config.MaxTextBytes
+	// problemPrefix starts the type of each problem of the API.
+	problemPrefix = "urn:galenabeam:problem:"
+)
+
+// revision is an accepted configuration as the API tells it.
+type revision struct {
+	Revision int64     `json:"revision"`
+	Digest   string    `json:"digest"`
+	Who      string    `json:"who"`
+	When     time.Time `json:"when"`
+	Why      string    `json:"why"`
+	Text     string    `json:"text,omitempty"`
+}
+
+// drainRequest is the body that creates a drain.
+type drainRequest struct {
+	Kind   config.DrainKind `json:"kind"`
+	Target string           `json:"target"`
+	Reason string           `json:"reason"`
+}
+
+// difference is a list of changes since a revision.
+type difference struct {
+	// Base is the revision that the changes start from, zero for a file or
+	// before the first submission.
+	Base    int64           `json:"base"`
+	Changes []config.Change `json:"changes"`
+}
+
+// apiClient is a client of the administration API. It sends the token to its
+// own server only: it follows no redirect and uses no proxy.
+type apiClient struct {
+	base, token string
+	http        *http.Client
+}
+
+func newAPIClient(base, token string, settings *tls.Config) *apiClient {
+	return &apiClient{base: base, token: token, http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			TLSClientConfig:   settings,
+			ForceAttemptHTTP2: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Timeout:       requestTimeout,
+	}}
+}
+
+func (c *apiClient) close() { c.http.CloseIdleConnections() }
+
+// request is one call of the API. Changes need an operation identity.
+type request struct {
+	method, path string
+	query        url.Values
+	operation    string
+	body         []byte
+}
+
+// send returns the body of a successful answer. A refusal is an
+// *admin.Problem.
+func (c *apiClient) send(ctx context.Context, r request) ([]byte, error) {
+	target := c.base + r.path
+	if len(r.query) > 0 {
+		target += "?" + r.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, target, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if r.operation != "" {
+		req.Header.Set(admin.HeaderOperation, r.operation)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := readAll(resp.Body, c.base+r.path, maxAnswerBytes)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode/100 != 2 {
+		return nil, refusal(resp, body)
+	}
+	return body, nil
+}
+
+// refusal returns the problem details of an answer, or an error for an answer
+// that is not of the API.
+func refusal(resp *http.Response, body []byte) error {
+	p := &admin.Problem{}
+	kind, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if kind != "application/problem+json" || json.Unmarshal(body, p) != nil {
+		return fmt.Errorf("status %d from %s, which is not an answer of the administration API", resp.StatusCode, resp.Request.URL.Host)
+	}
+	return p
+}
+
+// get reads a path into answer.
+func (c *apiClient) get(ctx context.Context, path string, query url.Values, answer any) error {
+	return c.exchange(ctx, request{method: http.MethodGet, path: path, query: query}, answer)
+}
+
+func (c *apiClient) exchange(ctx context.Context, r request, answer any) error {
+	body, err := c.send(ctx, r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return fmt.Errorf("malformed answer to %s %s: %w", r.method, r.path, err)
+	}
+	return nil
+}
+
+// change makes a change under an operation identity. When its result is not
+// known, the error tells how to repeat it.
+func (c *apiClient) change(ctx context.Context, r request) (revision, error) {
+	var rev revision
+	err := c.exchange(ctx, r, &rev)
+	if err == nil || notSent(err) {
+		return rev, err
+	}
+	var p *admin.Problem
+	if !errors.As(err, &p) || codeOf(p) == admin.CodeUncertain || codeOf(p) == admin.CodeInternal {
+		err = &uncertainError{operation: r.operation, err: err}
+	}
+	return rev, err
+}
+
+// uncertainError is a change that may have taken effect.
+type uncertainError struct {
+	operation string
+	err       error
+}
+
+func (e *uncertainError) Error() string {
+	return message(e.err) + "\nthe result is not known; repeat with -operation " + e.operation + " to learn it"
+}
+
+func (e *uncertainError) Unwrap() error { return e.err }
+
+// notSent tells that no connection was made.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// operationFlag defines the flag -operation. Its default is a new identity.
+func (i *invocation) operationFlag() *string {
+	return i.flags.String("operation", "", "`IDENTITY` of the change, to repeat it safely; by default a new one")
+}
+
+func operationOr(given string) string {
+	if given != "" {
+		return given
+	}
+	return "ctl-" + rand.Text()
+}
+
+// codeOf returns the stable word of a problem.
+func codeOf(p *admin.Problem) admin.Code {
+	return admin.Code(strings.TrimPrefix(p.Type, problemPrefix))
+}
+
+// message returns the text of an error for people.
+func message(err error) string {
+	if p, ok := err.(*admin.Problem); ok {
+		return describe(p)
+	}
+	return err.Error()
+}
+
+// describe returns a problem as text, with one line for each fault.
+func describe(p *admin.Problem) string {
+	text := string(codeOf(p)) + ": " + p.Title
+	if p.Detail != "" {
+		text += ": " + p.Detail
+	}
+	if p.Revision > 0 && codeOf(p) == admin.CodeConflict {
+		text += fmt.Sprintf(" (in force: revision %d)", p.Revision)
+	}
+	for _, fault := range p.Problems {
+		text += "\n  " + fault
+	}
+	return text
+}
+
+// drains returns the drains in force.
+func (c *apiClient) drains(ctx context.Context) ([]admin.DrainProgress, error) {
+	var body struct {
+		Drains []admin.DrainProgress `json:"drains"`
+	}
+	err := c.get(ctx, "/v1/drains", nil, &body)
+	return body.Drains, err
+}
--- /dev/null
+++ b/internal/ctl/dump.go
@@ -0,0 +1,31 @@
+package ctl
+
+import (
+	"context"
+	"net/http"
+)
+
+func prepareDump(i *invocation) action {
+	metrics := i.flags.Bool("metrics", false, "print the metrics in Prometheus' text format instead")
+	conn := i.connect()
+	return func(ctx context.Context) error {
+		if err := i.wantArgs(); err != nil {
+			return err
+		}
+		client, err := conn.open()
+		if err != nil {
+			return err
+		}
+		defer client.close()
+		path := "/v1/state"
+		if *metrics {
+			path = "/v1/metrics"
+		}
+		body, err := client.send(ctx, request{method: http.MethodGet, path: path})
+		if err != nil {
+			return err
+		}
+		_, err = i.Stdout.Write(body)
+		return err
+	}
+}
--- /dev/null
+++ b/internal/ctl/quickstart.go
@@ -0,0 +1,36 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/galenabeam/galenabeam/internal/quickstart"
+)
+
+var errPromiseBroken = errors.New("a promise did not hold; see the result")
+
+func prepareQuickstart(i *invocation) action {
+	verbose := i.flags.Bool("v", false, "print the log of the entry hosts")
+	return func(ctx context.Context) error {
+		o := quickstart.Options{Progress: i.Stderr, Log: io.Discard}
+		if *verbose {
+			o.Log = i.Stderr
+		}
+		result, err := quickstart.Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		write := result.WriteTable
+		if i.asJSON {
+			write = result.WriteJSON
+		}
+		if err := write(i.Stdout); err != nil {
+			return err
+		}
+		if len(result.Broken) > 0 {
+			return &reportedError{errPromiseBroken}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/ctl/report/html.go
@@ -0,0 +1,131 @@
+package report
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strconv"
+)
+
+// Page is what Write prints.
+type Page struct {
+	Title string
+	// Names tell where before and after come from, for example file names.
+	Names         [2]string
+	Before, After *Result
+}
+
+// section is one group of the page.
+type section struct {
+	Title, Unit string
+	Plot        template.HTML
+	Rows        []cells
+}
+
+// cells are one row of a table.
+type cells struct{ Name, Before, After, Change string }
+
+// content is the input of the template.
+type content struct {
+	Page
+	Sections []section
+}
+
+// The page loads nothing and runs no script, which its policy enforces.
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta http-equiv="Content-Security-Policy" content="default-src 'none'; style-src 'unsafe-inline'">
+<meta name="viewport" content="width=device-width">
+<title>{{.Title}}</title>
+<style>
+body { font-family: sans-serif; margin: 2em; color: #222; }
+section { display: flex; flex-wrap: wrap; gap: 2em; align-items: flex-start; border-top: 1px solid #ddd; padding: 1em 0; }
+table { border-collapse: collapse; }
+th, td { padding: .25em .75em; border-bottom: 1px solid #ddd; text-align: right; font-variant-numeric: tabular-nums; }
+th:first-child, td:first-child { text-align: left; }
+caption { text-align: left; font-weight: bold; padding-bottom: .5em; }
+</style>
+</head>
+<body>
+<h1>{{.Title}}</h1>
+<p>Before: {{index .Names 0}}. After: {{index .Names 1}}. Source: {{.Before.Kind}}. A figure of several runs is their median, followed by the lowest and highest.</p>
+{{with .Before.Notes}}<p>Notes on before:</p><ul>{{range .}}<li>{{.}}</li>{{end}}</ul>{{end}}
+{{with .After.Notes}}<p>Notes on after:</p><ul>{{range .}}<li>{{.}}</li>{{end}}</ul>{{end}}
+{{range .Sections}}<section>
+<div>{{.Plot}}</div>
+<table>
+<caption>{{.Title}} ({{.Unit}})</caption>
+<tr><th></th><th>before</th><th>after</th><th>change</th></tr>
+{{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Before}}</td><td>{{.After}}</td><td>{{.Change}}</td></tr>
+{{end}}</table>
+</section>
+{{end}}</body>
+</html>
+`))
+
+// Write prints an HTML page that needs no other file.
+func Write(w io.Writer, p Page) error {
+	if p.Before.Kind != p.After.Kind {
+		return fmt.Errorf("%w: before is a %s result, after a %s result", ErrKinds, p.Before.Kind, p.After.Kind)
+	}
+	v := content{Page: p}
+	for _, g := range compare(p.Before, p.After) {
+		svg, err := g.svg()
+		if err != nil {
+			return err
+		}
+		// The plot escapes all text that it draws.
+		s := section{Title: g.title, Unit: g.unit, Plot: template.HTML(svg)}
+		for _, r := range g.rows {
+			s.Rows = append(s.Rows, cells{r.name, format(r.before), format(r.after), change(r.before, r.after)})
+		}
+		v.Sections = append(v.Sections, s)
+	}
+	return page.Execute(w, v)
+}
+
+// format returns a figure for the table, "none" if it is missing.
+func format(f *Figure) string {
+	if f == nil {
+		return "none"
+	}
+	text := number(f.Median())
+	if len(f.Values) > 1 {
+		low, high := math.Inf(1), math.Inf(-1)
+		for _, value := range f.Values {
+			low, high = min(low, value), max(high, value)
+		}
+		text += fmt.Sprintf(" (%s to %s)", number(low), number(high))
+	}
+	return text
+}
+
+// number prints a value with four significant digits, whole numbers in full.
+func number(value float64) string {
+	if value == math.Trunc(value) && math.Abs(value) < 1e15 {
+		return strconv.FormatFloat(value, 'f', -1, 64)
+	}
+	digits := 3 - int(math.Floor(math.Log10(math.Abs(value))))
+	if digits < 0 || digits > 9 {
+		return strconv.FormatFloat(value, 'g', 4, 64)
+	}
+	return strconv.FormatFloat(value, 'f', digits, 64)
+}
+
+// change returns the relative change of the medians.
+func change(before, after *Figure) string {
+	if before == nil || after == nil {
+		return ""
+	}
+	a, b := before.Median(), after.Median()
+	switch {
+	case a == b:
+		return "0%"
+	case a == 0:
+		return "from 0"
+	}
+	return fmt.Sprintf("%+.1f%%", (b-a)/math.Abs(a)*100)
+}
--- /dev/null
+++ b/internal/ctl/submit.go
@@ -0,0 +1,95 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+// revisionMark starts the comment with which show begins a text. The number
+// after it is the base of a submission made from that text, so that an edit of
+// an older revision conflicts with the changes made since.
+const revisionMark = "# galenabeam revision "
+
+// baseOf returns the revision named by the comment, or zero.
+func baseOf(text []byte) int64 {
+	rest, found := bytes.CutPrefix(text, []byte(revisionMark))
+	if !found {
+		return 0
+	}
+	line, _, _ := bytes.Cut(rest, []byte("\n"))
+	word, _, _ := bytes.Cut(line, []byte(" "))
+	number, err := strconv.ParseInt(string(bytes.TrimSpace(word)), 10, 64)
+	if err != nil || number < 1 {
+		return 0
+	}
+	return number
+}
+
+// baseFlag defines the flag -base. Its default is -1.
+func (i *invocation) baseFlag() *int64 {
+	return i.flags.Int64("base", -1, "`REVISION` that the file was made from; 0 is the one in force. By default the one that the file's first line names, or 0")
+}
+
+// chooseBase returns the query for a base and its number, zero for the
+// revision in force.
+func chooseBase(flag int64, text []byte) (url.Values, int64, error) {
+	base := flag
+	switch {
+	case base < -1:
+		return nil, 0, usagef("-base %d: want a revision number", flag)
+	case base == -1:
+		base = baseOf(text)
+	}
+	if base == 0 {
+		return url.Values{}, 0, nil
+	}
+	return url.Values{"base": {strconv.FormatInt(base, 10)}}, base, nil
+}
+
+// submission is the result of submit as JSON.
+type submission struct {
+	revision
+	Operation string `json:"operation"`
+}
+
+func prepareSubmit(i *invocation) action {
+	base := i.baseFlag()
+	why := i.flags.String("why", "", "`TEXT` for the audit record")
+	operation := i.operationFlag()
+	conn := i.connect()
+	return func(ctx context.Context) error {
+		if err := i.wantArgs("FILE"); err != nil {
+			return err
+		}
+		text, _, err := i.readConfig(i.args[0])
+		if err != nil {
+			return err
+		}
+		query, _, err := chooseBase(*base, text)
+		if err != nil {
+			return err
+		}
+		if *why != "" {
+			query.Set("why", *why)
+		}
+		client, err := conn.open()
+		if err != nil {
+			return err
+		}
+		defer client.close()
+		id := operationOr(*operation)
+		rev, err := client.change(ctx, request{method: http.MethodPost, path: "/v1/config", query: query, operation: id, body: text})
+		if err != nil {
+			return err
+		}
+		if i.asJSON {
+			return i.printJSON(submission{rev, id})
+		}
+		_, err = fmt.Fprintf(i.Stdout, "revision %d\n", rev.Revision)
+		return err
+	}
+}
