control: count an earlier owner's stale grants only for silent edges

Cause: after two moves of a pool within a second, a former owner reported grants whose release had gone to its successor. The new owner adopted them while their edge had not reported yet, and kept 6 of 8 slots taken until the requests' deadline. Change: such grants are reserved only while their edge is silent; a release that overtakes the report it belongs to is remembered; a host that does not own the pool tells the edge to try again.

--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -36,6 +36,9 @@
 	asked time.Duration
 	// adopted counts the reported slots by server.
 	adopted map[string]int
+	// granted holds what earlier owners that still run have granted and were not
+	// told of the end of. It counts only for holders that do not report.
+	granted map[peer.GrantKey]grantedSlot
 	// witnessed holds the recorded ceilings of earlier owners.
 	witnessed map[host.Incarnation]peer.Witness
 	// previous is the last known owner.
@@ -44,22 +47,21 @@
 	open     bool
 }
 
+// grantedSlot is a slot that an earlier owner granted.
+type grantedSlot struct {
+	server string
+	until  time.Duration
+}
+
 // openLimit is how long a pool waits for the reports of live hosts before it
 // takes requests. Until then edges wait; afterwards reserved slots are refused.
 const openLimit = time.Second
 
-// adopt counts slots that are in use from an earlier owner.
-func (c *Control) adopt(t *takeover, held []peer.HeldSlot) {
-	t.pool.Adopt(held)
-	for _, h := range held {
-		t.adopted[h.Server]++
-	}
-}
-
 // startTakeover reserves the pool's slots and asks all processes of the region.
 func (c *Control) startTakeover(now time.Duration, service string, p *owner.Pool) {
 	c.leases.takeovers++
 	t := &takeover{pool: p, silent: map[lease.Ref]time.Duration{}, adopted: map[string]int{}, started: now,
+		granted:   map[peer.GrantKey]grantedSlot{},
 		witnessed: map[host.Incarnation]peer.Witness{}, previous: c.previous[service],
 		report: peer.Report{Service: service, Region: c.Self.Region, Owner: c.Self.Incarnation, Takeover: c.leases.takeovers}}
 	end := now + c.longestDeadline()
@@ -114,7 +116,7 @@
 		}
 		slots := 0
 		if until > now {
-			slots = min(c.unreported(t, b.Name), max(0, b.Slots-t.adopted[b.Name]))
+			slots = min(c.unreported(now, t, b.Name), max(0, b.Slots-t.adopted[b.Name]))
 		}
 		t.pool.Reserve(b.Name, slots, until)
 	}
@@ -124,7 +126,7 @@
 // besides those that were adopted. What a previous owner granted to others is
 // known from itself or from the edges; what it granted to itself was recorded
 // by other hosts. In all other cases nothing is known.
-func (c *Control) unreported(t *takeover, server string) int {
+func (c *Control) unreported(now time.Duration, t *takeover, server string) int {
 	_, previousSilent := t.silent[t.previous]
 	if t.previous.IsZero() || (previousSilent && len(t.silent) > 1) {
 		return math.MaxInt
@@ -140,6 +142,11 @@
 				slots += ceiling.Slots
 			}
 		}
+		for key, g := range t.granted {
+			if key.Edge == ref.Incarnation && g.server == server && g.until > now {
+				slots++
+			}
+		}
 	}
 	return slots
 }
@@ -240,13 +247,12 @@
 		return
 	}
 	delete(t.silent, ref)
-	c.adopt(t, reply.Held)
+	t.pool.Adopt(reply.Held)
+	for _, h := range reply.Held {
+		t.adopted[h.Server]++
+	}
 	for _, h := range reply.Granted {
-		for silent := range t.silent {
-			if silent.Incarnation == h.Key.Edge {
-				c.adopt(t, []peer.HeldSlot{h})
-			}
-		}
+		t.granted[h.Key] = grantedSlot{server: h.Server, until: now + time.Duration(h.LeftMillis)*time.Millisecond}
 	}
 	for _, w := range reply.Witnessed {
 		if old, ok := t.witnessed[w.Holder]; !ok || w.Sequence > old.Sequence {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -25,10 +25,11 @@
 		return true, nil
 	})
 	rpc.Handle(d.rpc, peer.MethodRelease, func(_ context.Context, r peer.Release) (bool, error) {
-		if p, ok := d.slots.Local(r.Service); ok {
+		p, ok := d.slots.Local(r.Service)
+		if ok {
 			p.Release(r)
 		}
-		return true, nil
+		return ok, nil
 	})
 	rpc.Handle(d.rpc, peer.MethodReport, d.control.Report)
 	rpc.Handle(d.rpc, peer.MethodWitness, func(_ context.Context, w peer.Witness) (bool, error) {
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -37,8 +37,8 @@
 	// adopted holds the shifted requests of an earlier owner, which the
 	// scheduler does not count against the gate.
 	adopted map[peer.GrantKey]adoption
-	// withdrawn holds cancels that arrived before their acquire call: calls on
-	// one connection are handled concurrently.
+	// withdrawn holds cancels and releases that arrived before the acquire call
+	// or the report that they belong to: calls are handled concurrently.
 	withdrawn map[peer.GrantKey]time.Duration
 	nextPrune time.Duration
 	closed    bool
@@ -65,7 +65,7 @@
 	until time.Duration
 }
 
-// withdrawnTime is how long a cancel waits for its acquire call.
+// withdrawnTime is how long a cancel or release waits for what it belongs to.
 const withdrawnTime = 5 * time.Second
 
 // waiter is an acquire call that the scheduler has not decided.
@@ -296,12 +296,14 @@
 	p.perform()
 }
 
-// Release ends the use of a slot. A release of an unknown grant is ignored.
+// Release ends the use of a slot. A release of a grant that is not known yet
+// may overtake the report that tells of it and is remembered for a while.
 func (p *Pool) Release(r peer.Release) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g, ok := p.grants[r.Key]
 	if !ok {
+		p.withdrawn[r.Key] = p.clock() + withdrawnTime
 		return
 	}
 	delete(p.grants, r.Key)
--- a/internal/owner/pool_state.go
+++ b/internal/owner/pool_state.go
@@ -64,7 +64,9 @@
 	defer p.mu.Unlock()
 	now := p.clock()
 	for _, h := range held {
-		if _, known := p.grants[h.Key]; known {
+		_, known := p.grants[h.Key]
+		_, ended := p.withdrawn[h.Key]
+		if known || ended {
 			continue
 		}
 		rank, ok := p.index.ranks[h.Rank]
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -14,8 +14,8 @@
 
 // A release is repeated this often, at this interval.
 const (
-	releaseAttempts = 5
-	releaseRetry    = 500 * time.Millisecond
+	releaseAttempts = 30
+	releaseRetry    = 100 * time.Millisecond
 )
 
 // sendTimeout bounds the sending of a release or cancel.
@@ -142,8 +142,9 @@
 	go s.release(r)
 }
 
-// release tells the present owner, and tries again while nobody answers: an
-// owner that misses a release keeps the slot taken until the deadline.
+// release tells the present owner, and tries again while nobody answers or the
+// host that answers is not the owner any more: an owner that misses a release
+// keeps the slot taken until the deadline.
 func (s *Slots) release(r peer.Release) {
 	for range releaseAttempts {
 		if p, ok := s.Local(r.Service); ok {
@@ -155,7 +156,7 @@
 			var done bool
 			err := s.peers.Call(ctx, pool.Owner.RPCAddress, peer.MethodRelease, r, &done)
 			cancel()
-			if !errors.Is(err, peer.ErrUnreachable) {
+			if err == nil && done {
 				return
 			}
 		}
