confsync: spread within the target under message loss, keep all deltas

At 5% loss a lost pull was repeated after 3 s, and a round of pushes without answers was the last one: 10.9 s until all of 1,000 hosts had a revision. Pulls of deltas are repeated after 500 ms, late answers still count, and unanswered pushes lead to another round. Large deltas and the first revision are now kept as deltas as well. A conflict is checked per base: a trace shows that a run on another base may read a head that is older than an earlier success of the same operation.

--- a/internal/confsync/compose.go
+++ b/internal/confsync/compose.go
@@ -4,7 +4,11 @@
 
 // prepare obtains the text of the base for the delta.
 func (s *Submission) prepare(now time.Duration) {
-	if s.head.Revision == 0 || DigestOf(s.req.BaseText) == s.head.Digest {
+	if s.head.Revision == 0 {
+		s.compose(now, nil)
+		return
+	}
+	if DigestOf(s.req.BaseText) == s.head.Digest {
 		s.compose(now, s.req.BaseText)
 		return
 	}
@@ -29,9 +33,7 @@
 	s.next.Recent = append([]Winner{me}, s.head.Recent...)
 	s.next.Recent = s.next.Recent[:min(len(s.next.Recent), recentRevisions)]
 	s.writes = added
-	if s.head.Revision != 0 {
-		s.addDelta(base)
-	}
+	s.addDelta(base)
 	s.garbage = nil
 	for _, p := range s.head.Parts {
 		if !s.next.refers(p.Key) {
@@ -56,9 +58,10 @@
 	})
 }
 
+// addDelta keeps the change from the previous revision, or from an empty text.
 func (s *Submission) addDelta(base []byte) {
 	delta, ok := Diff(base, s.req.Text)
-	if !ok || delta.size() >= len(s.req.Text) && len(s.req.Text) > inlineDeltaBytes {
+	if !ok {
 		return
 	}
 	if delta.size() <= inlineDeltaBytes {
--- a/internal/confsync/head.go
+++ b/internal/confsync/head.go
@@ -104,7 +104,7 @@
 	// Previous is the digest of the revision before, empty for the first one.
 	Previous Digest `json:"previous,omitempty"`
 	// Delta leads from the revision before to this one. A large delta is kept
-	// in JSON under DeltaParts instead; one that would exceed the text is not kept.
+	// in JSON under DeltaParts instead. A text that is not UTF-8 has none.
 	Delta      Delta  `json:"delta,omitempty"`
 	DeltaParts []Part `json:"delta_parts,omitempty"`
 	// Recent names the latest revisions, this one first.
--- a/internal/confsync/replica.go
+++ b/internal/confsync/replica.go
@@ -14,11 +14,14 @@
 const (
 	fanOut = 3
 	// maxPushRounds bounds the rounds of pushes per revision. A round follows
-	// only if the one before reached a host that did not have the revision.
+	// only if in the one before a host did not have the revision or not answer.
 	maxPushRounds = 4
 	pushPause     = 20 * time.Millisecond
 	pushTimeout   = 200 * time.Millisecond
-	pullTimeout   = 3 * time.Second
+	// stepsTimeout is the wait for an answer with deltas and textTimeout for one
+	// with a whole text before another host is asked. A later answer still counts.
+	stepsTimeout = 500 * time.Millisecond
+	textTimeout  = 3 * time.Second
 	// pullDelay spreads the pulls of hosts that learn of a revision together.
 	pullDelay    = 100 * time.Millisecond
 	pullRetryMax = 4 * time.Second
--- a/internal/confsync/spread.go
+++ b/internal/confsync/spread.go
@@ -54,8 +54,9 @@
 
 func (r *Replica) endRound(now time.Duration) {
 	p := &r.push
+	again := p.anyNew || len(p.open) > 0
 	p.open, p.deadline = nil, never
-	if p.anyNew && p.round < maxPushRounds {
+	if again && p.round < maxPushRounds {
 		p.at = now + pushPause + r.jitter(pushPause)
 	}
 }
@@ -179,7 +180,11 @@
 
 func (r *Replica) sendPull(now time.Duration, from host.ID) {
 	r.seq++
-	r.pull.seq, r.pull.from, r.pull.deadline, r.pull.at = r.seq, from, now+pullTimeout, never
+	timeout := textTimeout
+	if r.ready {
+		timeout = stepsTimeout
+	}
+	r.pull.seq, r.pull.from, r.pull.deadline, r.pull.at = r.seq, from, now+timeout, never
 	r.stats.PullsSent++
 	r.out = append(r.out, SendPull{To: from, Seq: r.seq, Pull: Pull{Have: r.revision, Digest: r.digest}})
 }
@@ -216,7 +221,12 @@
 	if r.bootAnswered(now, seq, a) {
 		return
 	}
-	if seq == 0 || seq != r.pull.seq {
+	if seq != r.pull.seq {
+		// The answer comes after its timeout and may still be of use.
+		if _, high := r.highest(); r.ready || a.Revision >= max(high, r.boot.head.Revision) {
+			r.takePull(now, a)
+			r.endBoot(now)
+		}
 		return
 	}
 	from := r.pull.from
--- a/internal/confsync/submit.go
+++ b/internal/confsync/submit.go
@@ -23,7 +23,7 @@
 	maxPending = 64
 )
 
-// Request is a submission.
+// Request is a submission. It is repeated by the same Request.
 type Request struct {
 	// Base is the revision that Text replaces, zero for the first one.
 	Base Revision
@@ -41,7 +41,9 @@
 	// Accepted: the text is the revision in Submitted.Head.
 	Accepted Verdict = "accepted"
 	// Conflict: another submission took the revision after Base; it is named
-	// by Submitted.Winner. This submission is not and never will be in force.
+	// by Submitted.Winner. The submission on this base is not and never will
+	// be in force. (An operation that is repeated keeps its base: reads may be
+	// from the past, so that a run on another base may miss an earlier success.)
 	Conflict Verdict = "conflict"
 	// Failed: this run did not put the submission in force; see Submitted.Err.
 	// An earlier run with the same operation identity may have.
