--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -53,6 +53,13 @@
 						s.excuse(s.now + 20*time.Second)
 					}
 				}
+				for _, n := range s.nodes {
+					for _, o := range s.nodes {
+						if n.m != nil && o.m != nil && n.m.Ended(o.info.ID, o.info.Incarnation, 0) {
+							t.Fatalf("%s takes the running %s for ended", n.info.ID, o.info.ID)
+						}
+					}
+				}
 				if len(s.falseDeaths) > 0 || len(s.reversals) > 0 {
 					t.Fatalf("false deaths %v, reversals %v", s.falseDeaths, s.reversals)
 				}
