member, confsync: cover removed hosts and moving watchers

The state-machine tests also remove hosts from the list and move the watcher. go test ./internal/member -run Property -rapid.checks=3000 and go test ./internal/confsync -run Property -rapid.checks=2000 pass.

--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -146,7 +146,14 @@
 				s.store.delay = rapid.SampledFrom([]time.Duration{4 * time.Millisecond, 6 * time.Second}).Draw(t, "delay")
 			},
 			"restart": func(t *rapid.T) { s.start(s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "host")]) },
-			"crash":   func(t *rapid.T) { s.stop(s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "host")]) },
+			"move watcher": func(t *rapid.T) {
+				n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "host")]
+				for _, o := range s.regions[n.region] {
+					o.watcher = o == n
+					s.feed(o, SetWatcher{o.watcher})
+				}
+			},
+			"crash": func(t *rapid.T) { s.stop(s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "host")]) },
 			"run": func(t *rapid.T) {
 				s.runUntil(s.now + time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms"))*time.Millisecond)
 			},
--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -139,3 +139,25 @@
 	g.Expect(m.Step(0, alive("a", 4), nil)).To(ContainElement(Superseded{By: 4}))
 	g.Expect(m.Ended("a", 3, 0)).To(BeTrue())
 }
+
+// Guards against memory that grows with every host that was ever replaced, and
+// against late messages that bring an ended process back.
+func TestForgottenAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := machine("a", 1)
+	m.cfg.MaxForgotten = 3
+	now := time.Duration(0)
+	for i := range 10 {
+		id := host.ID("host-" + string(rune('a'+i)))
+		m.Step(now, alive(id, 1), nil)
+		m.Step(now, PingReceived{Ping: Ping{Region: "r", From: Claim{ID: id, Incarnation: 1, Refutation: 1, Status: Gone}}}, nil)
+		for range 30 {
+			now += time.Second
+			m.Step(now, listOf("a"), nil)
+		}
+		m.Step(now, alive(id, 1), nil)
+		g.Expect(m.Members()).To(HaveLen(1), "a late message changes nothing")
+	}
+	g.Expect(m.State().Forgotten).To(Equal(3))
+	g.Expect(m.records).To(HaveLen(3))
+}
