--- a/internal/confsync/bench_test.go
+++ b/internal/confsync/bench_test.go
@@ -37,11 +37,13 @@
 	}
 	s.loss = 0.05
 	s.count, s.store.calls = true, 0
+	submitted := time.Duration(0) // sum of the times until a verdict
 	for i := range changes {
 		region := i % regions
 		req := request(fmt.Sprintf("change-%d", i), Revision(i+1), text(lines, 70*i+1))
 		req.BaseText = s.regions[region][0].r.Text()
-		s.submit(region, req, nil)
+		begun := s.now
+		s.submit(region, req, func(Submitted) { submitted += s.now - begun })
 		s.runUntil(s.now + period)
 	}
 	elapsed := (changes * period).Seconds()
@@ -60,6 +62,7 @@
 	}
 	b.ReportMetric(worst.Seconds(), "seconds_to_all")
 	b.ReportMetric(sum.Seconds()/changes, "mean_seconds_to_all")
+	b.ReportMetric(submitted.Seconds()/changes, "mean_submit_seconds")
 	b.ReportMetric(float64(calls)/elapsed, "store_calls_per_s")
 	b.ReportMetric(float64(bytes)/elapsed/float64(len(s.nodes)), "bytes_per_host_s")
 }
