shift: free lowered shares at once and ask for slots that can be used

A lowered share lay idle until the holder's next regular report, and a pool without free slots kept asking for a larger share.

Confirm tells the holder to report a lowered share at once; the report repeats the measured demand. Waiting requests count as demand only if the holder uses 0.9 of its share on average, else as room.

--- a/internal/regionbench/region_test.go
+++ b/internal/regionbench/region_test.go
@@ -19,6 +19,7 @@
 	filled    [3][3]time.Duration
 	used      [3][3]float64 // bytes since the loss settled
 	slots     [3][3]float64 // integral of inFlight
+	noSlots   float64       // integral of shares that could not be used since all slots were busy
 	excess    int           // most requests above a cap
 	overBytes int           // admissions that the bucket of a cap did not allow
 }
@@ -60,6 +61,13 @@
 	if !s.measured(s.now) {
 		return
 	}
+	for region, pools := range s.pools {
+		for _, p := range pools {
+			if limit, _ := p.share.Limit(s.now, p.origin(s.lost)); region != s.lost && p.busy == p.slots {
+				s.noSlots += max(0, float64(limit-p.share.InUse(p.origin(s.lost)))) * 0.01
+			}
+		}
+	}
 	for origin := range s.inFlight {
 		for region, n := range s.inFlight[origin] {
 			s.slots[origin][region] += float64(n) * 0.01
@@ -143,6 +151,7 @@
 	b.ReportMetric(float64(s.excess), "cap_excess")
 	b.ReportMetric(float64(s.overBytes), "byte_excess")
 	b.ReportMetric(s.capUse(), "cap_use")
+	b.ReportMetric(s.noSlots/(returnAt-lossAt-settleTime).Seconds()/2/float64(s.sc.concurrent), "cap_without_slots")
 	b.ReportMetric(float64(s.overloads), "overloads")
 	b.ReportMetric(n.share(0), "naive_urgent_in_time")
 	b.ReportMetric(float64(n.excess), "naive_cap_excess")
--- a/internal/shift/share.go
+++ b/internal/shift/share.go
@@ -17,6 +17,10 @@
 	// refused many times, so that their number says little.
 	wantPart = 4
 	wantStep = 2
+	// usedPart is the part of its share that a holder must use on average to ask
+	// for more before others get room. A holder that uses less lacks slots, not a
+	// larger share.
+	usedPart = 0.9
 	// wantBytesStep bounds the same for bytes per second, which may grow by four.
 	wantBytesStep = 64 << 10
 	// minPeriod bounds the rates that are computed from reports in quick succession.
@@ -32,9 +36,12 @@
 	origins []originShare
 	number  uint64
 	sentAt  time.Duration // of the newest report
-	epoch   uint64
-	expires time.Duration
-	stats   ShareStats
+	// measuredAt is the time of the newest report that measured the demand.
+	measuredAt time.Duration
+	lowered    bool // by the newest grant, which answers a measuring report
+	epoch      uint64
+	expires    time.Duration
+	stats      ShareStats
 }
 
 // ShareStats counts what a holder did with its shares.
@@ -51,9 +58,9 @@
 	ranks            [MaxRanks]rankUse
 	tokens           float64 // bytes; negative after larger answers than declared
 	filledAt         time.Duration
-	admitted, denied int64 // bytes since the previous report
-	largest          int64 // largest request denied since the previous report, bytes
-	wantBytes        int64 // demand of the previous report
+	admitted, denied int64        // bytes since the previous report
+	largest          int64        // largest request denied since the previous report, bytes
+	last             OriginReport // the newest measured one
 }
 
 // rankUse is the use and demand of one rank.
@@ -196,51 +203,74 @@
 }
 
 // Report returns the next report. The caller sends it to one lessor, at once.
-// It voids all grants that answer earlier reports.
+// It voids all grants that answer earlier reports. Reports in quick succession
+// repeat the demand of the one before.
 func (s *Share) Report(now time.Duration) Report {
 	s.expire(now)
-	period := max(now-s.sentAt, minPeriod)
+	period := now - s.measuredAt
+	measure := s.number == 0 || period >= minPeriod
 	if s.number == 0 {
 		period = time.Second
 	}
+	if measure {
+		s.measuredAt = now
+	}
 	s.number++
-	s.sentAt = now
+	s.sentAt, s.lowered = now, false
 	report := Report{Holder: s.holder, Number: s.number, Epoch: s.epoch}
 	for i := range s.origins {
-		if r, ok := s.origins[i].report(now, period); ok {
+		o := &s.origins[i]
+		if measure {
+			o.measure(now, period)
+		}
+		r := o.last
+		r.Origin, r.Concurrent, r.BytesPerSecond, r.InUse = o.name, o.limit, o.rate, o.inUse
+		r.Peak = max(r.Peak, o.inUse)
+		if r.Concurrent > 0 || r.BytesPerSecond > 0 || r.Peak > 0 || len(r.Want) > 0 || r.WantBytesPerSecond > 0 {
 			report.Origins = append(report.Origins, r)
 		}
 	}
 	return report
 }
 
-func (o *originShare) report(now, period time.Duration) (OriginReport, bool) {
-	r := OriginReport{
-		Origin: o.name, Concurrent: o.limit, BytesPerSecond: o.rate, InUse: o.inUse, Peak: o.peak,
-	}
-	r.Want, r.Room = o.want(now, period)
+// Confirm tells whether a grant has lowered the share since the newest report.
+// A report sent at once frees the difference for other holders. It is true at
+// most once for each report that measures the demand.
+func (s *Share) Confirm() bool { return s.lowered }
+
+// measure takes the demand since it was last measured.
+func (o *originShare) measure(now, period time.Duration) {
 	rate := int64(float64(o.admitted+o.denied) / period.Seconds())
 	known := int64(float64(o.admitted) / period.Seconds())
 	// A bucket must hold the largest request, or it could never pass. Demand
 	// falls slowly, since large requests are rare.
-	o.wantBytes = max(min(rate, 4*known+wantBytesStep), o.largest, o.wantBytes*3/4)
-	r.WantBytesPerSecond = o.wantBytes
+	bytes := max(min(rate, 4*known+wantBytesStep), o.largest, o.last.WantBytesPerSecond*3/4)
+	o.last = OriginReport{Peak: o.peak, WantBytesPerSecond: bytes}
+	o.last.Want, o.last.Room = o.want(now, period)
 	o.peak, o.admitted, o.denied, o.largest = o.inUse, 0, 0, 0
-	return r, r.Concurrent > 0 || r.BytesPerSecond > 0 || r.Peak > 0 || len(r.Want) > 0 || r.WantBytesPerSecond > 0
 }
 
 // want returns the mean demand by rank and the room for fluctuations, without
 // ranks at the end that want nothing, and starts counting anew.
 func (o *originShare) want(now, period time.Duration) (want, room []int) {
 	var wants, rooms [MaxRanks]int
-	count := 0
+	count, mean := 0, 0.0
+	for i := range o.ranks {
+		o.ranks[i].advance(now)
+		mean += o.ranks[i].area / period.Seconds()
+	}
+	used := mean >= usedPart*float64(o.limit)
 	for i := range o.ranks {
 		use := &o.ranks[i]
-		use.advance(now)
 		wants[i] = min(use.peak, int(math.Ceil(use.area/period.Seconds())))
 		rooms[i] = use.peak - wants[i]
 		if use.refused > 0 {
-			wants[i] += max(use.waiting, min(use.refused, use.peak/wantPart+wantStep))
+			more := max(use.waiting, min(use.refused, use.peak/wantPart+wantStep))
+			if used {
+				wants[i] += more
+			} else {
+				rooms[i] += more
+			}
 		}
 		if use.peak > 0 || use.refused > 0 {
 			count = i + 1
@@ -265,6 +295,7 @@
 	}
 	s.expire(now)
 	s.epoch, s.expires = g.Epoch, expires
+	measured := s.sentAt == s.measuredAt
 	for i := range s.origins {
 		o := &s.origins[i]
 		o.fill(now)
@@ -276,6 +307,7 @@
 		if g.Keep {
 			o.limit, o.rate = min(o.limit, limit), min(o.rate, rate)
 		}
+		s.lowered = s.lowered || measured && (o.limit < limit || o.rate < rate)
 		o.fill(now)
 	}
 	s.stats.Applied++
--- a/internal/shift/takeover_test.go
+++ b/internal/shift/takeover_test.go
@@ -96,3 +96,30 @@
 	limit, _ := bulk.Limit(now, 0)
 	g.Expect(limit).To(BeNumerically("<=", 4))
 }
+
+// Guards against freed parts of a share that lie idle until the holder's next
+// regular report, and against demand that the extra report forgets.
+func TestConfirmFreesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	granter := NewGranter(-time.Hour, takeoverConfig(1))
+	a, b := NewShare(1, []string{"austur"}), NewShare(2, []string{"austur"})
+	grant, _ := granter.Grant(0, want(0, a))
+	a.Apply(0, grant)
+	now := 500 * time.Millisecond
+	grant, _ = granter.Grant(now, want(now, b))
+	g.Expect(b.Apply(now, grant)).To(BeTrue())
+	limit, _ := b.Limit(now, 0)
+	g.Expect(limit).To(BeZero(), "the share of a is in force")
+	before := a.Report(now)
+	grant, _ = granter.Grant(now, before)
+	a.Apply(now, grant)
+	g.Expect(a.Confirm()).To(BeTrue())
+	confirm := a.Report(now + time.Millisecond)
+	g.Expect(confirm.Origins[0].Want).To(Equal(before.Origins[0].Want))
+	grant, _ = granter.Grant(now+time.Millisecond, confirm)
+	a.Apply(now+time.Millisecond, grant)
+	g.Expect(a.Confirm()).To(BeFalse(), "one extra report for each regular one")
+	now += 2 * time.Millisecond
+	grant, _ = granter.Grant(now, b.Report(now))
+	g.Expect(grant.Origins[0].Concurrent).To(BeNumerically(">", 0))
+}
--- a/internal/shift/world_test.go
+++ b/internal/shift/world_test.go
@@ -29,6 +29,7 @@
 	Adopt(origin, requests int)
 	Report(now time.Duration) Report
 	Apply(now time.Duration, g Grant) bool
+	Confirm() bool
 	Limit(now time.Duration, origin int) (concurrent int, bytesPerSecond int64)
 }
 
@@ -278,6 +279,10 @@
 	w.send(h, func() {
 		if w.now >= h.paused {
 			h.port.Apply(w.now, grant)
+			if h.port.Confirm() {
+				confirm := h.port.Report(w.now)
+				w.send(h, func() { w.renew(h, confirm) })
+			}
 		} else {
 			w.messages = append(w.messages, message{at: h.paused, run: func() { h.port.Apply(w.now, grant) }})
 		}
