shift: check the growth of requests in flight from outside

The growth check used the granter's own account. The new test compares requests in flight with those of the 10 s that ended one second before, and fails for a granter that ignores growth. go test ./internal/shift passes.

--- a/internal/shift/takeover_test.go
+++ b/internal/shift/takeover_test.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -123,3 +124,37 @@
 	grant, _ = granter.Grant(now, b.Report(now))
 	g.Expect(grant.Origins[0].Concurrent).To(BeNumerically(">", 0))
 }
+
+// fastestRise returns by how much the requests in flight of an origin exceed,
+// at worst, the most of 10 s that ended one second before.
+func fastestRise(w *world, origin int, length time.Duration) int {
+	var series []int
+	worst := 0
+	for w.now < length {
+		w.run(w.now + worldStep)
+		series = append(series, w.inFlight[origin])
+		before := 0
+		now := len(series) - 1
+		for i := max(0, now-int((levelMemory+time.Second)/worldStep)); i <= now-int(time.Second/worldStep); i++ {
+			before = max(before, series[i])
+		}
+		worst = max(worst, series[now]-before)
+	}
+	return worst
+}
+
+// Guards against caches that are filled too fast: requests in flight rise by
+// the growth and one step of half a second's worth within a second, as seen
+// from outside.
+func TestGrowthOfRequestsInFlight(t *testing.T) {
+	g := NewWithT(t)
+	const origin = 1 // bounded by concurrency
+	c := worldCaps[origin]
+	bound := c.GrowthPerSecond * (1 + growthStep.Seconds())
+	w := newWorld(rand.New(rand.NewSource(1)), 0, 1)
+	g.Expect(float64(fastestRise(w, origin, 30*time.Second))).To(BeNumerically("<=", bound))
+	g.Expect(w.inFlight[origin]).To(BeNumerically(">", bound), "the check needs a rise")
+	broken := newWorld(rand.New(rand.NewSource(1)), 0, 1)
+	broken.wrapG = func(g *Granter) granterPort { return ignoresGrowth{g} }
+	g.Expect(float64(fastestRise(broken, origin, 30*time.Second))).To(BeNumerically(">", bound))
+}
