shift: report when a request beyond a lowered share ends

A lowered share counts until its requests end, and was passed on only with the next regular report. Confirm now also asks for a report when such a request ends, at most ten times a second.

--- a/internal/regionbench/pool_test.go
+++ b/internal/regionbench/pool_test.go
@@ -192,6 +192,9 @@
 		p.s.shifted(r.origin, p.region, -1, 0)
 		if r.origin != p.region && !p.s.naive {
 			p.share.ReleaseRank(p.s.now, p.origin(r.origin), r.rank)
+			if p.share.Confirm(p.s.now) {
+				p.s.renew(p.region, p.service)
+			}
 		}
 		p.s.after(p.s.wayBack(r, p.region), func() { p.s.finish(r, outcome.Done) })
 		p.dispatch()
--- a/internal/shift/share.go
+++ b/internal/shift/share.go
@@ -148,6 +148,7 @@
 		panic("shift: release without acquire")
 	}
 	use.advance(now)
+	s.lowered = s.lowered || o.inUse > o.limit && now < s.expires
 	o.inUse--
 	use.inUse--
 }
@@ -233,10 +234,14 @@
 	return report
 }
 
-// Confirm tells whether a grant has lowered the share since the newest report.
-// A report sent at once frees the difference for other holders. It is true at
-// most once for each report that measures the demand.
-func (s *Share) Confirm() bool { return s.lowered }
+// Confirm tells whether part of the share has become free for other holders
+// since the newest report: a grant has lowered the share, or a request beyond a
+// lowered share has ended. A report sent at once passes it on. The caller asks
+// after Apply and ReleaseRank; it is true at most ten times a second, besides
+// once after each report that measures the demand.
+func (s *Share) Confirm(now time.Duration) bool {
+	return s.lowered && (s.sentAt == s.measuredAt || now-s.sentAt >= minPeriod)
+}
 
 // measure takes the demand since it was last measured.
 func (o *originShare) measure(now, period time.Duration) {
--- a/internal/shift/world_test.go
+++ b/internal/shift/world_test.go
@@ -29,7 +29,7 @@
 	Adopt(origin, requests int)
 	Report(now time.Duration) Report
 	Apply(now time.Duration, g Grant) bool
-	Confirm() bool
+	Confirm(now time.Duration) bool
 	Limit(now time.Duration, origin int) (concurrent int, bytesPerSecond int64)
 }
 
@@ -279,7 +279,7 @@
 	w.send(h, func() {
 		if w.now >= h.paused {
 			h.port.Apply(w.now, grant)
-			if h.port.Confirm() {
+			if h.port.Confirm(w.now) {
 				confirm := h.port.Report(w.now)
 				w.send(h, func() { w.renew(h, confirm) })
 			}
