--- a/internal/shift/takeover_test.go
+++ b/internal/shift/takeover_test.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -96,3 +97,64 @@
 	limit, _ := bulk.Limit(now, 0)
 	g.Expect(limit).To(BeNumerically("<=", 4))
 }
+
+// Guards against freed parts of a share that lie idle until the holder's next
+// regular report, and against demand that the extra report forgets.
+func TestConfirmFreesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	granter := NewGranter(-time.Hour, takeoverConfig(1))
+	a, b := NewShare(1, []string{"austur"}), NewShare(2, []string{"austur"})
+	grant, _ := granter.Grant(0, want(0, a))
+	a.Apply(0, grant)
+	now := 500 * time.Millisecond
+	grant, _ = granter.Grant(now, want(now, b))
+	g.Expect(b.Apply(now, grant)).To(BeTrue())
+	limit, _ := b.Limit(now, 0)
+	g.Expect(limit).To(BeZero(), "the share of a is in force")
+	before := a.Report(now)
+	grant, _ = granter.Grant(now, before)
+	a.Apply(now, grant)
+	g.Expect(a.Confirm(now)).To(BeTrue())
+	confirm := a.Report(now + time.Millisecond)
+	g.Expect(confirm.Origins[0].Want).To(Equal(before.Origins[0].Want))
+	grant, _ = granter.Grant(now+time.Millisecond, confirm)
+	a.Apply(now+time.Millisecond, grant)
+	g.Expect(a.Confirm(now)).To(BeFalse(), "one extra report for each regular one")
+	now += 2 * time.Millisecond
+	grant, _ = granter.Grant(now, b.Report(now))
+	g.Expect(grant.Origins[0].Concurrent).To(BeNumerically(">", 0))
+}
+
+// fastestRise returns by how much the requests in flight of an origin exceed,
+// at worst, the most of 10 s that ended one second before.
+func fastestRise(w *world, origin int, length time.Duration) int {
+	var series []int
+	worst := 0
+	for w.now < length {
+		w.run(w.now + worldStep)
+		series = append(series, w.inFlight[origin])
+		before := 0
+		now := len(series) - 1
+		for i := max(0, now-int((levelMemory+time.Second)/worldStep)); i <= now-int(time.Second/worldStep); i++ {
+			before = max(before, series[i])
+		}
+		worst = max(worst, series[now]-before)
+	}
+	return worst
+}
+
+// Guards against caches that are filled too fast: requests in flight rise by
+// the growth and one step of half a second's worth within a second, as seen
+// from outside.
+func TestGrowthOfRequestsInFlight(t *testing.T) {
+	g := NewWithT(t)
+	const origin = 1 // bounded by concurrency
+	c := worldCaps[origin]
+	bound := c.GrowthPerSecond * (1 + growthStep.Seconds())
+	w := newWorld(rand.New(rand.NewSource(1)), 0, 1)
+	g.Expect(float64(fastestRise(w, origin, 30*time.Second))).To(BeNumerically("<=", bound))
+	g.Expect(w.inFlight[origin]).To(BeNumerically(">", bound), "the check needs a rise")
+	broken := newWorld(rand.New(rand.NewSource(1)), 0, 1)
+	broken.wrapG = func(g *Granter) granterPort { return ignoresGrowth{g} }
+	g.Expect(float64(fastestRise(broken, origin, 30*time.Second))).To(BeNumerically(">", bound))
+}
