--- a/internal/ctl/apiclient.go
+++ b/internal/ctl/apiclient.go
@@ -11,8 +11,10 @@
 	"mime"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenabeam/galenabeam/config"
@@ -98,7 +100,12 @@
 	if r.operation != "" {
 		req.Header.Set(admin.HeaderOperation, r.operation)
 	}
-	resp, err := c.http.Do(req)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil && !connected.Load() {
+		return nil, &notSentError{err}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -145,7 +152,8 @@
 func (c *apiClient) change(ctx context.Context, r request) (revision, error) {
 	var rev revision
 	err := c.exchange(ctx, r, &rev)
-	if err == nil || notSent(err) {
+	var notSent *notSentError
+	if err == nil || errors.As(err, &notSent) {
 		return rev, err
 	}
 	var p *admin.Problem
@@ -167,11 +175,10 @@
 
 func (e *uncertainError) Unwrap() error { return e.err }
 
-// notSent tells that no connection was made.
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
+// notSentError is a request for which no connection was made.
+type notSentError struct{ error }
+
+func (e *notSentError) Unwrap() error { return e.error }
 
 // operationFlag defines the flag -operation. Its default is a new identity.
 func (i *invocation) operationFlag() *string {
@@ -204,9 +211,6 @@
 	if p.Detail != "" {
 		text += ": " + p.Detail
 	}
-	if p.Revision > 0 && codeOf(p) == admin.CodeConflict {
-		text += fmt.Sprintf(" (in force: revision %d)", p.Revision)
-	}
 	for _, fault := range p.Problems {
 		text += "\n  " + fault
 	}
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return difference{}, err
 	}
-	query, _, err := chooseBase(base, text)
+	query, err := baseQuery(base, text)
 	if err != nil {
 		return difference{}, err
 	}
--- a/internal/ctl/report/plot.go
+++ b/internal/ctl/report/plot.go
@@ -15,10 +15,12 @@
 // Sizes of a plot, in points.
 const (
 	plotWidth = 480
-	// plotMargin is the height of title, axis and legend.
-	plotMargin = 90
+	// plotMargin is the height of title and axis.
+	plotMargin = 54
 	rowHeight  = 34
 	barWidth   = 12
+	// spareWidth is the share of the axis that no bar reaches.
+	spareWidth = 0.04
 	// maxLabel bounds the characters of a row's label.
 	maxLabel = 28
 )
@@ -33,6 +35,7 @@
 func (g *group) svg() (string, error) {
 	p := plot.New()
 	p.Title.Text = g.title
+	p.Title.Padding = rowHeight / 4
 	p.X.Label.Text = g.unit
 	count := len(g.rows)
 	labels := make([]string, count)
@@ -58,9 +61,11 @@
 	if p.X.Max <= p.X.Min {
 		p.X.Max = p.X.Min + 1
 	}
-	p.Y.Min, p.Y.Max = -0.6, float64(count)-0.4
+	p.X.Max += (p.X.Max - p.X.Min) * spareWidth
+	// The legend stands above the first row.
+	p.Y.Min, p.Y.Max = -0.6, float64(count)+0.4
 	p.Legend.Top = true
-	return render(p, plotMargin+vg.Length(count)*rowHeight)
+	return render(p, plotMargin+vg.Length(count+1)*rowHeight)
 }
 
 func addBars(p *plot.Plot, name string, values plotter.Values, fill color.Color, offset vg.Length) error {
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -34,20 +34,20 @@
 	return i.flags.Int64("base", -1, "`REVISION` that the file was made from; 0 is the one in force. By default the one that the file's first line names, or 0")
 }
 
-// chooseBase returns the query for a base and its number, zero for the
+// baseQuery returns the query for the base of a text. It is empty for the
 // revision in force.
-func chooseBase(flag int64, text []byte) (url.Values, int64, error) {
+func baseQuery(flag int64, text []byte) (url.Values, error) {
 	base := flag
 	switch {
 	case base < -1:
-		return nil, 0, usagef("-base %d: want a revision number", flag)
+		return nil, usagef("-base %d: want a revision number", flag)
 	case base == -1:
 		base = baseOf(text)
 	}
 	if base == 0 {
-		return url.Values{}, 0, nil
+		return url.Values{}, nil
 	}
-	return url.Values{"base": {strconv.FormatInt(base, 10)}}, base, nil
+	return url.Values{"base": {strconv.FormatInt(base, 10)}}, nil
 }
 
 // submission is the result of submit as JSON.
@@ -69,7 +69,7 @@
 		if err != nil {
 			return err
 		}
-		query, _, err := chooseBase(*base, text)
+		query, err := baseQuery(*base, text)
 		if err != nil {
 			return err
 		}
