--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -224,6 +224,10 @@
 			r := run(dir, environment(server, dir, "operator"), line...)
 			g.Expect(r.code).To(Equal(c.code), r.stderr)
 			g.Expect(r.stderr).To(ContainSubstring(c.stderr))
+			again := run(dir, environment(server, dir, "operator"), "drain", "start", "-insecure-loopback", "region", "austur")
+			g.Expect(again).To(Equal(result{stdout: "revision 2: drain of region austur\n"}))
+			other := run(dir, environment(server, dir, "operator"), "drain", "start", "-insecure-loopback", "-reason", "x", "region", "austur")
+			g.Expect(other.code).To(Equal(ctl.ExitConflict))
 		})
 	}
 }
