--- a/internal/ctl/call.go
+++ b/internal/ctl/call.go
@@ -41,7 +41,7 @@
 	i.flags.StringVar(&f.data, "data", "", "`FILE` that holds the request's body; - is standard input")
 	i.flags.StringVar(&f.request.Service, "service", "", "`NAME` of the service")
 	i.flags.StringVar(&f.request.Rank, "rank", "", "`NAME` of the rank")
-	i.flags.StringVar(&f.request.Method, "method", "", "HTTP `METHOD`; by default GET, or POST with -data")
+	i.flags.StringVar(&f.request.Method, "method", "", "HTTP `METHOD`; by default GET with -idempotent and without -data, else POST")
 	i.flags.StringVar(&f.request.Path, "path", "/", "`PATH` with query on the backend server")
 	i.flags.DurationVar(&f.request.Timeout, "timeout", client.DefaultTimeout, "time until the deadline")
 	i.flags.BoolVar(&f.request.Idempotent, "idempotent", false, "the work may run more than once; then an unknown outcome is tried again")
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"unicode"
@@ -85,7 +86,7 @@
 // Run executes the command line args and returns the exit code.
 func Run(ctx context.Context, args []string, env Env) int {
 	if len(args) == 0 {
-		overview(env.Stderr)
+		overview(env.Stderr, "")
 		return ExitUsage
 	}
 	switch args[0] {
@@ -93,6 +94,10 @@
 		return help(args[1:], env)
 	}
 	c, rest, found := find(args)
+	if !found && group(args[0]) {
+		overview(env.Stderr, args[0]+" ")
+		return ExitUsage
+	}
 	if !found {
 		fmt.Fprintf(env.Stderr, "galenabeamctl: unknown command %q; see galenabeamctl help\n", printable(strings.Join(args[:min(2, len(args))], " ")))
 		return ExitUsage
@@ -110,6 +115,11 @@
 	return command{}, nil, false
 }
 
+// group tells whether a word is the first of the names of several commands.
+func group(word string) bool {
+	return slices.ContainsFunc(commands(), func(c command) bool { return strings.HasPrefix(c.name, word+" ") })
+}
+
 func (c command) run(ctx context.Context, args []string, env Env) int {
 	i, run := c.invoke(env)
 	err := i.parse(args)
--- a/internal/ctl/help.go
+++ b/internal/ctl/help.go
@@ -11,22 +11,30 @@
 
 func help(args []string, env Env) int {
 	if len(args) == 0 {
-		overview(env.Stdout)
+		overview(env.Stdout, "")
 		return ExitOK
 	}
 	if c, _, found := find(args); found {
 		c.usage(env.Stdout)
 		return ExitOK
 	}
+	if len(args) == 1 && group(args[0]) {
+		overview(env.Stdout, args[0]+" ")
+		return ExitOK
+	}
 	fmt.Fprintf(env.Stderr, "galenabeamctl: unknown command %q\n", printable(strings.Join(args, " ")))
 	return ExitUsage
 }
 
-func overview(w io.Writer) {
+// overview prints the commands whose names have a prefix.
+func overview(w io.Writer, prefix string) {
 	fmt.Fprintln(w, "usage: galenabeamctl COMMAND [flags] [arguments]")
 	fmt.Fprintln(w)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, c := range commands() {
+		if !strings.HasPrefix(c.name, prefix) {
+			continue
+		}
 		fmt.Fprintf(t, "  %s\t%s\n", strings.TrimSpace(c.name+" "+c.args), c.summary)
 	}
 	fmt.Fprintf(t, "  help [COMMAND]\tPrints this overview, or the flags of a command as COMMAND -h does.\n")
