ctl: test client certificates, lost answers and interrupted waits

Change: tests for -cert and -key, for a submission whose connection ends before the answer, and for a wait whose host does not answer for a while.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"encoding/pem"
 	"net/http"
@@ -207,24 +209,28 @@
 	for _, c := range []struct {
 		desc     string
 		progress [][]admin.DrainProgress
+		failures int
 		flags    []string
 		code     int
-		stderr   string
+		want     string
 	}{
-		{"listed late, then done", [][]admin.DrainProgress{nil, nil, progress(5), progress(5), progress(0)}, nil, 0, "region austur: 5 requests left, end in 500ms\nregion austur: 0 requests left, end done\n"},
-		{"aborted", [][]admin.DrainProgress{progress(5), nil}, nil, 1, "the drain was aborted"},
-		{"time is up", [][]admin.DrainProgress{progress(5)}, []string{"-timeout", "50ms"}, 1, "the drain goes on"},
+		{"listed late, then done", [][]admin.DrainProgress{nil, nil, progress(5), progress(5), progress(0)}, 0, nil, 0, "region austur: 5 requests left, end in 500ms\nregion austur: 0 requests left, end done\n"},
+		{"aborted", [][]admin.DrainProgress{progress(5), nil}, 0, nil, 1, "the drain was aborted"},
+		{"time is up", [][]admin.DrainProgress{progress(5)}, 0, []string{"-timeout", "50ms"}, 1, "the drain goes on"},
+		{"result as JSON", [][]admin.DrainProgress{progress(0)}, 0, []string{"-json"}, 0, `"done": true`},
+		{"progress cannot be read for a moment", [][]admin.DrainProgress{progress(0)}, 4, nil, 0, "store-unavailable"},
+		{"progress cannot be read", [][]admin.DrainProgress{progress(0)}, 5, nil, 1, "its progress cannot be read"},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
 			server, p := newServer()
 			defer server.Close()
-			p.progress = c.progress
+			p.progress, p.failures = c.progress, c.failures
 			dir := files(t)
 			line := append([]string{"drain", "start", "-insecure-loopback", "-wait", "-interval", "2ms", "region", "austur"}, c.flags...)
 			r := run(dir, environment(server, dir, "operator"), line...)
 			g.Expect(r.code).To(Equal(c.code), r.stderr)
-			g.Expect(r.stderr).To(ContainSubstring(c.stderr))
+			g.Expect(r.stdout + r.stderr).To(ContainSubstring(c.want))
 			again := run(dir, environment(server, dir, "operator"), "drain", "start", "-insecure-loopback", "region", "austur")
 			g.Expect(again).To(Equal(result{stdout: "revision 2: drain of region austur\n"}))
 			other := run(dir, environment(server, dir, "operator"), "drain", "start", "-insecure-loopback", "-reason", "x", "region", "austur")
@@ -251,3 +257,32 @@
 	g.Expect(r.code).To(Equal(ctl.ExitFailed))
 	g.Expect(r.stderr).To(ContainSubstring("status 302"))
 }
+
+// Guards against a client certificate that is not presented.
+func TestClientCertificate(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }))
+	server.TLS = &tls.Config{ClientAuth: tls.RequireAnyClientCert}
+	server.StartTLS()
+	defer server.Close()
+	dir := files(t)
+	pair := server.TLS.Certificates[0]
+	key, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
+	g.Expect(err).NotTo(HaveOccurred())
+	writeFile(g, dir, "cert", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: pair.Certificate[0]})))
+	writeFile(g, dir, "key", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})))
+	env := environment(server, dir, "reader")
+	g.Expect(run(dir, env, "dump", "-ca", "@cert").stderr).To(ContainSubstring("certificate required"))
+	g.Expect(run(dir, env, "dump", "-ca", "@cert", "-cert", "@cert", "-key", "@key")).To(Equal(result{stdout: "{}"}))
+}
+
+// Guards against a change whose answer was lost and that is told as failed.
+func TestLostAnswer(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	dir := files(t)
+	r := run(dir, environment(server, dir, "root"), "submit", "-insecure-loopback", "-operation", "op-8", "@same.ini")
+	g.Expect(r.code).To(Equal(ctl.ExitFailed))
+	g.Expect(r.stderr).To(ContainSubstring("repeat with -operation op-8"))
+}
--- a/internal/ctl/ports_test.go
+++ b/internal/ctl/ports_test.go
@@ -25,6 +25,8 @@
 	err error
 	// progress are the successive lists of drains; the last one stays.
 	progress [][]admin.DrainProgress
+	// failures is the number of times that the drains cannot be read first.
+	failures int
 }
 
 // newServer serves the API with tokens "NAME-secret".
@@ -92,6 +94,10 @@
 func (p *ports) Drains(context.Context) ([]admin.DrainProgress, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.failures > 0 {
+		p.failures--
+		return nil, admin.ErrUnavailable
+	}
 	now := p.progress[0]
 	if len(p.progress) > 1 {
 		p.progress = p.progress[1:]
