--- a/internal/control/renew_bytes_test.go
+++ b/internal/control/renew_bytes_test.go
@@ -93,7 +93,7 @@
 // the hosts and pools of a region and the number of regions. ns/op is one
 // request and one answer, encoded and decoded.
 func BenchmarkRenewBytes(b *testing.B) {
-	for _, s := range []renewSize{{8, 3, 3}, {14, 13, 8}, {67, 40, 15}, {177, 77, 35}} {
+	for _, s := range []renewSize{{8, 3, 3}, {14, 13, 8}, {67, 40, 15}, {177, 77, 35}, {16, 77, 35}, {6, 77, 35}} {
 		b.Run(fmt.Sprintf("hosts=%d/pools=%d/regions=%d", s.hosts, s.pools, s.regions), func(b *testing.B) {
 			q, a := renewal(s, false, false)
 			b.ReportAllocs()
