edge: pass paths on unchanged and allow for clock skew

Cause: the multiplexer redirected paths with empty segments or dots, so such requests could not be served and their callers got an answer without an outcome. An identity whose window had not begun at this host, because the host that answered the look-up has a clock ahead, was refused as expired with an unknown outcome at the end of each window. Change: requests for backend servers pass by the multiplexer; the ledger's clock runs 5 s ahead, so that such identities are in its present window.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -74,6 +75,11 @@
 	DefaultLedgerCapacity = 1 << 18
 )
 
+// clockSkew is how far the wall clock of another entry host may be ahead. Its
+// answers to look-ups then name a window that has not begun here; the ledger's
+// clock runs ahead by this time, so that it accepts such identities.
+const clockSkew = 5 * time.Second
+
 // Edge serves callers. Create it with New; it is safe for concurrent use.
 type Edge struct {
 	cfg      Config
@@ -102,7 +108,7 @@
 func New(cfg Config, views *view.Publisher, slots Slots, backends Backends, router Router, peers peer.Caller, log *logrus.Entry, reg metrics.Registry) *Edge {
 	return &Edge{
 		cfg: cfg, views: views, slots: slots, backends: backends, router: router, peers: peers,
-		log: log, metrics: reg, start: time.Now(),
+		log: log, metrics: reg, start: time.Now().Add(-clockSkew),
 		ledger:  ledger.New(cfg.Self.Incarnation, cfg.LedgerCapacity, cfg.IdentityWindow),
 		answers: map[ledger.ID]storedAnswer{},
 		budgets: map[string]*retry.Budget{},
@@ -111,15 +117,22 @@
 	}
 }
 
-// Handler returns the HTTP handler for callers.
+// Handler returns the HTTP handler for callers. Requests for backend servers
+// pass by the multiplexer, which would redirect paths such as "/a//b" instead
+// of passing them on.
 func (e *Edge) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+httpapi.PathLookup, e.serveLookup)
-	mux.HandleFunc(httpapi.PathRun, e.serveRun)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+		if strings.HasPrefix(in.URL.EscapedPath(), httpapi.PathRun) {
+			e.serveRun(w, in)
+			return
+		}
+		mux.ServeHTTP(w, in)
+	})
 }
 
-// now is the time since the edge started, on the monotonic clock.
+// now is the time of the ledger, on the monotonic clock.
 func (e *Edge) now() time.Duration { return time.Since(e.start) }
 
 // Window returns the present window of request identities.
