edge: bound slow senders and receivers by the deadline

Cause: a caller that stopped sending a large body held its slot, its handler and the shutdown of the host for ever, as net/http waits for the body after the deadline; one that stopped reading a large answer did the same. A caller that went away counted as a failure of the backend server, so callers could get a healthy server ejected. Change: bodies are read and streamed answers written until the deadline of the request, other answers for 10 s; an attempt that ended because of its caller releases its slot as canceled. Conclusion: no caller holds a slot beyond its deadline.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -55,7 +57,7 @@
 	}
 	_ = resp.Body.Close()
 	if err != io.EOF {
-		release(peer.ReleaseFailed)
+		release(failureOf(err))
 		return nil, err
 	}
 	release(statusOf(a.status))
@@ -71,6 +73,15 @@
 	return peer.ReleaseOK
 }
 
+// failureOf tells the scheduler about an answer that broke off. A caller that
+// goes away says nothing about the backend server.
+func failureOf(err error) peer.ReleaseStatus {
+	if errors.Is(err, context.Canceled) {
+		return peer.ReleaseCanceled
+	}
+	return peer.ReleaseFailed
+}
+
 // answerHeader copies the headers that pass through to the caller.
 func answerHeader(in http.Header) http.Header {
 	out := in.Clone()
@@ -93,6 +104,7 @@
 	h.Set(httpapi.HeaderServer, r.servedBy)
 	httpapi.SetOutcome(h, outcome.Success())
 	if a.rest == nil {
+		writeUntil(w, time.Now().Add(answerTime))
 		e.settle(r, outcome.Success(), a)
 		if a.length >= 0 {
 			h.Set("Content-Length", strconv.FormatInt(max(a.length, int64(len(a.buffered))), 10))
@@ -107,7 +119,24 @@
 	e.stream(w, r, a)
 }
 
-// stream delivers a large answer while it arrives.
+// source is an answer's body that keeps its error apart from those of writing
+// to the caller.
+type source struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
+// stream delivers a large answer while it arrives. The slot stays taken until
+// then, at most until the deadline of the request.
 func (e *Edge) stream(w http.ResponseWriter, r *request, a *answer) {
 	defer func() { _ = a.rest.Close() }()
 	h := w.Header()
@@ -116,17 +145,24 @@
 	} else {
 		h.Set("Trailer", httpapi.TrailerEnd)
 	}
+	writeUntil(w, r.deadline)
 	w.WriteHeader(a.status)
 	_, err := w.Write(a.buffered)
 	var read int64
+	from := &source{Reader: a.rest}
 	if err == nil {
-		read, err = io.Copy(w, a.rest)
+		read, err = io.Copy(w, from)
 	}
 	if err == nil && a.length >= 0 && int64(len(a.buffered))+read != a.length {
 		err = io.ErrUnexpectedEOF
+		from.err = err
 	}
 	if err != nil {
-		a.release(peer.ReleaseFailed)
+		status := peer.ReleaseCanceled
+		if from.err != nil {
+			status = failureOf(from.err)
+		}
+		a.release(status)
 		o := outcome.Uncertain(outcome.ReasonIncomplete)
 		e.settle(r, o, nil)
 		e.record(r, o)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -80,6 +80,10 @@
 // clock runs ahead by this time, so that it accepts such identities.
 const clockSkew = 5 * time.Second
 
+// answerTime is how long a caller may take to receive an answer that has left
+// its backend server, or an answer of the entry host itself.
+const answerTime = 10 * time.Second
+
 // Edge serves callers. Create it with New; it is safe for concurrent use.
 type Edge struct {
 	cfg      Config
@@ -124,6 +128,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+httpapi.PathLookup, e.serveLookup)
 	return http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+		writeUntil(w, time.Now().Add(answerTime))
 		if strings.HasPrefix(in.URL.EscapedPath(), httpapi.PathRun) {
 			e.serveRun(w, in)
 			return
@@ -132,6 +137,13 @@
 	})
 }
 
+// writeUntil bounds the time for writing to a caller, so that one that does not
+// read holds neither a slot nor the shutdown of the host. The bound stays with
+// the connection until the next request on it sets another one.
+func writeUntil(w http.ResponseWriter, t time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(t)
+}
+
 // now is the time of the ledger, on the monotonic clock.
 func (e *Edge) now() time.Duration { return time.Since(e.start) }
 
@@ -191,6 +203,7 @@
 func (e *Edge) finish(w http.ResponseWriter, r *request, o outcome.Outcome) {
 	o = e.vouch(r, o)
 	e.record(r, o)
+	writeUntil(w, time.Now().Add(answerTime))
 	h := w.Header()
 	httpapi.SetOutcome(h, o)
 	if r.idText != "" {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenabeam/galenabeam/config"
@@ -47,7 +48,7 @@
 	header http.Header
 	// buffered holds the body when it fits; otherwise stream does.
 	buffered      []byte
-	stream        io.Reader
+	stream        *sender
 	contentLength int64
 	// forwarded tells that another entry host sent the request.
 	forwarded bool
@@ -65,6 +66,23 @@
 	settled bool
 }
 
+// sender is the body of a request that is passed on while it is read.
+type sender struct {
+	io.Reader
+	// stuck is set while the caller is waited for and after reading failed.
+	stuck atomic.Bool
+}
+
+// Read implements io.Reader.
+func (s *sender) Read(p []byte) (int, error) {
+	s.stuck.Store(true)
+	n, err := s.Reader.Read(p)
+	if err == nil || err == io.EOF {
+		s.stuck.Store(false)
+	}
+	return n, err
+}
+
 func (r *request) left() time.Duration { return time.Until(r.deadline) }
 
 // replayable tells whether the body can be sent again.
@@ -181,6 +199,13 @@
 	return false
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // hopHeaders are meant for this connection only, or set by the entry host.
 var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	httpapi.HeaderOrigin, httpapi.HeaderAttempt, headerTrace, "Content-Length"}
@@ -200,32 +225,37 @@
 }
 
 // readBody buffers a small body. A larger one is passed on while it is read.
+// No body is waited for beyond the deadline of its request.
 func (e *Edge) readBody(w http.ResponseWriter, in *http.Request, r *request) *outcome.Outcome {
 	if in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
 		return nil
 	}
 	body := http.MaxBytesReader(w, in.Body, r.service.MaxRequestBytes)
 	if in.ContentLength > bufferBytes {
-		r.stream = body
+		_ = http.NewResponseController(w).SetReadDeadline(r.deadline)
+		r.stream = &sender{Reader: body}
 		return nil
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(earlier(r.deadline, time.Now().Add(bodyTimeout)))
 	data, err := io.ReadAll(io.LimitReader(body, bufferBytes+1))
 	if err != nil {
 		reason, detail := outcome.ReasonBadRequest, "the body ended early"
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			reason, detail = outcome.ReasonTooLarge, "the body exceeds the service's limit"
+		} else if r.left() <= 0 {
+			reason, detail = outcome.ReasonLate, "the body did not arrive before the deadline"
 		}
 		r.detail = detail
 		o := outcome.Refuse(reason, 0)
 		return &o
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if len(data) > bufferBytes {
-		r.stream = io.MultiReader(bytes.NewReader(data), body)
+		_ = http.NewResponseController(w).SetReadDeadline(r.deadline)
+		r.stream = &sender{Reader: io.MultiReader(bytes.NewReader(data), body)}
 		return nil
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	r.buffered, r.contentLength = data, int64(len(data))
 	return nil
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -115,7 +115,7 @@
 			ServiceMicros: time.Since(begun).Microseconds(), Draining: got.Draining})
 	}
 	if got.Response == nil {
-		release(releaseStatus(got))
+		release(releaseStatus(r, got))
 		return got.Outcome, nil
 	}
 	a, err := readAnswer(got.Response, release)
@@ -150,10 +150,13 @@
 	return bytes.NewReader(r.buffered)
 }
 
-func releaseStatus(a backend.Answer) peer.ReleaseStatus {
+// releaseStatus tells the scheduler about an attempt without an answer.
+func releaseStatus(r *request, a backend.Answer) peer.ReleaseStatus {
 	switch {
 	case a.Shed:
 		return peer.ReleaseShed
+	case r.stream != nil && r.stream.stuck.Load():
+		return peer.ReleaseCanceled
 	case a.Outcome.Reason == outcome.ReasonCanceled || a.Outcome.Reason == outcome.ReasonLate:
 		return peer.ReleaseCanceled
 	default:
