httpapi: bound the retry delay that is read from an answer

Cause: a large Galenabeam-Retry-After-Ms overflowed to a negative delay, so that the client retried at once. Change: values above 24 h are read as 24 h. Conclusion: no answer can make a caller retry without a pause.

--- a/internal/httpapi/headers.go
+++ b/internal/httpapi/headers.go
@@ -75,6 +75,10 @@
 	}
 }
 
+// maxRetryAfter bounds what an answer may say about a later attempt, so that
+// the value fits a time.Duration.
+const maxRetryAfter = 24 * time.Hour
+
 // ReadOutcome reads the outcome of an answer. ok is false when the headers
 // name no known outcome.
 func ReadOutcome(h http.Header) (o outcome.Outcome, ok bool) {
@@ -86,7 +90,7 @@
 		return o, false
 	}
 	if ms, err := strconv.ParseInt(h.Get(HeaderRetryAfter), 10, 64); err == nil && ms > 0 {
-		o.RetryAfter = time.Duration(ms) * time.Millisecond
+		o.RetryAfter = time.Duration(min(ms, maxRetryAfter.Milliseconds())) * time.Millisecond
 	}
 	return o, true
 }
