client: retry at untried hosts and bound what is sent

Cause: requests other than GET without a body were sent in chunks, which entry hosts refuse for non-idempotent work. A failed host moved to the end of the order while the index went on, so a retry could go to it again. A repeat under the same identity was not counted, so a request was sent up to 8 times. After an uncertain attempt, final refusals were retried. A caller that gave up marked its host as failed. A look-up that named a host since replaced ended non-idempotent requests as unknown although nobody could run them. Change: an empty body has a length; a retry takes a host that the request has not tried; all sends count towards the 4 attempts; the decision to retry uses the answer itself; an identity that was sent once, to a process that says that it cannot run it, is not run and retried at a new look-up. Conclusion: a request is sent at most 4 times, and first to hosts that work.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -9,6 +9,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -21,7 +22,8 @@
 )
 
 const (
-	// maxAttempts bounds the attempts for one request.
+	// maxAttempts bounds how often one request is sent, repeats under the same
+	// identity included.
 	maxAttempts = 4
 	// identityWindow must equal the window of entry hosts.
 	identityWindow = ledger.DefaultWindow
@@ -40,7 +42,8 @@
 func (c *Client) run(ctx context.Context, r *Request, deadline time.Time) (*Result, error) {
 	var last *Result
 	uncertain := false
-	for attempt := 0; attempt < maxAttempts; attempt++ {
+	tried := map[string]bool{}
+	for sends := 0; sends < maxAttempts; {
 		answer, age, err := c.lookup(ctx, r.Service, r.Rank)
 		if err != nil {
 			if last != nil {
@@ -48,23 +51,26 @@
 			}
 			return nil, err
 		}
-		h := c.choose(answer.Hosts, attempt)
+		h := c.choose(answer.Hosts, tried)
+		tried[h.Address] = true
 		id, err := newIdentity(h, age)
 		if err != nil {
 			return last, err
 		}
 		res := c.attempt(ctx, r, h.Address, id, deadline)
-		if res.Kind == Unknown && !r.Idempotent {
+		sends++
+		if !r.Idempotent && sends < maxAttempts && confirmable(ctx, res, deadline) {
 			res = c.confirm(ctx, r, h.Address, id, res, deadline)
+			sends++
 		}
-		res.Attempts = attempt + 1
+		res.Attempts = sends
+		more := c.again(ctx, r, res, deadline)
 		// A refusal of a later attempt does not undo an earlier one that may have run.
 		uncertain = uncertain || res.Kind == Unknown
 		if uncertain && res.Kind == NotRun {
 			res.Kind = Unknown
 		}
-		last = res
-		if !c.again(ctx, r, res, deadline) {
+		if last = res; !more {
 			break
 		}
 	}
@@ -78,7 +84,8 @@
 		return false
 	case res.Kind == Unknown && !r.Idempotent:
 		return false
-	case res.Kind == Unknown, res.Reason == string(outcome.ReasonConnect), res.Reason == string(outcome.ReasonLeaving):
+	case res.Kind == Unknown, res.Reason == string(outcome.ReasonConnect), res.Reason == string(outcome.ReasonLeaving),
+		res.Reason == string(outcome.ReasonHostLost):
 		c.forget(r.Service, r.Rank)
 	case res.RetryAfter == 0:
 		return false
@@ -98,15 +105,18 @@
 	}
 }
 
-// choose returns the host for an attempt: the best one first, skipping hosts
-// that failed lately.
-func (c *Client) choose(hosts []httpapi.LookupHost, attempt int) httpapi.LookupHost {
+// choose returns the host for an attempt: the best one that this request has
+// not tried, hosts that failed lately last.
+func (c *Client) choose(hosts []httpapi.LookupHost, tried map[string]bool) httpapi.LookupHost {
 	addresses := make([]string, len(hosts))
 	for i, h := range hosts {
 		addresses[i] = h.Address
 	}
 	ordered := c.order(addresses)
-	want := ordered[attempt%len(ordered)]
+	want := ordered[0]
+	if i := slices.IndexFunc(ordered, func(a string) bool { return !tried[a] }); i >= 0 {
+		want = ordered[i]
+	}
 	for _, h := range hosts {
 		if h.Address == want {
 			return h
@@ -121,19 +131,24 @@
 	return ledger.NewID(host.Incarnation(h.Incarnation), window, rand.Reader)
 }
 
-// confirm asks the same entry host again under the same identity, after the
-// connection broke. The host runs the request if it never arrived, and returns
-// the recorded outcome if it did.
-func (c *Client) confirm(ctx context.Context, r *Request, address string, id ledger.ID, first *Result, deadline time.Time) *Result {
-	if ctx.Err() != nil || time.Until(deadline) <= 0 {
-		return first
+// confirmable tells whether a repeat under the same identity may tell how a
+// request ended.
+func confirmable(ctx context.Context, first *Result, deadline time.Time) bool {
+	if first.Kind != Unknown || ctx.Err() != nil || time.Until(deadline) <= 0 {
+		return false
 	}
 	switch outcome.Reason(first.Reason) {
 	case outcome.ReasonBroken, outcome.ReasonIncomplete, outcome.ReasonWrongRequest:
-	default:
-		return first
+		return true
 	}
-	second := c.attempt(ctx, r, address, id, deadline)
+	return false
+}
+
+// confirm asks the same entry host again under the same identity, after the
+// connection broke. The host runs the request if it never arrived, and returns
+// the recorded outcome if it did.
+func (c *Client) confirm(ctx context.Context, r *Request, address string, id ledger.ID, first *Result, deadline time.Time) *Result {
+	second := c.repeat(ctx, r, address, id, deadline)
 	if second.Kind == Done {
 		return second
 	}
@@ -146,24 +161,47 @@
 	return first
 }
 
-// attempt sends the request once.
+// attempt sends the request under a new identity. When the process that got it
+// cannot run the identity, because another one ran at its address before, then
+// nobody did: the identity was sent to no other process.
 func (c *Client) attempt(ctx context.Context, r *Request, address string, id ledger.ID, deadline time.Time) *Result {
-	var sent atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { sent.Store(true) }})
+	res, once := c.send(ctx, r, address, id, deadline)
+	if res.Kind == Unknown && res.Reason == string(outcome.ReasonHostLost) && once {
+		res.Kind, res.RetryAfter = NotRun, minRetryDelay
+	}
+	return res
+}
+
+// repeat sends the request again under the identity of an earlier attempt.
+func (c *Client) repeat(ctx context.Context, r *Request, address string, id ledger.ID, deadline time.Time) *Result {
+	res, _ := c.send(ctx, r, address, id, deadline)
+	return res
+}
+
+// send sends the request. once tells that the transport did not send it again
+// on another connection, which it may do for a request without a body.
+func (c *Client) send(ctx context.Context, r *Request, address string, id ledger.ID, deadline time.Time) (res *Result, once bool) {
+	var sent, again atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:          func(httptrace.GotConnInfo) { again.Store(sent.Load()) },
+		WroteHeaderField: func(string, []string) { sent.Store(true) },
+	})
 	req, err := c.newRequest(traced, r, address, id, deadline)
 	if err != nil {
-		return &Result{Kind: NotRun, Reason: string(outcome.ReasonBadRequest), ID: id.String()}
+		return &Result{Kind: NotRun, Reason: string(outcome.ReasonBadRequest), ID: id.String()}, true
 	}
 	resp, err := c.http.Transport.RoundTrip(req)
 	if err != nil {
-		c.markFailed(address)
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.markFailed(address)
+		}
 		if !sent.Load() {
-			return &Result{Kind: NotRun, Reason: string(outcome.ReasonConnect), ID: id.String()}
+			return &Result{Kind: NotRun, Reason: string(outcome.ReasonConnect), ID: id.String()}, true
 		}
-		return &Result{Kind: Unknown, Reason: string(outcome.ReasonBroken), ID: id.String()}
+		return &Result{Kind: Unknown, Reason: string(outcome.ReasonBroken), ID: id.String()}, false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return c.read(resp, id.String())
+	return c.read(resp, id.String()), !again.Load()
 }
 
 func (c *Client) newRequest(ctx context.Context, r *Request, address string, id ledger.ID, deadline time.Time) (*http.Request, error) {
@@ -181,9 +219,13 @@
 	if r.Header != nil {
 		req.Header = r.Header.Clone()
 	}
-	// The body is set without GetBody, so that the transport never repeats a
-	// request by itself.
+	// The body is set without GetBody, so that the transport does not repeat a
+	// request by itself. Entry hosts want a length; net/http sends one for an
+	// empty body only if it is NoBody.
 	req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
+	if len(r.Body) == 0 && method != http.MethodGet && method != http.MethodHead {
+		req.Body = http.NoBody
+	}
 	req.Header.Set(httpapi.HeaderRequestID, id.String())
 	req.Header.Set(httpapi.HeaderRank, r.Rank)
 	if c.cfg.Customer != "" {
--- a/client/lookup.go
+++ b/client/lookup.go
@@ -69,6 +69,7 @@
 			bad = append(bad, a)
 			continue
 		}
+		delete(c.failed, a)
 		good = append(good, a)
 	}
 	return append(good, bad...)
