--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -95,7 +95,6 @@
 	held := heldSlot{service: r.service.Name, region: e.cfg.Self.Region, server: reply.Server, rank: r.rank.Name, origin: r.origin, deadline: r.deadline}
 	if !e.hold(key, held, generation) {
 		cancel()
-		e.slots.Release(peer.Release{Service: r.service.Name, Key: key, Grant: reply.Grant, Status: peer.ReleaseCanceled})
 		e.count("grants.outdated")
 		// The grant may be the new owner's, which then counts it as in use.
 		e.slots.Release(peer.Release{Service: r.service.Name, Key: key, Grant: reply.Grant, Status: peer.ReleaseCanceled})
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -282,10 +282,13 @@
 		return func() int { mu.Lock(); defer mu.Unlock(); return count[method] }
 	}
 	views := &view.Publisher{}
-	s := NewSlots(7, views, callerFunc(func(method string, _, _ any) error {
+	s := NewSlots(7, views, callerFunc(func(method string, _, result any) error {
 		mu.Lock()
 		defer mu.Unlock()
 		if count[method]++; method == peer.MethodCancel || count[method] > 1 {
+			if done, ok := result.(*bool); ok {
+				*done = true // the host that answers is the owner
+			}
 			return nil
 		}
 		return peer.ErrUnreachable
