control: send digests and large texts only as needed

Cause: each renewal carried the digests of all regions with their host lists, and a config.pull answer above 3.1 MB exceeded the frame limit, so that the connection ended and the pull was repeated for ever. Change: a host names the digests and host lists that it has and gets only others; texts above 1 MiB are read in pieces; larger deltas are not pushed.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -17,7 +17,7 @@
 )
 
 // configTimeout bounds a call that carries a configuration text.
-const configTimeout = 5 * time.Second
+const configTimeout = 15 * time.Second
 
 // Push is config.push on the wire.
 type Push struct {
@@ -30,6 +30,7 @@
 	machine *confsync.Replica
 	pushes  map[uint64]chan confsync.PushAnswer
 	pulls   map[uint64]chan confsync.PullAnswer
+	texts   texts
 	watcher bool
 }
 
@@ -89,7 +90,8 @@
 	c.async(func() {
 		var got confsync.PushAnswer
 		err := errNoAddress
-		if ok && m.RPCAddress != "" {
+		// A host that misses a large step pulls the whole text in pieces.
+		if ok && m.RPCAddress != "" && deltaBytes(a.Push.Delta) <= pieceBytes {
 			ctx, cancel := c.callContext(configTimeout)
 			defer cancel()
 			err = c.Peers.Call(ctx, m.RPCAddress, peer.MethodPush, push, &got)
@@ -112,7 +114,7 @@
 		if ok && m.RPCAddress != "" {
 			ctx, cancel := c.callContext(configTimeout)
 			defer cancel()
-			err = c.Peers.Call(ctx, m.RPCAddress, peer.MethodPull, a.Pull, &got)
+			got, err = c.pull(ctx, m.RPCAddress, a.Pull)
 		}
 		c.post(func(now time.Duration) {
 			if err != nil {
@@ -134,13 +136,6 @@
 	})
 }
 
-// Pull serves config.pull.
-func (c *Control) Pull(ctx context.Context, p confsync.Pull) (confsync.PullAnswer, error) {
-	return ask(ctx, c, c.replica.pulls, func(now time.Duration, call uint64) {
-		c.stepReplica(now, confsync.PullReceived{Call: call, Pull: p})
-	})
-}
-
 // apply puts a configuration in force in this process.
 func (c *Control) apply(now time.Duration, a confsync.Apply) {
 	cfg, err := config.Parse(a.Text)
--- a/internal/control/digest.go
+++ b/internal/control/digest.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenabeam/galenabeam/internal/host"
 	"github.com/galenabeam/galenabeam/internal/lease"
 	"github.com/galenabeam/galenabeam/internal/member"
 	"github.com/galenabeam/galenabeam/internal/peer"
@@ -69,6 +73,13 @@
 	if have && !d.Newer(&old.digest) {
 		return
 	}
+	if len(d.Hosts) == 0 && d.HostsVersion != 0 {
+		if d.HostsVersion != old.digest.HostsVersion {
+			c.count("digest.hosts_missing")
+			return
+		}
+		d.Hosts = old.digest.Hosts
+	}
 	k := knownDigest{digest: d, made: now - time.Duration(d.AgeMillis)*time.Millisecond}
 	c.digests.byRegion[d.Region] = k
 	c.Router.Observe(k.made, d)
@@ -86,17 +97,45 @@
 	}
 }
 
-// digestsFor returns the digests of all regions with their present age.
-func (c *Control) digestsFor(now time.Duration) []peer.RegionDigest {
+// digestsFor returns the digests that a host does not have, with their present
+// age. Host lists are large and change rarely, so that a list that the host
+// has is left out.
+func (c *Control) digestsFor(now time.Duration, known map[string]peer.Known) []peer.RegionDigest {
 	var out []peer.RegionDigest
-	for _, k := range c.digests.byRegion {
+	for name, k := range c.digests.byRegion {
 		d := k.digest
+		have := known[name]
+		if have.Epoch == d.Epoch && have.Sequence == d.Sequence {
+			continue
+		}
 		d.AgeMillis = (now - k.made).Milliseconds()
+		if have.HostsVersion == d.HostsVersion {
+			d.Hosts = nil
+		}
 		out = append(out, d)
 	}
 	return out
 }
 
+// knownDigests names the digests that this process has.
+func (c *Control) knownDigests() map[string]peer.Known {
+	out := make(map[string]peer.Known, len(c.digests.byRegion))
+	for name, k := range c.digests.byRegion {
+		out[name] = peer.Known{Epoch: k.digest.Epoch, Sequence: k.digest.Sequence, HostsVersion: k.digest.HostsVersion}
+	}
+	return out
+}
+
+// hostsVersion identifies a list of hosts. It is never zero, which stands for
+// an unknown list.
+func hostsVersion(hosts []host.Info) uint64 {
+	h := xxhash.New()
+	for _, v := range hosts {
+		_, _ = fmt.Fprintf(h, "%s/%d/%s/%s/", v.ID, v.Incarnation, v.HTTPAddress, v.RPCAddress)
+	}
+	return max(1, h.Sum64())
+}
+
 // sendDigests tells one host of each other region about this one. Only the
 // primary lessor does so. The hosts of this region get the digest with their
 // next renewal.
@@ -107,6 +146,7 @@
 	c.digests.sent = now
 	c.digests.sequence++
 	d := peer.RegionDigest{Region: c.Self.Region, Epoch: c.leases.lessor.State().Epoch, Sequence: c.digests.sequence, Hosts: c.workers()}
+	d.HostsVersion = hostsVersion(d.Hosts)
 	for _, s := range c.config.Services {
 		if p, ok := c.digests.pools[s.Name]; ok && now-p.at < poolReportLimit {
 			d.Pools = append(d.Pools, p.digest)
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -39,6 +39,8 @@
 	Pools []peer.PoolDigest  `json:"pools,omitempty"`
 	// Shift reports the sender's share of the caps on shifts.
 	Shift *shift.Report `json:"shift,omitempty"`
+	// Known names the digests that the sender has, by region.
+	Known map[string]peer.Known `json:"known,omitempty"`
 	// Owners is the version of the owners that the sender knows.
 	Owners uint64 `json:"owners"`
 }
@@ -210,7 +212,7 @@
 func (c *Control) replyRenew(a lease.Reply) {
 	now := c.Now()
 	asked := c.leases.asked[a.Token]
-	r := Renewed{Lease: a.Answer, Digests: c.digestsFor(now)}
+	r := Renewed{Lease: a.Answer, Digests: c.digestsFor(now, asked.Known)}
 	if !a.Answer.Refused {
 		r.Shift = c.grantShares(now, asked.Shift)
 	}
@@ -300,7 +302,7 @@
 		return
 	}
 	c.leases.pending = true
-	request := Renew{Lease: c.leases.holder.Request(now), Pools: c.poolDigests(), Shift: c.reportShares(now), Owners: c.leases.version}
+	request := Renew{Lease: c.leases.holder.Request(now), Pools: c.poolDigests(), Shift: c.reportShares(now), Known: c.knownDigests(), Owners: c.leases.version}
 	c.async(func() {
 		ctx, cancel := c.callContext(renewTimeout)
 		defer cancel()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -41,7 +41,7 @@
 
 func (c *Control) state(now time.Duration) State {
 	s := State{Config: c.replica.machine.Status(), Members: c.member.State(), Lessor: c.leases.lessor.State(), Owners: c.leases.owners,
-		Takeovers: map[string][]lease.Ref{}, Regions: c.digestsFor(now), Caps: c.capStates(now)}
+		Takeovers: map[string][]lease.Ref{}, Regions: c.digestsFor(now, nil), Caps: c.capStates(now)}
 	for service, t := range c.takeovers {
 		for ref := range t.silent {
 			s.Takeovers[service] = append(s.Takeovers[service], ref)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -44,6 +44,7 @@
 	rpc.Handle(d.rpc, peer.MethodLease, d.control.LeaseMessage)
 	rpc.Handle(d.rpc, peer.MethodPush, d.control.Push)
 	rpc.Handle(d.rpc, peer.MethodPull, d.control.Pull)
+	rpc.Handle(d.rpc, peer.MethodText, d.control.Text)
 	rpc.Handle(d.rpc, peer.MethodState, d.control.RegionState)
 	rpc.Handle(d.rpc, peer.MethodDigest, d.control.Digest)
 	rpc.Handle(d.rpc, control.MethodPing, d.control.Ping)
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -14,6 +14,7 @@
 	MethodDigest  = "region.digest"
 	MethodPush    = "config.push"
 	MethodPull    = "config.pull"
+	MethodText    = "config.text"
 )
 
 // RankDigest is the headroom of a pool for one rank.
@@ -37,9 +38,18 @@
 	Sequence uint64 `json:"seq"`
 	// AgeMillis is the time since the lessor made the digest, as known to the sender.
 	AgeMillis int64 `json:"age_ms"`
-	// Hosts are the entry hosts that take work.
-	Hosts []host.Info  `json:"hosts"`
-	Pools []PoolDigest `json:"pools"`
+	// Hosts are the entry hosts that take work. A sender that knows that the
+	// receiver has the hosts of HostsVersion leaves them out.
+	Hosts        []host.Info  `json:"hosts,omitempty"`
+	HostsVersion uint64       `json:"hosts_version,omitempty"`
+	Pools        []PoolDigest `json:"pools"`
+}
+
+// Known names the digest of a region that a host has.
+type Known struct {
+	Epoch        uint64 `json:"epoch"`
+	Sequence     uint64 `json:"seq"`
+	HostsVersion uint64 `json:"hosts_version"`
 }
 
 // Newer tells whether d replaces other.
