--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -79,7 +79,9 @@
 		c.started = true
 		c.nextRead = l.now + time.Duration(l.rng.Int64N(int64(l.interval())))
 	}
-	heard := l.regime.Epoch > 0 && l.now-c.heard <= l.cfg.TTL+l.cfg.Margin
+	// In a large region the renewals, by which the lessor is heard, are rare.
+	limit := max(l.cfg.TTL, 2*l.cfg.period(len(l.evidence.live))) + l.cfg.Margin
+	heard := l.regime.Epoch > 0 && l.now-c.heard <= limit
 	if !heard && l.now >= c.nextRead {
 		c.nextRead = l.now + l.interval()
 		l.get()
--- a/internal/lease/evidence.go
+++ b/internal/lease/evidence.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,9 +15,11 @@
 	started   bool
 	startedAt time.Duration
 	live      []Member
-	ended     map[Ref]bool
-	newest    map[host.ID]host.Incarnation
-	resigned  map[Ref]uint64
+	// hashes are those of the names in live.
+	hashes   []uint64
+	ended    map[Ref]bool
+	newest   map[host.ID]host.Incarnation
+	resigned map[Ref]uint64
 	// known is when each incarnation was first heard of: an absence from the
 	// list before that was another incarnation's.
 	known map[Ref]time.Duration
@@ -46,16 +49,17 @@
 // members replaces the live members, ordered by a hash of their names.
 func (e *evidence) members(m MembersChanged) {
 	e.live = slices.Clone(m.Members)
+	hashes := make(map[host.ID]uint64, len(e.live))
+	for _, member := range e.live {
+		hashes[member.Ref.ID] = xxhash.Sum64String(string(member.Ref.ID))
+	}
 	slices.SortFunc(e.live, func(a, b Member) int {
-		ha, hb := xxhash.Sum64String(string(a.Ref.ID)), xxhash.Sum64String(string(b.Ref.ID))
-		switch {
-		case ha < hb || ha == hb && a.Ref.ID < b.Ref.ID:
-			return -1
-		case a.Ref.ID == b.Ref.ID:
-			return 0
-		}
-		return 1
+		return cmp.Or(cmp.Compare(hashes[a.Ref.ID], hashes[b.Ref.ID]), cmp.Compare(a.Ref.ID, b.Ref.ID))
 	})
+	e.hashes = e.hashes[:0]
+	for _, member := range e.live {
+		e.hashes = append(e.hashes, hashes[member.Ref.ID])
+	}
 	for _, member := range e.live {
 		e.newest[member.Ref.ID] = max(e.newest[member.Ref.ID], member.Ref.Incarnation)
 	}
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
@@ -136,12 +137,12 @@
 // members that renew, so that a change of members moves little.
 func (l *Lessor) owner(resource string) Ref {
 	best, bestWeight := Ref{}, uint64(0)
-	for _, m := range l.evidence.live {
-		if !l.usable(m) {
-			continue
-		}
-		weight := xxhash.Sum64String(string(m.Ref.ID) + "\x00" + resource)
-		if best.IsZero() || weight > bestWeight {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(resource))
+	for i, m := range l.evidence.live {
+		binary.LittleEndian.PutUint64(pair[:8], l.evidence.hashes[i])
+		weight := xxhash.Sum64(pair[:])
+		if (best.IsZero() || weight > bestWeight) && l.usable(m) {
 			best, bestWeight = m.Ref, weight
 		}
 	}
