--- a/internal/adapter/hostlist/hostlist.go
+++ b/internal/adapter/hostlist/hostlist.go
@@ -159,7 +159,8 @@
 }
 
 // correct replaces unusable fields: addresses by none, which makes probes fail
-// until the process announces its own, and an unknown state by live.
+// until the process announces its own, and an unknown state by live. A backend
+// server answers no JSON-RPC, so its entry needs no such address.
 func correct(h *member.Listed) (problems []string) {
 	report := func(field, value string) {
 		problems = append(problems, fmt.Sprintf("host %q: unusable %s %q", h.ID, field, value))
@@ -167,7 +168,7 @@
 	if h.FailureDomain == "" {
 		report("failure_domain", "")
 	}
-	if _, err := netip.ParseAddrPort(h.RPCAddress); err != nil {
+	if _, err := netip.ParseAddrPort(h.RPCAddress); err != nil && (h.Kind != member.ListedBackendServer || h.RPCAddress != "") {
 		report("rpc_address", h.RPCAddress)
 		h.RPCAddress = ""
 	}
--- a/internal/adapter/hostlist/hostlist_test.go
+++ b/internal/adapter/hostlist/hostlist_test.go
@@ -137,3 +137,18 @@
 		{ID: "a", Region: "r", FailureDomain: "d", HTTPAddress: "10.0.0.1:2", State: member.ListedLive}}))
 	g.Expect(metrics.GetOrRegisterGauge("hostlist.problems", registry).Value()).To(BeEquivalentTo(2))
 }
+
+// Guards against a warning about each listed backend server, which has no
+// address for JSON-RPC.
+func TestBackendServersNeedNoRPCAddress(t *testing.T) {
+	g := NewWithT(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"hosts":[{"id":"a","region":"r","failure_domain":"d",
+			"http_address":"10.0.0.1:2","state":"live","kind":"backend-server"}]}`))
+	}))
+	defer srv.Close()
+	registry := metrics.NewRegistry()
+	_, err := hostlist.New(srv.URL, srv.Client(), registry).Hosts(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(metrics.GetOrRegisterGauge("hostlist.problems", registry).Value()).To(BeZero())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,9 @@
 	if o.MaxHeaderBytes == 0 {
 		o.MaxHeaderBytes = settings.DefaultMaxHeaderBytes
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
 	httpL, err := net.Listen("tcp", o.HTTPAddress)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for callers on %s", o.HTTPAddress)
@@ -77,7 +80,7 @@
 			return nil, trace.Wrap(err, "listening for operators on %s", o.AdminAddress)
 		}
 	}
-	d := &Daemon{opts: o, httpL: httpL, rpcL: rpcL, adminL: adminL, metrics: metrics.NewRegistry(), views: &view.Publisher{}}
+	d := &Daemon{opts: o, httpL: httpL, rpcL: rpcL, adminL: adminL, metrics: o.Metrics, views: &view.Publisher{}}
 	d.self = host.Info{ID: o.ID, Incarnation: host.NewIncarnation(time.Now()), Region: o.Region, FailureDomain: o.FailureDomain,
 		RPCAddress: advertised(o.AdvertiseRPC, rpcL), HTTPAddress: advertised(o.AdvertiseHTTP, httpL)}
 	d.log = o.Log.WithFields(logrus.Fields{"host": o.ID, "region": o.Region})
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -51,6 +51,8 @@
 	// Force ends the graceful shutdown at once when it is closed. It may be nil.
 	Force <-chan struct{}
 	Log   *logrus.Logger
+	// Metrics collects the daemon's metrics; nil means a registry of its own.
+	Metrics metrics.Registry
 }
 
 // platformTimeout bounds a call to the platform's host list.
@@ -62,11 +64,12 @@
 	if err != nil {
 		return Options{}, trace.Wrap(err)
 	}
+	registry := metrics.NewRegistry()
 	o := Options{
 		ID: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
 		HTTPAddress: s.HTTP.Listen, RPCAddress: s.RPC.Listen, AdvertiseHTTP: s.HTTP.Advertise, AdvertiseRPC: s.RPC.Advertise,
-		HostList: hostlist.New(s.HostListURL, &http.Client{Timeout: platformTimeout}, metrics.NewRegistry()),
-		Store:    st, HeaderTimeout: s.HeaderTimeout, MaxHeaderBytes: s.MaxHeaderBytes, ShutdownLimit: s.ShutdownLimit, Log: log,
+		HostList: hostlist.New(s.HostListURL, &http.Client{Timeout: platformTimeout}, registry),
+		Store:    st, Metrics: registry, HeaderTimeout: s.HeaderTimeout, MaxHeaderBytes: s.MaxHeaderBytes, ShutdownLimit: s.ShutdownLimit, Log: log,
 	}
 	o.AdminAddress = s.Admin.Listen
 	if o.Tokens, err = settings.LoadTokens(s.TokensFile); err != nil {
