--- a/cmd/galenabeam-standin/faults.go
+++ b/cmd/galenabeam-standin/faults.go
@@ -16,6 +16,9 @@
 // maxBody bounds the body of a call, in bytes.
 const maxBody = 64 << 10
 
+// maxRunsBody bounds the list of names in POST /v1/runs, in bytes.
+const maxRunsBody = 4 << 20
+
 // storeFaults is the body of PUT /v1/store. Absent fields end a fault.
 type storeFaults struct {
 	Down        bool  `json:"down"`
@@ -66,6 +69,7 @@
 func (p *platform) faultsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/state", p.serveState)
+	mux.HandleFunc("POST /v1/runs", p.serveRuns)
 	mux.HandleFunc("PUT /v1/store", handle(p.setStore))
 	mux.HandleFunc("PUT /v1/store/cut", handle(p.setCut))
 	mux.HandleFunc("PUT /v1/host-list", handle(p.setList))
@@ -107,6 +111,25 @@
 	_ = json.NewEncoder(w).Encode(s)
 }
 
+// serveRuns answers a list of names of work with how often each one ran, over
+// all backend servers. A request names its work with the query parameter
+// "work".
+func (p *platform) serveRuns(w http.ResponseWriter, r *http.Request) {
+	var works []string
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRunsBody)).Decode(&works); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	runs := map[string]int{}
+	for _, work := range works {
+		for _, b := range p.backends {
+			runs[work] += b.Ran(work)
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(runs)
+}
+
 func (p *platform) setStore(_ *http.Request, f storeFaults) error {
 	if f.DelayMs < 0 || f.Stale < 0 {
 		return fmt.Errorf("delay_ms %d, stale %d: want no negative value", f.DelayMs, f.Stale)
