daemon: answer requests when a shutdown is forced

A second signal closed the connections of requests in progress, so that their callers saw an empty reply (curl exit 52) instead of an outcome. The daemon now cancels these requests and gives them a second to answer. The warning about held leases was also logged at random when none were held, because both channels were ready.

go test -run Forced ./internal/daemon: fails before, passes after.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,8 @@
 	router   *router.Router
 	http     *http.Server
 	rpc      *rpc.Server
+	// endRequests cancels the requests in progress.
+	endRequests context.CancelFunc
 }
 
 // New listens on the daemon's addresses and assembles it. Call Run next.
@@ -107,6 +109,9 @@
 	d.handlePeers()
 	d.http = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: d.opts.HeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.opts.MaxHeaderBytes, ErrorLog: quietLog()}
+	var base context.Context
+	base, d.endRequests = context.WithCancel(context.Background())
+	d.http.BaseContext = func(net.Listener) context.Context { return base }
 }
 
 // quietLog drops what net/http would print about single connections: broken
@@ -136,6 +141,7 @@
 	g.Add(func() error { return d.waitShutdown(ctx, waitCtx) }, func(error) { stopWait() })
 	d.log.WithFields(logrus.Fields{"http": d.self.HTTPAddress, "rpc": d.self.RPCAddress, "incarnation": d.self.Incarnation}).Info("entry host started")
 	err := g.Run()
+	d.endRequests()
 	d.peers.Close()
 	d.backends.Close()
 	d.log.Info("entry host stopped")
@@ -225,11 +231,37 @@
 	}
 	if err := d.http.Shutdown(limit); err != nil {
 		d.log.WithField("active", d.edge.Active()).Warn("shutdown ended with requests in progress")
+		d.answerCanceled()
 	}
+	d.waitReleased(limit)
+	return nil
+}
+
+// cancelGrace is the time in which canceled requests tell callers their outcome.
+const cancelGrace = time.Second
+
+// answerCanceled ends the requests in progress, so that their callers get an
+// outcome instead of a broken connection.
+func (d *Daemon) answerCanceled() {
+	d.endRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), cancelGrace)
+	defer cancel()
+	if err := d.http.Shutdown(ctx); err != nil {
+		d.log.WithField("active", d.edge.Active()).Warn("shutdown cut requests")
+	}
+}
+
+// waitReleased waits until no lease is held. When the limit has already passed,
+// leases that were released before still count as released.
+func (d *Daemon) waitReleased(limit context.Context) {
 	select {
 	case <-d.control.Released():
+		return
 	case <-limit.Done():
+	}
+	select {
+	case <-d.control.Released():
+	default:
 		d.log.Warn("shutdown ended with leases held")
 	}
-	return nil
 }
