owner: repeat a release that an earlier owner answered

Cause: an entry host that gave up a pool answered releases as if it had taken them, so a release sent before the edge knew the new owner was lost, and the slot stayed taken at the new owner until the deadline of its request. Change: the answer tells whether the process owns the pool; the edge sends the release again, to the owner that it then knows. Result: TestSlotsOwnerSilent, with an earlier owner that answers in between, fails without the change and passes with it (go test ./internal/owner).

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -25,10 +25,12 @@
 		return true, nil
 	})
 	rpc.Handle(d.rpc, peer.MethodRelease, func(_ context.Context, r peer.Release) (bool, error) {
-		if p, ok := d.slots.Local(r.Service); ok {
+		// False tells the edge that this process does not own the pool any more.
+		p, ok := d.slots.Local(r.Service)
+		if ok {
 			p.Release(r)
 		}
-		return true, nil
+		return ok, nil
 	})
 	rpc.Handle(d.rpc, peer.MethodReport, func(_ context.Context, r peer.Report) (peer.ReportReply, error) {
 		return d.edge.Report(r), nil
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -282,13 +282,17 @@
 		return func() int { mu.Lock(); defer mu.Unlock(); return count[method] }
 	}
 	views := &view.Publisher{}
-	s := NewSlots(7, views, callerFunc(func(method string, _, _ any) error {
+	s := NewSlots(7, views, callerFunc(func(method string, _, result any) error {
 		mu.Lock()
 		defer mu.Unlock()
-		if count[method]++; method == peer.MethodCancel || count[method] > 1 {
+		if count[method]++; method == peer.MethodCancel {
 			return nil
 		}
-		return peer.ErrUnreachable
+		if count[method] == 1 {
+			return peer.ErrUnreachable
+		}
+		*result.(*bool) = count[method] > 2 // an earlier owner answers in between
+		return nil
 	}))
 	g.Expect(s.Acquire(context.Background(), ask(1)).Refusal.Reason).To(Equal(outcome.ReasonNoOwner), "no owner is known")
 	views.Publish(view.New(nil, 1, map[string]view.Pool{"tables": {Owner: host.Info{Incarnation: 8, RPCAddress: "192.0.2.9:1"}}}, nil, nil))
@@ -297,5 +301,5 @@
 	g.Expect(reply.Refusal.Reason).To(Equal(outcome.ReasonNoOwner))
 	g.Eventually(counted(peer.MethodCancel)).Should(Equal(1))
 	s.Release(peer.Release{Service: "tables", Key: key(1)})
-	g.Eventually(counted(peer.MethodRelease)).WithTimeout(5 * time.Second).Should(Equal(2))
+	g.Eventually(counted(peer.MethodRelease)).WithTimeout(5 * time.Second).Should(Equal(3))
 }
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -108,8 +108,9 @@
 	go s.release(r)
 }
 
-// release tells the present owner, and tries again while nobody answers: an
-// owner that misses a release keeps the slot taken until the deadline.
+// release tells the present owner, and tries again while nobody answers or the
+// one that was asked is not the owner any more: an owner that misses a release
+// keeps the slot taken until the deadline.
 func (s *Slots) release(r peer.Release) {
 	for range releaseAttempts {
 		if p, ok := s.Local(r.Service); ok {
@@ -121,7 +122,7 @@
 			var done bool
 			err := s.peers.Call(ctx, pool.Owner.RPCAddress, peer.MethodRelease, r, &done)
 			cancel()
-			if !errors.Is(err, peer.ErrUnreachable) {
+			if done || err != nil && !errors.Is(err, peer.ErrUnreachable) {
 				return
 			}
 		}
