daemon: test failures of entry hosts, backend servers and the store

Cause: no test covered the request path end to end while a part fails. Change: callers of all ranks use two entry hosts while one shuts down gracefully or is killed, a backend server drains, or the store is down; the checkers of internal/invariant follow callers and backend servers. A killed host that is called graceful shows that the check for cut requests trips.

--- /dev/null
+++ b/internal/daemon/failure_test.go
@@ -0,0 +1,256 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/galenabeam/galenabeam/client"
+	"github.com/galenabeam/galenabeam/config"
+	"github.com/galenabeam/galenabeam/internal/fake/backend"
+	fakestore "github.com/galenabeam/galenabeam/internal/fake/store"
+	"github.com/galenabeam/galenabeam/internal/invariant"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+// watch feeds what callers and backend servers see to the checkers.
+type watch struct {
+	start   time.Time
+	once    *invariant.AtMostOnce
+	notRun  *invariant.NotRunIsTrue
+	own     *invariant.WholeOwnAnswer
+	cut     *invariant.ShutdownCutsNothing
+	leaving *invariant.NoNewWorkToLeaving
+
+	mu     sync.Mutex
+	kinds  map[client.Kind]int
+	latest map[string]client.Kind // by caller
+	odd    []string
+}
+
+func newWatch() *watch {
+	return &watch{start: time.Now(), once: invariant.NewAtMostOnce(), notRun: invariant.NewNotRunIsTrue(), own: invariant.NewWholeOwnAnswer(),
+		cut: invariant.NewShutdownCutsNothing(), leaving: invariant.NewNoNewWorkToLeaving(),
+		kinds: map[client.Kind]int{}, latest: map[string]client.Kind{}}
+}
+
+func (w *watch) now() time.Duration { return time.Since(w.start) }
+
+// serve reports the work that a backend server starts.
+func (w *watch) serve(s *backend.Server) {
+	s.Change(func(b *backend.Behavior) {
+		b.OnStart = func(work string) {
+			w.leaving.Start(w.now(), s.Name)
+			w.notRun.Run(w.now(), work)
+			w.own.Sent(work, []byte("server="+s.Name+" work="+work+" read=4\n"))
+			if strings.HasPrefix(work, "declaration") {
+				w.once.Run(w.now(), work, s.Name)
+			}
+		}
+	})
+}
+
+// answer records what a caller got. host is the entry host under test.
+func (w *watch) answer(caller, host, work string, got *client.Result, err error) {
+	if err != nil {
+		got = &client.Result{Kind: outcome.NotRun, Reason: err.Error()}
+	}
+	at := w.now()
+	w.notRun.Answer(at, work, outcome.Outcome{Kind: got.Kind, Reason: outcome.Reason(got.Reason)})
+	switch got.Kind {
+	case client.Done:
+		w.own.Received(at, work, got.Body)
+		w.cut.Answered(host, work)
+	case client.NotRun:
+		w.cut.Answered(host, work)
+	default:
+		w.cut.Broken(at, host, work)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kinds[got.Kind]++
+	w.latest[caller] = got.Kind
+	if got.Kind != client.Done && len(w.odd) < 20 {
+		w.odd = append(w.odd, fmt.Sprintf("%s %s: %s %s", at, work, got.Kind, got.Reason))
+	}
+}
+
+func (w *watch) err() error { return invariant.FirstError(w.once, w.notRun, w.own, w.leaving) }
+
+// callers send requests of all ranks, one after the other, until stop is called.
+func (w *watch) callers(tb testing.TB, r *testRegion, host string, ms int) (stop func()) {
+	var entries []string
+	for _, d := range r.hosts {
+		entries = append(entries, d.Self().HTTPAddress)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range 3 {
+		for _, rank := range r.config.Ranks {
+			c, err := client.New(client.Config{Entries: entries, Customer: "hotels"})
+			if err != nil {
+				tb.Fatal(err)
+			}
+			caller := fmt.Sprintf("%s-%d", rank.Name, i)
+			wg.Go(func() {
+				defer c.Close()
+				for n := 0; ctx.Err() == nil; n++ {
+					work := fmt.Sprintf("%s-%d", caller, n)
+					w.cut.Accept(host, work)
+					got, err := c.Do(context.Background(), client.Request{Service: "tables", Rank: rank.Name, Method: http.MethodPost, Body: []byte("text"),
+						Path: fmt.Sprintf("/x?work=%s&ms=%d", work, ms), Timeout: 3 * time.Second, Idempotent: rank.Idempotent})
+					w.answer(caller, host, work, got, err)
+					if err != nil || got.Kind != client.Done {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	return func() { cancel(); wg.Wait() }
+}
+
+// served waits until every caller's latest answer is done.
+func (w *watch) served(g Gomega) {
+	w.mu.Lock()
+	clear(w.latest)
+	w.mu.Unlock()
+	g.Eventually(func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		n := 0
+		for _, kind := range w.latest {
+			if kind == client.Done {
+				n++
+			}
+		}
+		return n
+	}).WithTimeout(15 * time.Second).Should(Equal(6))
+}
+
+// TestFailures guards against requests that are cut, doubled, falsely not run
+// or sent to a leaving backend server when a part fails.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		desc string
+		run  func(t *testing.T, g Gomega)
+	}{
+		{"graceful shutdown of the pool's owner", func(t *testing.T, g Gomega) { shutDown(t, g, true) }},
+		{"graceful shutdown of another entry host", func(t *testing.T, g Gomega) { shutDown(t, g, false) }},
+		{"pool's owner is killed", func(t *testing.T, g Gomega) { killed(t, g, true) }},
+		{"another entry host is killed", func(t *testing.T, g Gomega) { killed(t, g, false) }},
+		{"backend server drains", drains},
+		{"store is down", storeDown},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			t.Parallel()
+			c.run(t, NewWithT(t))
+		})
+	}
+}
+
+func shutDown(t *testing.T, g Gomega, owner bool) {
+	r := newTestRegion(t, 2, backend.Behavior{Slots: 16, Shed: true})
+	leaving, other := r.owner()
+	if !owner {
+		leaving = other
+	}
+	w := newWatch()
+	w.serve(r.backend)
+	name := string(leaving.Self().ID)
+	stop := w.callers(t, r, name, 20)
+	defer stop()
+	w.served(g)
+	w.cut.Shutdown(name)
+	r.running[leaving].stop()
+	g.Eventually(r.running[leaving].ended).WithTimeout(15 * time.Second).Should(BeClosed())
+	w.served(g)
+	stop()
+	w.cut.Exited(w.now(), name)
+	g.Expect(w.err()).NotTo(HaveOccurred())
+	g.Expect(w.cut.Err()).NotTo(HaveOccurred(), strings.Join(w.odd, "\n"))
+	g.Expect(w.kinds[client.Unknown]).To(BeZero(), strings.Join(w.odd, "\n"))
+	t.Logf("outcomes %v, %d not done: %v", w.kinds, len(w.odd), w.odd)
+}
+
+// killed ends an entry host at once, without the steps of a shutdown. Calling
+// that graceful shows that the check for cut requests trips.
+func killed(t *testing.T, g Gomega, owner bool) {
+	r := newTestRegion(t, 2, backend.Behavior{Slots: 16, Shed: true})
+	lost, other := r.owner()
+	if !owner {
+		lost = other
+	}
+	w := newWatch()
+	w.serve(r.backend)
+	name := string(lost.Self().ID)
+	stop := w.callers(t, r, name, 200)
+	defer stop()
+	w.served(g)
+	w.cut.Shutdown(name)
+	r.kill(lost)
+	r.list.Remove(lost.Self().ID)
+	if owner {
+		time.Sleep(3 * time.Second) // the pool has no owner
+	} else {
+		w.served(g)
+	}
+	stop()
+	g.Expect(w.err()).NotTo(HaveOccurred())
+	if w.kinds[client.Unknown] > 0 {
+		g.Expect(w.cut.Err()).To(HaveOccurred())
+	}
+	t.Logf("outcomes %v", w.kinds)
+}
+
+func drains(t *testing.T, g Gomega) {
+	r := newTestRegion(t, 2, backend.Behavior{Slots: 16, Shed: true})
+	second, err := backend.Start("tables-2", "127.0.0.1", backend.Behavior{Slots: 16, Shed: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer second.Close()
+	r.config.BackendServers = append(r.config.BackendServers, config.BackendServer{Name: "tables-2", Service: "tables", Region: "north",
+		FailureDomain: "a", Address: second.Address(), Slots: 16, Connections: 100})
+	r.submit(2)
+	w := newWatch()
+	w.serve(r.backend)
+	w.serve(second)
+	stop := w.callers(t, r, "none", 5)
+	defer stop()
+	g.Eventually(func() int { return second.Counters().Served }).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
+	before := r.backend.Counters().Served
+	r.backend.Change(func(b *backend.Behavior) { b.Draining = true })
+	w.leaving.Leaving(w.now(), r.backend.Name)
+	signaled := time.Now()
+	for time.Since(signaled) < 4*time.Second {
+		w.served(g)
+	}
+	stop()
+	g.Expect(w.err()).NotTo(HaveOccurred())
+	g.Expect(w.kinds[client.Unknown]).To(BeZero(), strings.Join(w.odd, "\n"))
+	t.Logf("outcomes %v; the draining server got %d requests after the signal", w.kinds, r.backend.Counters().Served-before)
+}
+
+func storeDown(t *testing.T, g Gomega) {
+	r := newTestRegion(t, 2, backend.Behavior{Slots: 16, Shed: true})
+	w := newWatch()
+	w.serve(r.backend)
+	stop := w.callers(t, r, "none", 20)
+	defer stop()
+	w.served(g)
+	r.store.SetFaults(fakestore.Faults{Down: true})
+	down := time.Now()
+	for time.Since(down) < 7*time.Second { // longer than the lessor's time to live
+		w.served(g)
+	}
+	stop()
+	g.Expect(w.err()).NotTo(HaveOccurred())
+	g.Expect(w.odd).To(BeEmpty())
+	t.Logf("outcomes %v", w.kinds)
+}
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,11 +31,21 @@
 	backend *backend.Server
 	config  *config.Config
 	hosts   []*Daemon
+	running map[*Daemon]*running
+	// limit bounds the graceful shutdown of hosts that are started.
+	limit time.Duration
+}
+
+// running controls an entry host that runs.
+type running struct {
+	stop  context.CancelFunc
+	force func()
+	ended chan struct{}
 }
 
 func newTestRegion(tb testing.TB, hosts int, behavior backend.Behavior) *testRegion {
 	tb.Helper()
-	r := &testRegion{tb: tb, list: fakelist.New(time.Now), store: fakestore.New()}
+	r := &testRegion{tb: tb, list: fakelist.New(time.Now), store: fakestore.New(), running: map[*Daemon]*running{}, limit: 10 * time.Second}
 	var err error
 	if r.backend, err = backend.Start("tables-1", "127.0.0.1", behavior); err != nil {
 		tb.Fatal(err)
@@ -89,7 +100,7 @@
 	force := make(chan struct{})
 	id := host.ID(fmt.Sprintf("entry-%d", len(r.hosts)+1))
 	d, err := New(Options{ID: id, Region: "north", FailureDomain: "a", HTTPAddress: "127.0.0.1:0", RPCAddress: "127.0.0.1:0",
-		HostList: r.list, Store: r.store.Client(string(id)), ShutdownLimit: time.Second, Force: force, Log: log})
+		HostList: r.list, Store: r.store.Client(string(id)), ShutdownLimit: r.limit, Force: force, Log: log})
 	if err != nil {
 		r.tb.Fatal(err)
 	}
@@ -102,15 +113,19 @@
 		defer close(ended)
 		_ = d.Run(ctx)
 	}()
-	r.tb.Cleanup(func() {
-		stop()
-		close(force)
-		<-ended
-	})
+	r.running[d] = &running{stop: stop, force: sync.OnceFunc(func() { close(force) }), ended: ended}
+	r.tb.Cleanup(func() { r.kill(d) })
 	r.hosts = append(r.hosts, d)
 	return d
 }
 
+// kill ends an entry host without the steps of a graceful shutdown.
+func (r *testRegion) kill(d *Daemon) {
+	r.running[d].force()
+	r.running[d].stop()
+	<-r.running[d].ended
+}
+
 // waitReady waits until every entry host serves a request.
 func (r *testRegion) waitReady() {
 	r.tb.Helper()
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -39,6 +39,9 @@
 	LoseAnswers int
 	// CrossAnswers labels every n-th answer with another request's identity.
 	CrossAnswers int
+	// OnStart is called when a request starts to run, with its work as in Ran.
+	// It may be nil.
+	OnStart func(work string)
 }
 
 // Server is one backend server on a loopback address.
@@ -200,6 +203,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if b.OnStart != nil {
+		b.OnStart(work)
+	}
 	size, err := io.Copy(io.Discard, r.Body)
 	worked := err == nil && s.work(r, b)
 	// The slot is free before the answer leaves, as the sender may use it again
