edge: tell a forward to a replaced host as not run

Cause: a forward to an entry host that was replaced at its address ended as unknown (host-lost), although the fresh identity was sent to no other process and that one cannot run it. Change: such a forward is not run and may be tried again by the caller. Result: the case 'host was replaced at its address' of TestForward got unknown before and not-run after (go test -race -run Forward ./internal/edge); the other cases cover the outcomes and failures of forwards. Conclusion: a stale digest costs an attempt, not an uncertain outcome.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -202,7 +202,9 @@
 	return o, a
 }
 
-// forwarded reads the outcome and the answer of a forwarded request.
+// forwarded reads the outcome and the answer of a forwarded request. When the
+// process that got it cannot run its identity, because another one ran at its
+// address before, then nobody did: the identity was sent to no other process.
 func (e *Edge) forwarded(got backend.Answer) (outcome.Outcome, *answer) {
 	if got.Response == nil {
 		return got.Outcome, nil
@@ -213,6 +215,9 @@
 		if !ok {
 			o = outcome.Uncertain(outcome.ReasonBroken)
 		}
+		if o.Kind == outcome.Unknown && o.Reason == outcome.ReasonHostLost {
+			o = outcome.Refuse(outcome.ReasonHostLost, ownerChangeRetry)
+		}
 		return o, nil
 	}
 	a, err := readAnswer(got.Response, func(peer.ReleaseStatus) {})
