adapter/backend: test a connection that breaks while sending

Cause: no test covered a server that closes in the middle of a request body. Change: TestDoBrokenWhileSending expects unknown and a single connection. Result: go test -race -count=3 ./internal/adapter/backend passes. Conclusion: a part of a request that has left is never told as not run.

--- a/internal/adapter/backend/client_test.go
+++ b/internal/adapter/backend/client_test.go
@@ -186,6 +186,29 @@
 	g.Expect(s.runs.Load()).To(BeZero())
 }
 
+// TestDoBrokenWhileSending guards against "not run" for a request of which a
+// part has left, and against a body that is sent again from its middle.
+func TestDoBrokenWhileSending(t *testing.T) {
+	g := NewWithT(t)
+	var connections atomic.Int32
+	s := startScript(t, func(c net.Conn) bool {
+		connections.Add(1)
+		_, _ = io.CopyN(io.Discard, c, 1<<10)
+		return false
+	}, nil)
+	client := NewClient()
+	defer client.Close()
+	const size = 64 << 20
+	r := post(s.l.Addr().String())
+	r.Body, r.ContentLength = io.LimitReader(zeros{}, size), size
+	g.Expect(client.Do(context.Background(), r).Outcome).To(Equal(outcome.Uncertain(outcome.ReasonBroken)))
+	g.Expect(connections.Load()).To(Equal(int32(1)))
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
 // TestDoReusedConnection guards against net/http sending a non-idempotent
 // request again by itself when a server closes a connection that it kept. The
 // idempotent GET is the broken variant: it is sent twice, so the count trips.
