daemon: show that the check for leaving servers trips

Cause: no run showed that the check sees work for a leaving server. Change: the store test notes a signal that the server never gives and expects the violation.

--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -237,6 +237,8 @@
 	t.Logf("outcomes %v; the draining server got %d requests after the signal", w.kinds, r.backend.Counters().Served-before)
 }
 
+// storeDown also shows that the check for work of leaving servers trips: the
+// test notes a signal that the backend server never gives.
 func storeDown(t *testing.T, g Gomega) {
 	r := newTestRegion(t, 2, backend.Behavior{Slots: 16, Shed: true})
 	w := newWatch()
@@ -245,12 +247,14 @@
 	defer stop()
 	w.served(g)
 	r.store.SetFaults(fakestore.Faults{Down: true})
+	w.leaving.Leaving(w.now(), r.backend.Name)
 	down := time.Now()
 	for time.Since(down) < 7*time.Second { // longer than the lessor's time to live
 		w.served(g)
 	}
 	stop()
-	g.Expect(w.err()).NotTo(HaveOccurred())
+	g.Expect(invariant.FirstError(w.once, w.notRun, w.own)).NotTo(HaveOccurred())
+	g.Expect(w.leaving.Err()).To(HaveOccurred())
 	g.Expect(w.odd).To(BeEmpty())
 	t.Logf("outcomes %v", w.kinds)
 }
