--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -25,6 +25,7 @@
 		return true, nil
 	})
 	rpc.Handle(d.rpc, peer.MethodRelease, func(_ context.Context, r peer.Release) (bool, error) {
+		// False tells the edge that this process does not own the pool any more.
 		p, ok := d.slots.Local(r.Service)
 		if ok {
 			p.Release(r)
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -143,7 +143,7 @@
 }
 
 // release tells the present owner, and tries again while nobody answers or the
-// host that answers is not the owner any more: an owner that misses a release
+// one that was asked is not the owner any more: an owner that misses a release
 // keeps the slot taken until the deadline.
 func (s *Slots) release(r peer.Release) {
 	for range releaseAttempts {
@@ -156,7 +156,7 @@
 			var done bool
 			err := s.peers.Call(ctx, pool.Owner.RPCAddress, peer.MethodRelease, r, &done)
 			cancel()
-			if err == nil && done {
+			if done || err != nil && !errors.Is(err, peer.ErrUnreachable) {
 				return
 			}
 		}
