daemon: enforce max-body-bytes

The setting was parsed, checked and then ignored. Zero is refused as a value, because a host that takes no body at all is not useful; the settings test now expects a refusal of 0 instead of -1, which is stricter.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,9 @@
 	if o.MaxHeaderBytes == 0 {
 		o.MaxHeaderBytes = settings.DefaultMaxHeaderBytes
 	}
+	if o.MaxBodyBytes == 0 {
+		o.MaxBodyBytes = settings.DefaultMaxBodyBytes
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
@@ -107,7 +110,7 @@
 	d.admin.TLSConfig, d.admin.ErrorLog = d.opts.AdminTLS, quietLog()
 	d.rpc = rpc.NewServer(d.opts.PeerServerTLS)
 	d.handlePeers()
-	d.http = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: d.opts.HeaderTimeout, IdleTimeout: idleTimeout,
+	d.http = &http.Server{Handler: limitBodies(d.edge.Handler(), d.opts.MaxBodyBytes), ReadHeaderTimeout: d.opts.HeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.opts.MaxHeaderBytes, ErrorLog: quietLog()}
 	var base context.Context
 	base, d.endRequests = context.WithCancel(context.Background())
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -46,6 +46,8 @@
 	// HeaderTimeout and MaxHeaderBytes bound the header of a caller's request.
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
+	// MaxBodyBytes bounds the body of a caller's request.
+	MaxBodyBytes int64
 	// ShutdownLimit bounds the graceful shutdown.
 	ShutdownLimit time.Duration
 	// Force ends the graceful shutdown at once when it is closed. It may be nil.
@@ -69,7 +71,7 @@
 		ID: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
 		HTTPAddress: s.HTTP.Listen, RPCAddress: s.RPC.Listen, AdvertiseHTTP: s.HTTP.Advertise, AdvertiseRPC: s.RPC.Advertise,
 		HostList: hostlist.New(s.HostListURL, &http.Client{Timeout: platformTimeout}, registry),
-		Store:    st, Metrics: registry, HeaderTimeout: s.HeaderTimeout, MaxHeaderBytes: s.MaxHeaderBytes, ShutdownLimit: s.ShutdownLimit, Log: log,
+		Store:    st, Metrics: registry, HeaderTimeout: s.HeaderTimeout, MaxHeaderBytes: s.MaxHeaderBytes, MaxBodyBytes: s.MaxBodyBytes, ShutdownLimit: s.ShutdownLimit, Log: log,
 	}
 	o.AdminAddress = s.Admin.Listen
 	if o.Tokens, err = settings.LoadTokens(s.TokensFile); err != nil {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -36,8 +36,8 @@
 	}},
 	address("http", "listen", true, func(s *Settings) *string { return &s.HTTP.Listen }),
 	address("http", "advertise", false, func(s *Settings) *string { return &s.HTTP.Advertise }),
-	{"http", "max-body-bytes", "want a whole number from 0 to 1099511627776", false, func(s *Settings, v string) bool {
-		return setInt(&s.MaxBodyBytes, v, 0, config.MaxBytes)
+	{"http", "max-body-bytes", "want a whole number from 1 to 1099511627776", false, func(s *Settings, v string) bool {
+		return setInt(&s.MaxBodyBytes, v, 1, config.MaxBytes)
 	}},
 	address("rpc", "listen", true, func(s *Settings) *string { return &s.RPC.Listen }),
 	address("rpc", "advertise", false, func(s *Settings) *string { return &s.RPC.Advertise }),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -78,7 +78,7 @@
 		{"unspecified advertise", "listen = 127.0.0.1:8080", "listen = 0.0.0.0:8080\nadvertise = 0.0.0.0:8080", "want an address that others can connect to"},
 		{"limit out of range", "[security]", "[limits]\nshutdown-limit = 2h\n[security]", `shutdown-limit = "2h": want a duration from 1s to 1h0m0s`},
 		{"header limit out of range", "[security]", "[limits]\nmax-header-bytes = 1\n[security]", `want a whole number from 4096 to 1048576`},
-		{"body limit out of range", "[rpc]", "max-body-bytes = -1\n[rpc]", `want a whole number from 0 to 1099511627776`},
+		{"body limit out of range", "[rpc]", "max-body-bytes = 0\n[rpc]", `want a whole number from 1 to 1099511627776`},
 		{"log level", "[security]", "[log]\nlevel = loud\n[security]", `level = "loud": want panic, fatal`},
 		{"switch", "= true", "= yes", `plain-text-on-loopback = "yes": want true or false`},
 		{"no INI file", "[host]", "[host", "not an INI file"},
