control: settle shift shares early and keep a starting region local

Cause: a starting region counted as unavailable while its pools had no owner yet, so its requests went to other regions, whose new lessor granted no shares for up to the longest deadline (62 s): shift-cap refusals with an unused cap, and a ramped return. Ruled out: a false not-run, which was the quickstart naming two pieces of work alike. Change: local pools count as unavailable only after they had an owner; the lessor ends its wait once the owners of all pools have reported.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -193,6 +193,7 @@
 			c.stepReplica(now, confsync.Tick{})
 			c.sendDigests(now)
 			c.expireDigests(now)
+			c.settleGranter(now)
 			c.pollBackends(now)
 			c.Router.Tick(now)
 			c.tickPools()
--- a/internal/control/digest.go
+++ b/internal/control/digest.go
@@ -44,13 +44,14 @@
 
 type knownPool struct {
 	digest peer.PoolDigest
+	owner  host.Incarnation
 	at     time.Duration
 }
 
 // learnPools notes what a pool owner reports with its renewal.
 func (c *Control) learnPools(now time.Duration, r Renew) {
 	for _, p := range r.Pools {
-		c.digests.pools[p.Service] = knownPool{digest: p, at: now}
+		c.digests.pools[p.Service] = knownPool{digest: p, owner: r.Lease.From.Incarnation, at: now}
 	}
 }
 
@@ -58,7 +59,8 @@
 func (c *Control) poolDigests() []peer.PoolDigest {
 	var out []peer.PoolDigest
 	for service, p := range c.Slots.Pools() {
-		d := peer.PoolDigest{Service: service}
+		_, takingOver := c.takeovers[service]
+		d := peer.PoolDigest{Service: service, Settled: !takingOver}
 		for _, h := range p.Headroom() {
 			d.Ranks = append(d.Ranks, peer.RankDigest{Rank: h.Rank, WaitMillis: h.Wait.Milliseconds(), FreeSlots: h.FreeSlots})
 		}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -346,8 +346,8 @@
 		}
 		c.leases.owners, c.leases.version, c.dirty = r.Owners, r.Version, true
 	}
-	if r.Shift != nil && c.caps.gate != nil {
-		c.caps.gate.apply(now, *r.Shift)
+	if r.Shift != nil && c.caps.gate != nil && c.caps.gate.apply(now, *r.Shift) {
+		c.leases.due = now
 	}
 	for _, d := range r.Digests {
 		c.learnDigest(now, d)
--- a/internal/control/shift.go
+++ b/internal/control/shift.go
@@ -42,10 +42,13 @@
 	return g.share.Report(now)
 }
 
-func (g *shiftGate) apply(now time.Duration, grant shift.Grant) {
+// apply puts a grant in force. It returns true when a report is to follow at
+// once, because part of the share has become free for others.
+func (g *shiftGate) apply(now time.Duration, grant shift.Grant) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.share.Apply(now, grant)
+	return g.share.Confirm(now)
 }
 
 // caps is the state of shift caps in the control goroutine.
@@ -109,6 +112,24 @@
 	}
 }
 
+// settleGranter ends the wait of a new granter once the owners of all pools
+// have reported the shifted requests in flight.
+func (c *Control) settleGranter(now time.Duration) {
+	g := c.caps.granter
+	if g == nil || !g.Learning(now) {
+		return
+	}
+	holders := c.leases.lessor.State().Holders
+	for _, s := range c.config.Services {
+		holder, held := holders[poolPrefix+s.Name]
+		known := c.digests.pools[s.Name]
+		if !held || known.owner != holder.Incarnation || !known.digest.Settled || now-known.at > poolReportLimit || !g.Reported(holder.Incarnation) {
+			return
+		}
+	}
+	g.Settle()
+}
+
 // grantShares answers a holder's report. A lessor without authority grants
 // nothing.
 func (c *Control) grantShares(now time.Duration, r *shift.Report) *shift.Grant {
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -28,6 +28,8 @@
 type PoolDigest struct {
 	Service string       `json:"service"`
 	Ranks   []RankDigest `json:"ranks"`
+	// Settled tells that the owner knows all slots that earlier owners granted.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // RegionDigest is what a region tells the others about itself.
--- a/internal/quickstart/load.go
+++ b/internal/quickstart/load.go
@@ -47,6 +47,8 @@
 // load runs the callers and collects their samples.
 type load struct {
 	cluster *cluster
+	// name starts the names of this load's work, which are unique in a run.
+	name    string
 	clients [][]*client.Client // by region and workload
 	flood   atomic.Bool
 	offered atomic.Int64
@@ -61,8 +63,8 @@
 // regions' slots serve about 10 times fewer.
 const floodFactor = 40
 
-func newLoad(c *cluster) (*load, error) {
-	l := &load{cluster: c}
+func newLoad(c *cluster, name string) (*load, error) {
+	l := &load{cluster: c, name: name}
 	for region := range regionNames {
 		var row []*client.Client
 		for _, w := range workloads {
@@ -131,7 +133,7 @@
 	defer l.running.Done()
 	wl := workloads[w]
 	l.offered.Add(1)
-	work := fmt.Sprintf("%s-%s-%d", regionNames[region], rankNames[wl.rank], l.serial.Add(1))
+	work := fmt.Sprintf("%s-%s-%s-%d", l.name, regionNames[region], rankNames[wl.rank], l.serial.Add(1))
 	begun := time.Now()
 	res, err := l.clients[region][w].Do(context.Background(), client.Request{Service: service, Rank: rankNames[wl.rank],
 		Path: fmt.Sprintf("/work?work=%s&ms=%d", work, wl.serviceMS), Body: make([]byte, wl.body), Idempotent: wl.idempotent,
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -47,7 +47,7 @@
 	if err := waitReady(ctx, c); err != nil {
 		return nil, err
 	}
-	l, err := newLoad(c)
+	l, err := newLoad(c, "load")
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -66,7 +66,7 @@
 
 // waitReady waits until every region serves requests.
 func waitReady(ctx context.Context, c *cluster) error {
-	l, err := newLoad(c)
+	l, err := newLoad(c, "ready")
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,10 @@
 	mu    sync.Mutex
 	table *route.Table
 	index index
+	// seenUp tells which local pools have had an owner since Configure. Before
+	// that, their owners are still being chosen, and requests wait here instead
+	// of using links between regions.
+	seenUp map[string]bool
 	// observed holds the epoch and sequence of the digests in the table.
 	observed map[string]peer.RegionDigest
 }
@@ -77,6 +81,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table, r.index, r.observed = route.NewTable(s), x, map[string]peer.RegionDigest{}
+	r.seenUp = map[string]bool{}
 	r.state.Store(&state{plan: r.table.Tick(now), index: x})
 }
 
@@ -105,6 +110,12 @@
 	}
 	for service, i := range r.index.services {
 		p, up := pools[service]
+		if d.Region == r.local {
+			r.seenUp[service] = r.seenUp[service] || up
+			if !r.seenUp[service] {
+				continue
+			}
+		}
 		views := make([]route.View, len(r.index.ranks))
 		for _, v := range p.Ranks {
 			if rank, ok := r.index.ranks[v.Rank]; ok {
