--- /dev/null
+++ b/internal/quickstart/promises_test.go
@@ -0,0 +1,103 @@
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/galenabeam/galenabeam/client"
+	"github.com/galenabeam/galenabeam/internal/invariant"
+	"github.com/galenabeam/galenabeam/internal/outcome"
+)
+
+// TestPromisesHoldWhileHostsChange guards against false outcomes, double runs,
+// cut or foreign answers and overloads while one entry host is replaced and the
+// owner of a pool is killed under work of all ranks.
+func TestPromisesHoldWhileHostsChange(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs a deployment for several seconds")
+	}
+	c := startServing(t, 0)
+	notRun, once, whole := invariant.NewNotRunIsTrue(), invariant.NewAtMostOnce(), invariant.NewWholeOwnAnswer()
+	var own []sample
+	samples := offer(t, c, time.Second/2, 0, time.Second/2, func() {
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			own = callAll(ctx, c, whole)
+		}()
+		c.replace(t, c.running()[0])
+		c.kill(c.poolOwner(t, 1))
+		time.Sleep(3500 * time.Millisecond) // lease time, takeover
+		stop()
+		<-done
+	})
+	samples = append(samples, own...)
+	done := map[int]int{}
+	for at, s := range samples {
+		now := time.Duration(at)
+		notRun.Answer(now, s.work, outcome.Outcome{Kind: outcome.Kind(s.kind)})
+		for range c.ran(s.work) {
+			notRun.Run(now, s.work)
+			if !workloads[s.rank].idempotent {
+				once.Run(now, s.work, "")
+			}
+		}
+		if untruthful(c, s) {
+			t.Errorf("untruthful outcome: %+v, ran %d times", s, c.ran(s.work))
+		}
+		if s.kind == client.Done {
+			done[s.rank]++
+		}
+	}
+	if err := invariant.FirstError(notRun, once, whole); err != nil {
+		t.Error(err)
+	}
+	if n := c.overloads(); n > 0 {
+		t.Errorf("%d requests exceeded a backend server's slots", n)
+	}
+	for rank, name := range rankNames {
+		if done[rank] == 0 {
+			t.Errorf("no work of rank %s was done", name)
+		}
+	}
+}
+
+// callAll sends requests of all ranks from each region one after another, and
+// gives their answers to the checker.
+func callAll(ctx context.Context, c *cluster, whole *invariant.WholeOwnAnswer) []sample {
+	var out []sample
+	l, err := newLoad(c)
+	if err != nil {
+		return nil
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		region, w := n%len(regionNames), n/len(regionNames)%len(workloads)
+		wl := workloads[w]
+		s := sample{rank: wl.rank, work: fmt.Sprint("own-", n)}
+		for _, b := range c.backends {
+			whole.Sent(s.work, fmt.Appendf(nil, "server=%s work=%s read=%d\n", b.Name, s.work, wl.body))
+		}
+		res, err := l.clients[region][w].Do(context.Background(), client.Request{Service: serviceNames[0], Rank: rankNames[wl.rank],
+			Path: fmt.Sprintf("/work?work=%s&ms=5", s.work), Body: make([]byte, wl.body), Idempotent: wl.idempotent,
+			Timeout: c.config.Ranks[wl.rank].Deadline})
+		s.kind = client.NotRun
+		if err != nil {
+			s.reason = err.Error()
+		} else {
+			s.kind, s.reason = res.Kind, res.Reason
+		}
+		if s.kind == client.Done {
+			whole.Received(time.Duration(n), s.work, res.Body)
+		}
+		out = append(out, s)
+	}
+	for _, row := range l.clients {
+		for _, cl := range row {
+			cl.Close()
+		}
+	}
+	return out
+}
