--- a/internal/quickstart/replace_test.go
+++ b/internal/quickstart/replace_test.go
@@ -213,6 +213,7 @@
 	h := c.poolOwner(tb, 0)
 	c.kill(h)
 	time.Sleep(2 * time.Second)
+	logPools(tb, c, h.region)
 	if err := c.startHost(h.region); err != nil {
 		tb.Fatal(err)
 	}
@@ -221,6 +222,20 @@
 	return h.d.Self().ID
 }
 
+// logPools logs the slots of a region's pools and the takeovers in progress.
+func logPools(tb testing.TB, c *cluster, region int) {
+	for _, h := range c.running() {
+		if h.region != region {
+			continue
+		}
+		dump := h.d.Dump()
+		for service, p := range dump.Pools {
+			tb.Logf("%s owns %s: %d of %d slots free, servers %+v, waits for %v, spill %v", dump.Self.ID, service, p.Free, p.Slots, p.Servers,
+				dump.Control.Takeovers[service], dump.Spill[service][rankNames[0]])
+		}
+	}
+}
+
 // offer runs the load while cause happens, and returns the samples.
 func offer(tb testing.TB, c *cluster, lead, least, rest time.Duration, cause func(*load)) []sample {
 	tb.Helper()
