quickstart: number the work of all loads of a cluster together

The wait for readiness and the load each numbered their work from 1, so that work of both could have the same name. A request refused as not run was then counted as run when the wait for readiness had sent its namesake: one trial of BenchmarkHostReplaced/crash reported sudvestur-lookup-65 as a false not-run, refused after 0.2 ms and run once before the load began. The cluster now numbers the work of all loads.

--- a/internal/quickstart/cluster.go
+++ b/internal/quickstart/cluster.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -52,6 +53,10 @@
 	listS  *httptest.Server
 	config *config.Config
 
+	// works numbers the pieces of work of all loads, so that none is counted as
+	// another one's second run.
+	works atomic.Int64
+
 	mu       sync.Mutex
 	backends []*backend.Server
 	hosts    []*entryHost
--- a/internal/quickstart/load.go
+++ b/internal/quickstart/load.go
@@ -50,7 +50,6 @@
 	clients [][]*client.Client // by region and workload
 	flood   atomic.Bool
 	offered atomic.Int64
-	serial  atomic.Int64
 	running sync.WaitGroup
 
 	mu      sync.Mutex
@@ -131,7 +130,7 @@
 	defer l.running.Done()
 	wl := workloads[w]
 	l.offered.Add(1)
-	work := fmt.Sprintf("%s-%s-%d", regionNames[region], rankNames[wl.rank], l.serial.Add(1))
+	work := fmt.Sprintf("%s-%s-%d", regionNames[region], rankNames[wl.rank], l.cluster.works.Add(1))
 	begun := time.Now()
 	res, err := l.clients[region][w].Do(context.Background(), client.Request{Service: service, Rank: rankNames[wl.rank],
 		Path: fmt.Sprintf("/work?work=%s&ms=%d", work, wl.serviceMS), Body: make([]byte, wl.body), Idempotent: wl.idempotent,
