owner: record the ceilings of a pool at its takeover

A new owner reserves what the crashed owner may have used of its own pool, as recorded by other hosts. For about 3.5 s all urgent requests of the pool were refused as late.

An owner now has its ceilings, zero at first, recorded when its pool starts. The recorded ceilings still rise before any use. A failure to record them leaves the reservation of the whole pool in place.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -302,3 +302,23 @@
 	s.Release(peer.Release{Service: "tables", Key: key(1)})
 	g.Eventually(counted(peer.MethodRelease)).WithTimeout(5 * time.Second).Should(Equal(2))
 }
+
+// TestUnusedPoolIsRecorded guards against a takeover that reserves a whole pool
+// because the crashed owner, which never used it, had no ceilings recorded.
+func TestUnusedPoolIsRecorded(t *testing.T) {
+	g := NewWithT(t)
+	recorded := make(chan peer.Witness, 1)
+	views := &view.Publisher{}
+	views.Publish(view.New(nil, 1, nil, map[string]view.RegionView{"north": {Hosts: []host.Info{{Incarnation: 7}, {Incarnation: 8}}}}, nil))
+	s := NewSlots(7, views, callerFunc(func(method string, params, result any) error {
+		if w, ok := params.(peer.Witness); ok && method == peer.MethodWitness {
+			recorded <- w
+			*result.(*bool) = true
+		}
+		return nil
+	}))
+	s.Set("tables", newFixture(2).Pool)
+	var w peer.Witness
+	g.Eventually(recorded).Should(Receive(&w))
+	g.Expect(w).To(Equal(peer.Witness{Service: "tables", Holder: 7, Sequence: 1}))
+}
--- a/internal/owner/slots.go
+++ b/internal/owner/slots.go
@@ -42,11 +42,14 @@
 		use: newSelfUse(self, views, peers), records: &records{by: map[recordKey]record{}}}
 }
 
-// Set makes a pool of this process known under its service.
+// Set makes a pool of this process known under its service. Other hosts record
+// that this process uses none of its slots yet: without any record, the next
+// owner would keep the whole pool reserved after a crash of this one.
 func (s *Slots) Set(service string, p *Pool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.pools[service] = p
+	s.mu.Unlock()
+	go s.use.start(p.region, service)
 }
 
 // Remove forgets a pool and returns it.
--- a/internal/owner/witness.go
+++ b/internal/owner/witness.go
@@ -76,6 +76,16 @@
 	return covered || u.announce(ctx, s, region, service)
 }
 
+// start has the present ceilings of a pool recorded, which are zero for a pool
+// that this process has not used. A failure is harmless: begin records the
+// ceilings again before the first use.
+func (u *selfUse) start(region, service string) {
+	u.mu.Lock()
+	s := u.service(service)
+	u.mu.Unlock()
+	u.announce(context.Background(), s, region, service)
+}
+
 // end counts a slot that is no longer used.
 func (u *selfUse) end(service, server string) {
 	u.mu.Lock()
