edge: spill early while a pool has no owner; clean up control

Change: once a quarter of the target has passed without an owner, a request goes to another region within the caps; the first digest of a new lessor waits until owners have renewed. Connections to a backend server are divided among the region's entry hosts.

--- a/internal/control/digest.go
+++ b/internal/control/digest.go
@@ -18,6 +18,10 @@
 const (
 	// digestPeriod separates two digests that a lessor sends to a region.
 	digestPeriod = time.Second
+	// digestDelay is how long a new lessor waits before its first digest, so
+	// that the owners of pools have renewed with it. A digest without a pool
+	// means that the pool has no owner.
+	digestDelay = 2 * time.Second
 	// digestLimit is the age from which a digest is not used.
 	digestLimit = 5 * time.Second
 	// poolReportLimit is the age from which an owner's report is left out.
@@ -142,7 +146,7 @@
 // primary lessor does so. The hosts of this region get the digest with their
 // next renewal.
 func (c *Control) sendDigests(now time.Duration) {
-	if c.leases.lessor.Role() != lease.Primary || now-c.digests.sent < digestPeriod || c.config == nil {
+	if c.leases.lessor.Role() != lease.Primary || now-c.caps.since < digestDelay || now-c.digests.sent < digestPeriod || c.config == nil {
 		return
 	}
 	c.digests.sent = now
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"math/rand"
 	randv2 "math/rand/v2"
 	"strings"
 	"time"
@@ -16,7 +13,6 @@
 	"github.com/galenabeam/galenabeam/internal/host"
 	"github.com/galenabeam/galenabeam/internal/lease"
 	"github.com/galenabeam/galenabeam/internal/member"
-	"github.com/galenabeam/galenabeam/internal/owner"
 	"github.com/galenabeam/galenabeam/internal/peer"
 	"github.com/galenabeam/galenabeam/internal/shift"
 	"github.com/galenabeam/galenabeam/internal/store"
@@ -111,63 +107,6 @@
 	}
 }
 
-func (c *Control) storeCall(call uint64, timeout time.Duration, f func(context.Context) (store.Entry, error)) {
-	c.async(func() {
-		ctx, cancel := c.callContext(timeout)
-		defer cancel()
-		e, err := f(ctx)
-		r := lease.StoreResult{Call: call, Err: storeError(err), Revision: e.Revision}
-		if err == nil {
-			if err := json.Unmarshal(e.Value, &r.Record); err != nil {
-				r.Err = lease.StoreUnavailable
-				c.count("store.malformed_records")
-			}
-		}
-		c.post(func(now time.Duration) { c.stepLessor(now, r) })
-	})
-}
-
-func (c *Control) storeCAS(a lease.StoreCAS) {
-	value, err := json.Marshal(a.Record)
-	if err != nil {
-		panic(err) // the record holds only names, numbers and durations
-	}
-	c.async(func() {
-		ctx, cancel := c.callContext(storeTimeout)
-		defer cancel()
-		revision, err := c.Store.CompareAndSwap(ctx, c.leases.key, a.Expected, value, 0)
-		c.post(func(now time.Duration) {
-			c.stepLessor(now, lease.StoreResult{Call: a.Call, Err: storeError(err), Record: a.Record, Revision: revision})
-		})
-	})
-}
-
-// storeError maps an error of the store port. A write that ended in any other
-// way may have taken effect.
-func storeError(err error) lease.StoreError {
-	switch {
-	case err == nil:
-		return lease.StoreOK
-	case errors.Is(err, store.ErrNotFound):
-		return lease.StoreNotFound
-	case errors.Is(err, store.ErrConflict):
-		return lease.StoreConflict
-	case errors.Is(err, store.ErrUnavailable):
-		return lease.StoreUnavailable
-	default:
-		return lease.StoreUncertain
-	}
-}
-
-// callContext bounds a call and ends it with the control goroutine. Zero means
-// no time limit.
-func (c *Control) callContext(timeout time.Duration) (context.Context, context.CancelFunc) {
-	if timeout == 0 {
-		return context.WithCancel(c.ctx)
-	}
-	return context.WithTimeout(c.ctx, timeout)
-}
-
 // sendLease sends a message to another lessor candidate, or to this process.
 func (c *Control) sendLease(m lease.Message) {
 	to, ok := c.memberAt(m.To)
@@ -382,59 +321,3 @@
 	}
 	c.dirty = c.dirty || len(changes.Gained)+len(changes.Lost)+len(changes.Release) > 0
 }
-
-// resources tells the lessor which pools there are.
-func (c *Control) resources(now time.Duration) {
-	var ev lease.ResourcesChanged
-	for _, s := range c.config.Services {
-		ev.Resources = append(ev.Resources, lease.Resource{Name: poolPrefix + s.Name})
-	}
-	c.stepLessor(now, ev)
-}
-
-// startPools starts the pools of this process that hold a valid lease. A lease
-// may come before the configuration that says what is in the pool.
-func (c *Control) startPools(now time.Duration) {
-	if c.config == nil {
-		return
-	}
-	for _, s := range c.config.Services {
-		_, have := c.Slots.Local(s.Name)
-		_, starting := c.takeovers[s.Name]
-		if !have && !starting && c.leases.holder.Valid(now, poolPrefix+s.Name) {
-			c.gainPool(now, s.Name)
-		}
-	}
-}
-
-// losePool stops granting the slots of a pool.
-func (c *Control) losePool(service string) {
-	if c.config == nil {
-		return
-	}
-	p := c.Slots.Remove(service)
-	if t, ok := c.takeovers[service]; ok && p == nil {
-		p = t.pool
-	}
-	if p != nil {
-		p.Close()
-		c.closing = append(c.closing, p)
-		c.Log.WithField("service", service).Info("pool given up")
-	}
-	delete(c.takeovers, service)
-	for _, b := range c.config.BackendServers {
-		if b.Service == service {
-			delete(c.leaving, b.Name)
-		}
-	}
-}
-
-// gainPool starts to grant the slots of a pool.
-func (c *Control) gainPool(now time.Duration, service string) {
-	limit, _ := c.leases.holder.Limit(poolPrefix + service)
-	rng := rand.New(rand.NewSource(c.rng.Int63()))
-	p := owner.NewPool(c.config, service, c.Self.Region, c.Now, limit, rng)
-	p.SetGate(c.caps.gate)
-	c.startTakeover(now, service, p)
-	c.Log.WithField("service", service).Info("pool taken over")
-}
--- a/internal/control/shift.go
+++ b/internal/control/shift.go
@@ -57,6 +57,8 @@
 	// granter divides the caps while this process is the primary lessor.
 	granter *shift.Granter
 	epoch   uint64
+	// since is when this process became the primary lessor of the epoch.
+	since time.Duration
 }
 
 // origins returns the other regions in the order of the configuration, which is
@@ -107,7 +109,7 @@
 		return
 	}
 	if c.caps.granter == nil || c.caps.epoch != epoch {
-		c.caps.epoch = epoch
+		c.caps.epoch, c.caps.since = epoch, now
 		c.caps.granter = shift.NewGranter(now, shift.GranterConfig{Epoch: epoch, LongestDeadline: c.longestDeadline(), Caps: c.configuredCaps()})
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,8 +64,6 @@
 	IdentityWindow time.Duration
 	// LedgerCapacity bounds the identities that are remembered.
 	LedgerCapacity int
-	// MaxConnsPerServer bounds the connections of this process to one backend server.
-	MaxConnsPerServer int
 }
 
 // Default values of Config.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -50,14 +50,18 @@
 // later attempt does not undo an earlier one that may have run.
 func (e *Edge) execute(ctx context.Context, s *view.Snapshot, r *request) (outcome.Outcome, *answer) {
 	e.countRequest(r)
-	uncertain := false
+	uncertain, spilled := false, false
 	for attempt := 1; ; attempt++ {
 		question := RouteRequest{Service: r.service.Name, Rank: r.rank.Name, Origin: r.origin, Left: r.left(), Forwarded: r.forwarded}
 		region, refusal := e.router.Route(s, question)
 		if refusal != nil {
 			return sure(*refusal, uncertain), nil
 		}
+		if other, ok := e.spillRegion(s, r); ok && !spilled && region == e.cfg.Self.Region {
+			region, spilled = other, true
+		}
 		t := e.tryHedged(ctx, s, r, region, attempt)
+		r.ownerless = t.outcome.Reason == outcome.ReasonNoOwner
 		r.servedIn, r.servedBy = region, t.server
 		e.router.Result(question, region, t.outcome)
 		if t.answer != nil || !e.mayRetry(ctx, r, t.outcome, attempt) {
@@ -67,6 +71,25 @@
 	}
 }
 
+// spillRegion returns another region for a request whose pool has no owner at
+// present, once waiting longer would put its target at risk. The other region's
+// caps on shifts apply.
+func (e *Edge) spillRegion(s *view.Snapshot, r *request) (string, bool) {
+	if !r.ownerless || r.forwarded || time.Since(r.arrived) < r.rank.Target/4 {
+		return "", false
+	}
+	var regions []string
+	for name, v := range s.Regions {
+		if name != e.cfg.Self.Region && len(v.Hosts) > 0 {
+			regions = append(regions, name)
+		}
+	}
+	if len(regions) == 0 {
+		return "", false
+	}
+	return regions[rand.IntN(len(regions))], true
+}
+
 // try is the end of one attempt.
 type try struct {
 	outcome outcome.Outcome
@@ -118,7 +141,7 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
 	}
 	begun := time.Now()
-	got := e.send(ctx, r, reply.Address)
+	got := e.send(ctx, r, reply.Server, reply.Address)
 	release := func(status peer.ReleaseStatus) {
 		cancel()
 		e.drop(key)
@@ -137,7 +160,7 @@
 }
 
 // send makes one attempt at a backend server.
-func (e *Edge) send(ctx context.Context, r *request, address string) backend.Answer {
+func (e *Edge) send(ctx context.Context, r *request, server, address string) backend.Answer {
 	if r.left() <= 0 {
 		return backend.Answer{Outcome: outcome.Refuse(outcome.ReasonLate, 0)}
 	}
@@ -145,7 +168,7 @@
 		return backend.Answer{Outcome: outcome.Uncertain(outcome.ReasonRepeat)}
 	}
 	got := e.backends.Do(ctx, backend.Request{Address: address, Method: r.method, Path: r.path, Header: r.header.Clone(), Body: r.body(),
-		ContentLength: r.contentLength, RequestID: r.idText, Left: r.left(), MaxConns: e.cfg.MaxConnsPerServer, Idempotent: r.rank.Idempotent})
+		ContentLength: r.contentLength, RequestID: r.idText, Left: r.left(), MaxConns: e.views.Load().MaxConns(server), Idempotent: r.rank.Idempotent})
 	e.sent(r, got.Outcome)
 	return got
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -43,13 +43,14 @@
 
 	services map[string]*config.Service
 	ranks    map[string]*config.Rank
+	backends map[string]*config.BackendServer
 	steer    *steer.Table
 }
 
 // New returns a snapshot with its look-up indexes built. cfg may be nil.
 func New(cfg *config.Config, revision uint64, pools map[string]Pool, regions map[string]RegionView, steer *steer.Table) *Snapshot {
 	s := &Snapshot{Config: cfg, Revision: revision, Pools: pools, Regions: regions, steer: steer,
-		services: map[string]*config.Service{}, ranks: map[string]*config.Rank{}}
+		services: map[string]*config.Service{}, ranks: map[string]*config.Rank{}, backends: map[string]*config.BackendServer{}}
 	if cfg == nil {
 		return s
 	}
@@ -59,9 +60,22 @@
 	for i := range cfg.Ranks {
 		s.ranks[cfg.Ranks[i].Name] = &cfg.Ranks[i]
 	}
+	for i := range cfg.BackendServers {
+		s.backends[cfg.BackendServers[i].Name] = &cfg.BackendServers[i]
+	}
 	return s
 }
 
+// MaxConns returns this process's part of the connections that a backend server
+// takes from all entry hosts of its region.
+func (s *Snapshot) MaxConns(server string) int {
+	b, ok := s.backends[server]
+	if !ok {
+		return 0
+	}
+	return max(1, b.Connections/max(1, len(s.Regions[b.Region].Hosts)))
+}
+
 // Service returns a configured service.
 func (s *Snapshot) Service(name string) (*config.Service, bool) {
 	v, ok := s.services[name]
