--- a/internal/control/renew_bytes_test.go
+++ b/internal/control/renew_bytes_test.go
@@ -107,6 +107,13 @@
 			bare := a
 			bare.Digests = nil
 			b.ReportMetric(jsonBytes(b, bare), "answer_no_digests_bytes")
+			known := a
+			known.Digests = nil
+			for _, d := range a.Digests {
+				d.Hosts, d.HostsVersion = nil, 1<<62
+				known.Digests = append(known.Digests, d)
+			}
+			b.ReportMetric(jsonBytes(b, known), "answer_known_hosts_bytes")
 			q, a = renewal(s, true, true)
 			a.Digests = nil
 			b.ReportMetric(jsonBytes(b, q), "request_shifting_bytes")
--- /dev/null
+++ b/internal/control/takeover_test.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/galenabeam/galenabeam/internal/confsync"
+	"github.com/galenabeam/galenabeam/internal/host"
+	"github.com/galenabeam/galenabeam/internal/lease"
+	"github.com/galenabeam/galenabeam/internal/peer"
+)
+
+// TestUnreported guards against a new owner that grants slots which a silent
+// process may still use, and against one that keeps a whole pool reserved
+// although other hosts know the use.
+func TestUnreported(t *testing.T) {
+	owner, edge := lease.Ref{ID: "a", Incarnation: 1}, lease.Ref{ID: "b", Incarnation: 2}
+	recorded := map[host.Incarnation]peer.Witness{1: {Holder: 1, Ceilings: []peer.Ceiling{{Server: "s1", Slots: 2}}}}
+	granted := map[peer.GrantKey]grantedSlot{
+		{Edge: 2, Sequence: 1}: {server: "s1", until: 9 * time.Second},
+		{Edge: 2, Sequence: 2}: {server: "s1", until: time.Second},
+		{Edge: 2, Sequence: 3}: {server: "s2", until: 9 * time.Second},
+	}
+	cases := []struct {
+		desc     string
+		previous lease.Ref
+		silent   []lease.Ref
+		records  map[host.Incarnation]peer.Witness
+		want     int
+	}{
+		{"the previous owner is unknown", lease.Ref{}, []lease.Ref{edge}, recorded, math.MaxInt},
+		{"the previous owner ended, its own use was recorded", owner, []lease.Ref{owner}, recorded, 2},
+		{"the previous owner ended without a record", owner, []lease.Ref{owner}, nil, math.MaxInt},
+		{"the previous owner and an edge ended", owner, []lease.Ref{owner, edge}, recorded, math.MaxInt},
+		{"an edge ended, the previous owner reported its grants", owner, []lease.Ref{edge}, nil, 1},
+		{"everybody reported", owner, nil, recorded, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			tk := &takeover{previous: c.previous, witnessed: c.records, granted: granted, silent: map[lease.Ref]time.Duration{}}
+			for _, ref := range c.silent {
+				tk.silent[ref] = 10 * time.Second
+			}
+			NewWithT(t).Expect((&Control{}).unreported(2*time.Second, tk, "s1")).To(Equal(c.want))
+		})
+	}
+}
+
+// TestTextPieces guards against a text that is put together wrongly, and
+// against offsets of a peer that reach outside of it.
+func TestTextPieces(t *testing.T) {
+	g := NewWithT(t)
+	text := make([]byte, 2*pieceBytes+17)
+	for i := range text {
+		text[i] = byte(i % 251)
+	}
+	var kept texts
+	digest := confsync.DigestOf(text)
+	kept.keep(digest, text)
+	var got []byte
+	for len(got) < len(text) {
+		part, err := kept.piece(Piece{Digest: digest, Offset: len(got)})
+		g.Expect(err).NotTo(HaveOccurred())
+		got = append(got, part...)
+	}
+	g.Expect(confsync.DigestOf(got)).To(Equal(digest))
+	for _, offset := range []int{-1, len(text), math.MaxInt} {
+		_, err := kept.piece(Piece{Digest: digest, Offset: offset})
+		g.Expect(err).To(HaveOccurred(), "offset %d", offset)
+	}
+	for _, other := range []confsync.Digest{"1", "2"} {
+		kept.keep(other, []byte("x"))
+	}
+	_, err := kept.piece(Piece{Digest: digest})
+	g.Expect(err).To(HaveOccurred(), "only the latest texts are kept")
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -60,8 +60,8 @@
 	detail string
 	// servedIn and servedBy are the region and server of the last attempt.
 	servedIn, servedBy string
-	// ownerless tells that the last attempt found no owner of the pool.
-	ownerless bool
+	// unserved is the reason of the last attempt that was not run.
+	unserved outcome.Reason
 	// begun tells that the ledger was asked about the identity.
 	begun bool
 	// settled tells that the ledger knows the outcome.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -61,9 +61,14 @@
 			region, spilled = other, true
 		}
 		t := e.tryHedged(ctx, s, r, region, attempt)
-		r.ownerless = t.outcome.Reason == outcome.ReasonNoOwner
+		r.unserved = t.outcome.Reason
 		r.servedIn, r.servedBy = region, t.server
 		e.router.Result(question, region, t.outcome)
+		if t.answer == nil && !spilled && t.outcome.Reason == outcome.ReasonNoServer {
+			if _, ok := e.spillRegion(s, r); ok {
+				continue
+			}
+		}
 		if t.answer != nil || !e.mayRetry(ctx, r, t.outcome, attempt) {
 			return sure(t.outcome, uncertain), t.answer
 		}
@@ -71,11 +76,12 @@
 	}
 }
 
-// spillRegion returns another region for a request whose pool has no owner at
-// present, once waiting longer would put its target at risk. The other region's
-// caps on shifts apply.
+// spillRegion returns another region for a request whose local pool has no
+// usable server, or no owner for so long that waiting longer would put the
+// request's target at risk. The other region's caps on shifts apply.
 func (e *Edge) spillRegion(s *view.Snapshot, r *request) (string, bool) {
-	if !r.ownerless || r.forwarded || time.Since(r.arrived) < r.rank.Target/4 {
+	waited := r.unserved == outcome.ReasonNoOwner && time.Since(r.arrived) >= r.rank.Target/4
+	if r.forwarded || !r.replayable() || !(waited || r.unserved == outcome.ReasonNoServer) {
 		return "", false
 	}
 	var regions []string
--- a/internal/owner/pool_state.go
+++ b/internal/owner/pool_state.go
@@ -17,6 +17,17 @@
 	return p.sched.State(p.clock())
 }
 
+// Usable returns the slots of the pool's servers that are not leaving.
+func (p *Pool) Usable() int {
+	n := 0
+	for _, s := range p.State().Servers {
+		if !s.Leaving && !s.Removed {
+			n += s.Slots
+		}
+	}
+	return n
+}
+
 // Headroom returns the headroom by rank, for hints and region digests.
 func (p *Pool) Headroom() []sched.RankHeadroom {
 	p.mu.Lock()
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -28,6 +28,9 @@
 type PoolDigest struct {
 	Service string       `json:"service"`
 	Ranks   []RankDigest `json:"ranks"`
+	// Slots is the number of slots that may be granted at present. It is zero
+	// when every backend server is leaving.
+	Slots int `json:"slots"`
 	// Settled tells that the owner knows all slots that earlier owners granted.
 	Settled bool `json:"settled,omitempty"`
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,6 +110,7 @@
 	}
 	for service, i := range r.index.services {
 		p, up := pools[service]
+		up = up && p.Slots > 0
 		if d.Region == r.local {
 			r.seenUp[service] = r.seenUp[service] || up
 			if !r.seenUp[service] {
@@ -153,9 +154,9 @@
 		r.mu.Lock()
 		r.table.Refused(request)
 		r.mu.Unlock()
-		if d.Refusal.Reason == outcome.ReasonBusy {
-			// No link between regions is to be used. The owner of the local pool
-			// decides on what it knows now, which is newer than any digest.
+		if d.Refusal.Reason == outcome.ReasonBusy || d.Refusal.Reason == outcome.ReasonNoOwner {
+			// No link between regions is to be used for now. The owner of the
+			// local pool decides on what it knows, which is newer than any digest.
 			return r.local, nil
 		}
 		return "", &d.Refusal
