--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,6 +104,7 @@
 	next      uint64
 	active    int
 	leaving   bool
+	refusing  bool
 }
 
 // New returns an Edge. entropy is the source of identities that the edge mints
@@ -183,6 +184,29 @@
 	e.leaving = true
 }
 
+// Refuse makes new requests end as not run. It follows Leave once look-up
+// answers that name this host have expired.
+func (e *Edge) Refuse() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusing = true
+}
+
+// leavingRetry is when a request that a leaving host refused may be sent to
+// another host.
+const leavingRetry = 10 * time.Millisecond
+
+// checkLeaving refuses a request once the host takes no more.
+func (e *Edge) checkLeaving() *outcome.Outcome {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.refusing {
+		return nil
+	}
+	o := outcome.Refuse(outcome.ReasonLeaving, leavingRetry)
+	return &o
+}
+
 // enter counts a request in progress and tells whether the host is leaving.
 func (e *Edge) enter() (leaving bool) {
 	e.mu.Lock()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -27,6 +27,9 @@
 	defer e.exit()
 	s := e.views.Load()
 	r, refusal := e.parse(s, in)
+	if refusal == nil {
+		refusal = e.checkLeaving()
+	}
 	if refusal == nil {
 		refusal = e.readBody(w, in, r)
 	}
