control: log store outages and end a superseded process

Cause: a store outage left no line in the log and no metric; members were logged without a change of state; a process whose host ran a later one went on, although both would answer for the same host. Change: store.failures counts, the log tells when the store goes out of reach and comes back; only changes of state are logged; a superseded process ends.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -41,7 +41,10 @@
 		case confsync.StoreCall:
 			c.async(func() {
 				result := c.executeStoreCall(c.ctx, a)
-				c.post(func(now time.Duration) { c.stepReplica(now, result) })
+				c.post(func(now time.Duration) {
+					c.noteStore(result.Err)
+					c.stepReplica(now, result)
+				})
 			})
 		case confsync.SendPush:
 			c.sendPush(a)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -81,11 +82,15 @@
 	closing   []*owner.Pool
 	takeovers map[string]*takeover
 	// previous names the owner of a pool before the present one.
-	previous       map[string]lease.Ref
-	firstSeen      map[lease.Ref]time.Duration
-	departed       map[lease.Ref]time.Duration
-	expired        time.Duration
-	leaseStopped   bool
+	previous     map[string]lease.Ref
+	firstSeen    map[lease.Ref]time.Duration
+	departed     map[lease.Ref]time.Duration
+	expired      time.Duration
+	leaseStopped bool
+	// superseded tells that a later run of this host has started.
+	superseded bool
+	// storeLost tells that the last call of the store failed.
+	storeLost      bool
 	pings          map[uint64]chan member.Pong
 	pingReqs       map[uint64]chan member.PingReqAnswer
 	nextCall       uint64
@@ -168,6 +173,10 @@
 	}
 }
 
+// errSuperseded ends a process whose host runs a later one: two processes of a
+// host would answer for each other's leases.
+var errSuperseded = trace.AlreadyExists("a later run of this host has started")
+
 // Run executes the control goroutine until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
 	callCtx, stopCalls := context.WithCancel(context.Background())
@@ -201,6 +210,9 @@
 			c.checkReleased()
 			timer.Reset(c.sleep(now))
 		}
+		if c.superseded {
+			return errSuperseded
+		}
 		if c.dirty {
 			c.dirty = false
 			now := c.Now()
--- a/internal/control/lease_store.go
+++ b/internal/control/lease_store.go
@@ -23,7 +23,10 @@
 				c.count("store.malformed_records")
 			}
 		}
-		c.post(func(now time.Duration) { c.stepLessor(now, r) })
+		c.post(func(now time.Duration) {
+			c.noteStore(err)
+			c.stepLessor(now, r)
+		})
 	})
 }
 
@@ -37,6 +40,7 @@
 		defer cancel()
 		revision, err := c.Store.CompareAndSwap(ctx, c.leases.key, a.Expected, value, 0)
 		c.post(func(now time.Duration) {
+			c.noteStore(err)
 			c.stepLessor(now, lease.StoreResult{Call: a.Call, Err: storeError(err), Record: a.Record, Revision: revision})
 		})
 	})
@@ -67,3 +71,24 @@
 	}
 	return context.WithTimeout(c.ctx, timeout)
 }
+
+// noteStore counts failed calls of the store and tells when it went out of
+// reach and came back.
+func (c *Control) noteStore(err error) {
+	if errors.Is(err, context.Canceled) {
+		return // the call ended with this process or its role
+	}
+	reachable := err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict)
+	if !reachable {
+		c.count("store.failures")
+	}
+	if reachable == !c.storeLost {
+		return
+	}
+	c.storeLost = !reachable
+	if c.storeLost {
+		c.Log.WithError(err).Warn("store out of reach")
+		return
+	}
+	c.Log.Info("store in reach again")
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -35,12 +35,16 @@
 		case member.Changed:
 			c.dirty = true
 			c.noteMember(now, a.Member)
+			if a.Before == a.Member.Status {
+				continue
+			}
 			c.Log.WithFields(logrus.Fields{"host": a.Member.ID, "incarnation": a.Member.Incarnation, "before": a.Before,
 				"status": a.Member.Status}).Info("member changed")
 		case member.PeerExtra:
 			c.learnExtra(now, a)
 		case member.Superseded:
 			c.Log.WithField("incarnation", a.By).Error("a later run of this host has started")
+			c.superseded = true
 		}
 	}
 }
