owner: move a pool's timer only when it is due earlier

Cause: each request moved the timer of its pool, mostly to a later time. Change: a timer that is due earlier stays; its call has no effect.

--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -219,8 +219,9 @@
 	return w, peer.AcquireReply{}
 }
 
-// arm sets the timer to the time at which the scheduler wants to be called.
-// The caller holds p.mu.
+// arm sets the timer to the time at which the scheduler wants to be called. A
+// timer that is due earlier stays, because moving it for each request costs
+// more than a call without effect. The caller holds p.mu.
 func (p *Pool) arm() {
 	now := p.clock()
 	if p.closed && p.sched.Idle() {
@@ -233,8 +234,10 @@
 	switch {
 	case p.timer == nil:
 		p.timer = time.AfterFunc(next-now, p.Tick)
-	case next != p.wake:
+	case next < p.wake || p.wake <= now:
 		p.timer.Reset(next - now)
+	default:
+		return
 	}
 	p.wake = next
 }
