client, edge: correct three doc comments

Two named parameters or variables that no longer exist, one told another default method than the code uses. Comments only; the packages' tests pass.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -31,7 +31,7 @@
 	minRetryDelay = 10 * time.Millisecond
 )
 
-// errAnswer tells why an answer was not accepted.
+// Reasons for which an answer is not accepted.
 var (
 	errCut          = errors.New("answer cut short")
 	errWrongRequest = errors.New("answer belongs to another request")
--- a/client/client.go
+++ b/client/client.go
@@ -114,7 +114,8 @@
 type Request struct {
 	Service string
 	Rank    string
-	// Method is the HTTP method; empty means GET, or POST when there is a body.
+	// Method is the HTTP method. Empty means GET for idempotent work without a
+	// body, and POST otherwise.
 	Method string
 	// Path is the path with query on the backend server, starting with "/".
 	Path   string
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,8 +107,7 @@
 	refusing  bool
 }
 
-// New returns an Edge. entropy is the source of identities that the edge mints
-// for callers that bring none.
+// New returns an Edge that serves callers with the configuration in views.
 func New(cfg Config, views *view.Publisher, slots Slots, backends Backends, router Router, peers peer.Caller, log *logrus.Entry, reg metrics.Registry) *Edge {
 	return &Edge{
 		cfg: cfg, views: views, slots: slots, backends: backends, router: router, peers: peers,
