--- a/cmd/galenabeamd/main.go
+++ b/cmd/galenabeamd/main.go
@@ -14,7 +14,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenabeam/galenabeam/internal/daemon"
+	"github.com/galenabeam/galenabeam/internal/logsink"
 	"github.com/galenabeam/galenabeam/internal/settings"
+	"github.com/galenabeam/galenabeam/platform"
 )
 
 // Exit codes.
@@ -30,6 +32,7 @@
 	fs := flag.NewFlagSet("galenabeamd", flag.ContinueOnError)
 	fs.SetOutput(stderr)
 	path := fs.String("config", "", "settings `FILE` of this process (INI)")
+	onPlatform := fs.Bool("platform", false, "run on the platform whose settings file the environment names")
 	check := fs.Bool("check-config", false, "check the settings and exit")
 	if err := fs.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -37,8 +40,11 @@
 		}
 		return exitUsage
 	}
-	if *path == "" || fs.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: galenabeamd -config FILE [-check-config]")
+	if *onPlatform && *path == "" && fs.NArg() == 0 {
+		return runOnPlatform(*check, stdout, stderr)
+	}
+	if *path == "" || *onPlatform || fs.NArg() > 0 {
+		fmt.Fprintln(stderr, "usage: galenabeamd -config FILE [-check-config]\n       galenabeamd -platform [-check-config]")
 		return exitUsage
 	}
 	s, err := settings.Load(*path)
@@ -57,6 +63,29 @@
 	return exitOK
 }
 
+// runOnPlatform runs an entry host of the users' platform.
+func runOnPlatform(check bool, stdout, stderr io.Writer) int {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(stderr, "galenabeamd:", err)
+		return exitUsage
+	}
+	if check {
+		fmt.Fprintln(stdout, "settings: ok")
+		return exitOK
+	}
+	sink := logsink.New(stdout)
+	defer sink.Close()
+	log := logrus.New()
+	log.SetOutput(sink)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	if err := platform.Run(s, log); err != nil {
+		fmt.Fprintln(stderr, "galenabeamd:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 // serve runs the daemon until a signal. The first one starts the graceful
 // shutdown, a second one ends it at once. SIGUSR1 prints a state dump.
 func serve(s *settings.Settings) error {
--- a/internal/adapter/rpc/client.go
+++ b/internal/adapter/rpc/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,6 +34,8 @@
 	ready chan struct{} // closed when conn or err is set
 	conn  *jsonrpc2.Conn
 	err   error
+	// silent counts calls in a row without an answer.
+	silent atomic.Int32
 }
 
 var _ peer.Caller = (*Client)(nil)
@@ -54,7 +57,24 @@
 	if err != nil {
 		return err
 	}
-	return classify(conn.Call(ctx, method, params, result), address, method)
+	err = conn.conn.Call(ctx, method, params, result)
+	conn.observe(err)
+	return classify(err, address, method)
+}
+
+// maxSilentCalls is the number of calls in a row without an answer after which a
+// connection is closed: it may have gone silent without a reset.
+const maxSilentCalls = 2
+
+// observe closes a connection on which calls are no longer answered.
+func (cc *clientConn) observe(err error) {
+	if !errors.Is(err, context.DeadlineExceeded) {
+		cc.silent.Store(0)
+		return
+	}
+	if cc.silent.Add(1) >= maxSilentCalls {
+		_ = cc.conn.Close()
+	}
 }
 
 // Notify implements peer.Caller.
@@ -63,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	return classify(conn.Notify(ctx, method, params), address, method)
+	return classify(conn.conn.Notify(ctx, method, params), address, method)
 }
 
 func classify(err error, address, method string) error {
@@ -94,7 +114,7 @@
 	}
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (*clientConn, error) {
 	c.mu.Lock()
 	if c.done {
 		c.mu.Unlock()
@@ -115,7 +135,7 @@
 	if cc.err != nil {
 		return nil, fmt.Errorf("%w: connecting to %s: %v", peer.ErrUnreachable, address, cc.err)
 	}
-	return cc.conn, nil
+	return cc, nil
 }
 
 func (c *Client) connect(address string, cc *clientConn) {
--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// option is what a server would mean for a request.
+type option struct {
+	warm                  bool
+	wait, service, finish time.Duration
+	cost                  time.Duration
+	inTime                bool
+}
+
+// choose returns the best server for the request, or nil. Servers that are
+// believed to be down count only if healthy is false.
+func (p *Pool) choose(now time.Duration, r Request, c *class, healthy bool) (*server, option) {
+	var best *server
+	var choice option
+	key := ""
+	if r.Key != "" {
+		key = r.Class + "\x00" + r.Key
+	}
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		// The first pass keeps the bound on shifts between regions; the second
+		// serves a request that has no other place.
+		for _, s := range p.servers {
+			if !p.usable(now, r, s, healthy) || pass == 0 && !p.shifts.allows(now, s.region) {
+				continue
+			}
+			o := p.option(now, r, c, s, key)
+			if best == nil || o.better(choice) || o.cost == choice.cost && s.id < best.id {
+				best, choice = s, o
+			}
+		}
+	}
+	return best, choice
+}
+
+// better compares two options: an answer in time goes before a late one.
+func (o option) better(other option) bool {
+	if o.inTime != other.inTime {
+		return o.inTime
+	}
+	return o.cost < other.cost
+}
+
+func (p *Pool) usable(now time.Duration, r Request, s *server, healthy bool) bool {
+	if s.draining || s.gone || p.evac[s.domain] || slices.Contains(r.Exclude, s.id) {
+		return false
+	}
+	if len(r.Allowed) > 0 && !slices.Contains(r.Allowed, s.region) {
+		return false
+	}
+	if s.cold(now) && !p.mayWarm(now, s) {
+		return false
+	}
+	return !healthy || s.available(now)
+}
+
+// mayWarm tells whether the pool may send to a cold server. Only the pool that
+// dispatches for the server's own region does, so that the limit, which holds
+// over all hosts, has one keeper.
+func (p *Pool) mayWarm(now time.Duration, s *server) bool {
+	return p.opts.Shared && s.region == p.opts.Region && s.coldTokens(now, p.coldRate*coldShare) >= 1
+}
+
+// option estimates what the choice of a server would mean.
+func (p *Pool) option(now time.Duration, r Request, c *class, s *server, key string) option {
+	var o option
+	o.warm = key == "" || s.holds(key)
+	typical := c.warm()
+	o.service = c.cold()
+	if o.warm {
+		o.service = typical
+	}
+	o.service = time.Duration(float64(o.service) * s.slowness)
+	if s.cold(now) {
+		o.service *= 2
+	}
+	load := s.load(now)
+	if over := load + 1 - float64(s.slots); over > 0 {
+		o.wait = time.Duration(over / float64(s.slots) * float64(typical) * s.slowness)
+	}
+	o.finish = p.roundTrip(s.region) + o.wait + o.service
+	o.inTime = now+o.finish <= r.Objective
+	o.cost = o.finish + time.Duration(slotWeight*float64(o.service))
+	o.cost += time.Duration(s.utilization(now) * float64(utilizationWeight))
+	o.cost += time.Duration(s.failureRate(now) * float64(failureWeight))
+	o.cost += time.Duration(spread(key, s.id) * float64(spreadWeight))
+	if s.region != p.opts.Region {
+		o.cost += foreignWeight
+	}
+	if s.domain != r.Domain {
+		o.cost += time.Duration(r.Bytes>>10) * bodyWeight
+	}
+	return o
+}
+
+// spread returns a fixed number in [0, 1) for an object and a server.
+func spread(key, id string) float64 {
+	return float64(xxhash.Sum64String(key+"/"+id)>>11) / (1 << 53)
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,352 @@
+// Package dispatch chooses the backend server for each request of one service.
+//
+// A Pool is the pure state machine behind that choice: it takes the time, an
+// event and returns a decision. It has no locks and reads no clock; its caller
+// serializes access. The entry host that dispatches a service in a region runs
+// one Pool for all requests that enter in the region; every entry host also runs
+// one for itself, which it uses while no dispatcher answers. Dispatching is not
+// exclusive: two pools that dispatch at once cost accuracy, never a promise,
+// because each keeps its share of every limit that holds over all hosts.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/fleet"
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons of a refusal. All of them mean that the request has not run.
+const (
+	// NoServer: no backend server of the service may be used.
+	NoServer Reason = "no_server"
+	// Overload: the request would be answered too late to be worth the slot.
+	Overload Reason = "overload"
+	// Late: no backend server can answer before the deadline.
+	Late Reason = "late"
+)
+
+// Request is what the choice depends on. Times are on the pool's clock.
+type Request struct {
+	ID string
+	// Class groups requests that take similarly long, usually by route.
+	Class string
+	// Key names the object that the request is about; "" if there is none.
+	Key string
+	// Domain is the failure domain of the entry host that sends the request.
+	Domain string
+	// Priority is the rank; 0 is the most urgent.
+	Priority int
+	// Bytes is the size of the body.
+	Bytes int64
+	// Objective is when the answer loses most of its worth, Deadline when the
+	// caller gives up.
+	Objective, Deadline time.Duration
+	// Exclude lists backend servers that were tried already.
+	Exclude []string
+	// Allowed lists the regions that may serve; empty allows all.
+	Allowed []string
+}
+
+// Decision is the answer to a Request: a server, or the reason of a refusal.
+type Decision struct {
+	Grant  uint64
+	Server string
+	// Warm tells that the server is believed to hold the object of the request.
+	Warm bool
+	// Wait and Service are the expected time in the server's queue and at work.
+	Wait, Service time.Duration
+	Refused       Reason
+	// RetryAfter is when the request is likely to be accepted.
+	RetryAfter time.Duration
+}
+
+// Result tells how a granted request ended.
+type Result int
+
+// Results of a granted request.
+const (
+	// Served: the server ran the request and its answer arrived whole.
+	Served Result = iota
+	// Failed: the server answered with a failure, or its answer was unusable.
+	Failed
+	// Shed: the server refused the request before running it.
+	Shed
+	// Unreachable: no connection to the server could be made.
+	Unreachable
+	// Misdirected: another server has the address now.
+	Misdirected
+	// TimedOut: no answer came in the time that the request had.
+	TimedOut
+	// Abandoned: the caller left, or another attempt answered first.
+	Abandoned
+)
+
+// Load is what a backend server tells of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Report ends a grant.
+type Report struct {
+	Result Result
+	// Elapsed is the time from sending the request to the end of the answer.
+	Elapsed time.Duration
+	// Connect is the time that a new connection took; 0 if one was reused.
+	Connect time.Duration
+	// Load is nil if the server did not tell.
+	Load *Load
+}
+
+// Options are the limits of a pool.
+type Options struct {
+	// Region is where the requests enter.
+	Region string
+	// Shared tells that the pool sees all requests that enter in the region.
+	// A pool of a single host does not use cold servers.
+	Shared bool
+}
+
+// Limits and weights of the choice.
+const (
+	// maxOwnKeys bounds the objects that a server is believed to hold. The
+	// server forgets the least recent ones; it does not tell how many it keeps.
+	maxOwnKeys = 24
+	// defaultFar is the round trip to another region until one was measured.
+	defaultFar = 100 * time.Millisecond
+	// defaultNear is the round trip inside a region until one was measured.
+	defaultNear = 2 * time.Millisecond
+	// assumedCold and assumedWarm are the service times of a class as parts of
+	// its objective until requests of the class have ended.
+	assumedCold, assumedWarm = 1.0, 0.35
+	// slotWeight is how much a millisecond of slot time counts against a
+	// millisecond of the caller's time.
+	slotWeight = 0.5
+	// utilizationWeight is the cost of a server that was fully used lately.
+	utilizationWeight = 150 * time.Millisecond
+	// failureWeight is the cost of a server that fails every request.
+	failureWeight = 2 * time.Second
+	// spreadWeight bounds the fixed preference of an object for a server, which
+	// makes pools without common knowledge choose alike.
+	spreadWeight = 40 * time.Millisecond
+	// foreignWeight is the cost of another region beside the round trip: its
+	// links are narrow and its own callers come first.
+	foreignWeight = 60 * time.Millisecond
+	// bodyWeight is the cost of a kilobyte of body that leaves the domain.
+	bodyWeight = 600 * time.Microsecond
+	// lateLoad is the load, in requests per slot, up to which a server takes
+	// requests that miss their objective.
+	lateLoad = 1.5
+	// coldShare is the part of the cold rate that one pool uses, so that two
+	// pools that dispatch at once stay below the limit.
+	coldShare = 0.75
+	// coldBurst is the most requests that a cold server gets at one moment.
+	coldBurst = 2.0
+)
+
+// Pool chooses backend servers of one service.
+type Pool struct {
+	opts     Options
+	coldRate float64
+	coldFor  time.Duration
+	servers  map[string]*server
+	grants   map[uint64]*grant
+	next     uint64
+	classes  map[string]*class
+	far      map[string]time.Duration // measured round trips by region
+	evac     map[string]bool
+	shifts   shifts
+	warmed   []Warmth
+}
+
+type grant struct {
+	server *server
+	key    string
+	class  string
+	warm   bool
+	sent   time.Duration
+	wait   time.Duration
+	expect time.Duration
+	// deadline is when the caller gives up.
+	deadline time.Duration
+	alone    bool // no request waited or ran above the slots when it was sent
+}
+
+// Warmth tells that a server was given its first request about an object.
+type Warmth struct {
+	Server, Key string
+}
+
+// New returns an empty pool; Update fills it.
+func New(o Options) *Pool {
+	return &Pool{
+		opts: o, servers: map[string]*server{}, grants: map[uint64]*grant{},
+		classes: map[string]*class{}, far: map[string]time.Duration{},
+		shifts: shifts{home: o.Region},
+	}
+}
+
+// Update takes over the backend servers of the service from a snapshot.
+// coldRate and coldFor are the service's cold limit and cold time.
+func (p *Pool) Update(now time.Duration, list []*fleet.Backend, evacuated map[string]bool, coldRate float64, coldFor time.Duration) {
+	p.coldRate, p.coldFor, p.evac = coldRate, coldFor, evacuated
+	seen := make(map[string]bool, len(list))
+	for _, b := range list {
+		seen[b.ID] = true
+		s := p.servers[b.ID]
+		if s == nil || s.born != b.Born || s.address != b.Address {
+			s = newServer(now, b)
+			p.servers[b.ID] = s
+		}
+		s.domain, s.region, s.slots, s.draining = b.Domain, b.Region, max(b.Slots, 1), b.Draining
+		s.coldUntil = max(s.coldUntil, b.ColdUntil)
+	}
+	for id := range p.servers {
+		if !seen[id] {
+			delete(p.servers, id)
+		}
+	}
+}
+
+// Acquire decides on a request at time now.
+func (p *Pool) Acquire(now time.Duration, r Request) Decision {
+	c := p.class(r.Class, r.Objective-now)
+	best, choice := p.choose(now, r, c, true)
+	if best == nil {
+		// A server that is believed to be down is better than none.
+		best, choice = p.choose(now, r, c, false)
+	}
+	if best == nil {
+		return Decision{Refused: NoServer, RetryAfter: retryNoServer}
+	}
+	if choice.finish > r.Deadline-now-deadlineMargin {
+		return Decision{Refused: Late, RetryAfter: retryAfter(choice.wait)}
+	}
+	if choice.finish > r.Objective-now && best.load(now) > lateLoad*float64(best.slots) {
+		return Decision{Refused: Overload, RetryAfter: retryAfter(choice.wait)}
+	}
+	return p.grant(now, r, best, choice)
+}
+
+// Limits of the answer to a refused request.
+const (
+	// retryNoServer is when to come back while there is no server.
+	retryNoServer = 300 * time.Millisecond
+	// minRetry and maxRetry bound the time after which to come back.
+	minRetry, maxRetry = 100 * time.Millisecond, 2 * time.Second
+	// deadlineMargin is kept for the way back to the caller.
+	deadlineMargin = 20 * time.Millisecond
+)
+
+func retryAfter(wait time.Duration) time.Duration { return min(max(wait, minRetry), maxRetry) }
+
+func (p *Pool) grant(now time.Duration, r Request, s *server, c option) Decision {
+	p.next++
+	g := &grant{
+		server: s, key: r.Key, class: r.Class, warm: c.warm, sent: now, wait: c.wait,
+		expect: c.service, deadline: r.Deadline, alone: s.load(now) < float64(s.slots),
+	}
+	p.grants[p.next] = g
+	s.inflight++
+	s.use(now)
+	if s.cold(now) {
+		s.takeCold(now, p.coldRate*coldShare)
+	}
+	if r.Key != "" && s.touch(r.Class+"\x00"+r.Key, now) {
+		p.warmed = append(p.warmed, Warmth{Server: s.id, Key: r.Class + "\x00" + r.Key})
+	}
+	p.shifts.count(now, s.region)
+	return Decision{Grant: p.next, Server: s.id, Warm: c.warm, Wait: c.wait, Service: c.service}
+}
+
+// Release ends a grant. A grant that is not known, because another pool gave it
+// or it was released before, is ignored.
+func (p *Pool) Release(now time.Duration, id uint64, r Report) {
+	g := p.grants[id]
+	if g == nil {
+		return
+	}
+	delete(p.grants, id)
+	s := g.server
+	s.inflight--
+	s.use(now)
+	if r.Connect > 0 {
+		p.measured(s.region, r.Connect)
+	}
+	if r.Load != nil {
+		s.reported, s.reportedAt = r.Load.Running+r.Load.Waiting, now
+	}
+	p.learn(now, g, r)
+}
+
+// learn updates what the pool believes of the server and the class.
+func (p *Pool) learn(now time.Duration, g *grant, r Report) {
+	s := g.server
+	switch r.Result {
+	case Served:
+		wasDown := s.downUntil > 0
+		s.succeeded(now)
+		if wasDown && s.restarted {
+			// The server was away and may have started again: treat it as cold
+			// until its registration tells more.
+			s.restarted = false
+			s.coldUntil = max(s.coldUntil, now+p.coldFor)
+			s.forgetKeys()
+		}
+		p.class(g.class, 0).observe(g, s, r.Elapsed-p.roundTrip(s.region))
+	case Failed:
+		s.failed(now, false)
+		s.drop(g.class + "\x00" + g.key)
+	case Shed:
+		s.shed(now)
+		s.drop(g.class + "\x00" + g.key)
+	case Unreachable:
+		s.failed(now, true)
+		s.drop(g.class + "\x00" + g.key)
+	case Misdirected:
+		s.gone = true
+	case TimedOut:
+		s.overdue(now)
+	case Abandoned:
+	}
+}
+
+// measured takes the time of a new connection as the round trip to a region.
+func (p *Pool) measured(region string, connect time.Duration) {
+	old, ok := p.far[region]
+	if !ok || connect < old {
+		p.far[region] = connect
+		return
+	}
+	p.far[region] = old + (connect-old)/16
+}
+
+func (p *Pool) roundTrip(region string) time.Duration {
+	if d, ok := p.far[region]; ok {
+		return d
+	}
+	if region == p.opts.Region {
+		return defaultNear
+	}
+	return defaultFar
+}
+
+// Grants returns the number of requests in flight.
+func (p *Pool) Grants() int { return len(p.grants) }
+
+// expire drops grants whose deadline has passed: the host that held them has
+// ended without a report.
+func (p *Pool) expire(now time.Duration) {
+	for id, g := range p.grants {
+		if now > g.deadline+expireMargin {
+			delete(p.grants, id)
+			g.server.inflight--
+			g.server.use(now)
+		}
+	}
+}
+
+// expireMargin is how long after the deadline a report may still arrive.
+const expireMargin = 500 * time.Millisecond
--- /dev/null
+++ b/internal/dispatch/dump.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import "time"
+
+// ServerState is what a pool believes of a backend server, for the state dump.
+type ServerState struct {
+	Region   string  `json:"region"`
+	Slots    int     `json:"slots"`
+	InFlight int     `json:"in_flight"`
+	Load     float64 `json:"load"`
+	Cold     bool    `json:"cold"`
+	Down     bool    `json:"down"`
+	Draining bool    `json:"draining"`
+	Slowness float64 `json:"slowness"`
+	Failures float64 `json:"failure_rate"`
+	Objects  int     `json:"objects"`
+}
+
+// Dump returns what the pool believes of each backend server.
+func (p *Pool) Dump(now time.Duration) map[string]ServerState {
+	state := make(map[string]ServerState, len(p.servers))
+	for id, s := range p.servers {
+		state[id] = ServerState{
+			Region: s.region, Slots: s.slots, InFlight: s.inflight, Load: s.load(now), Cold: s.cold(now),
+			Down: !s.available(now), Draining: s.draining, Slowness: s.slowness,
+			Failures: s.failureRate(now), Objects: len(s.keys),
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/internal/dispatch/server.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/fleet"
+)
+
+// Times after which observations of a server lose their weight.
+const (
+	// reportAge is how long a reported load is used.
+	reportAge = 200 * time.Millisecond
+	// peerAge is how long another region's count of requests is used.
+	peerAge = 1500 * time.Millisecond
+	// utilizationTime is the time constant of the utilization.
+	utilizationTime = 2 * time.Second
+	// failureTime is the time constant of the failure rate.
+	failureTime = 4 * time.Second
+	// slownessTime is the time constant with which a slow server is trusted again.
+	slownessTime = 4 * time.Second
+	// firstPause and maxPause bound the time for which a server that cannot be
+	// reached is left out.
+	firstPause, maxPause = 400 * time.Millisecond, 1600 * time.Millisecond
+	// shedPause is how long a server that refused a request is left out.
+	shedPause = 60 * time.Millisecond
+	// overdueLimit is the number of requests without an answer in a row after
+	// which a server counts as down.
+	overdueLimit = 2
+)
+
+type peerCount struct {
+	inflight int
+	at       time.Duration
+}
+
+// server is what a pool believes of one incarnation of a backend server.
+type server struct {
+	id, address, domain, region string
+	born                        int64
+	slots                       int
+	draining, gone              bool
+
+	inflight   int
+	peers      map[string]peerCount // by region
+	reported   int
+	reportedAt time.Duration
+
+	coldUntil time.Duration
+	tokens    float64
+	tokensAt  time.Duration
+
+	downUntil time.Duration // 0 while the server answers
+	pause     time.Duration
+	restarted bool // a connection was refused or could not be made
+	missed    int  // requests without an answer in a row
+	shedUntil time.Duration
+
+	slowness   float64 // service time relative to the class
+	slownessAt time.Duration
+	failures   float64
+	failuresAt time.Duration
+	used       float64
+	usedAt     time.Duration
+
+	keys map[string]time.Duration // objects held, with the last use
+}
+
+func newServer(now time.Duration, b *fleet.Backend) *server {
+	return &server{
+		id: b.ID, address: b.Address, born: b.Born, peers: map[string]peerCount{},
+		slowness: 1, tokensAt: now, reportedAt: -reportAge, usedAt: now, failuresAt: now,
+		keys: map[string]time.Duration{},
+	}
+}
+
+// load estimates the requests that the server runs or queues.
+func (s *server) load(now time.Duration) float64 {
+	n := s.inflight
+	for _, c := range s.peers {
+		if now-c.at <= peerAge {
+			n += c.inflight
+		}
+	}
+	if now-s.reportedAt <= reportAge {
+		n = max(n, s.reported)
+	}
+	return float64(n)
+}
+
+func decay(age, constant time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(constant))
+}
+
+// use folds the time since the last change of inflight into the utilization.
+func (s *server) use(now time.Duration) {
+	s.used = s.utilization(now)
+	s.usedAt = now
+}
+
+func (s *server) utilization(now time.Duration) float64 {
+	busy := min(s.load(now)/float64(max(s.slots, 1)), 1)
+	return busy + (s.used-busy)*decay(now-s.usedAt, utilizationTime)
+}
+
+func (s *server) cold(now time.Duration) bool { return now < s.coldUntil }
+
+// coldTokens returns the requests that the server may get now while cold.
+func (s *server) coldTokens(now time.Duration, rate float64) float64 {
+	return min(s.tokens+rate*(now-s.tokensAt).Seconds(), coldBurst)
+}
+
+func (s *server) takeCold(now time.Duration, rate float64) {
+	s.tokens, s.tokensAt = s.coldTokens(now, rate)-1, now
+}
+
+// available tells whether the server is believed to answer. After its pause a
+// server that was down gets one request at a time until it answers.
+func (s *server) available(now time.Duration) bool {
+	if now < s.shedUntil {
+		return false
+	}
+	if s.downUntil == 0 {
+		return true
+	}
+	return now >= s.downUntil && s.inflight == 0
+}
+
+func (s *server) failureRate(now time.Duration) float64 {
+	return s.failures * decay(now-s.failuresAt, failureTime)
+}
+
+// outcome folds one success (0) or failure (1) into the failure rate.
+func (s *server) outcome(now time.Duration, failed float64) {
+	rate := s.failureRate(now)
+	s.failures, s.failuresAt = rate+(failed-rate)/6, now
+}
+
+func (s *server) succeeded(now time.Duration) {
+	s.outcome(now, 0)
+	s.downUntil, s.pause, s.missed = 0, 0, 0
+}
+
+func (s *server) failed(now time.Duration, unreachable bool) {
+	s.outcome(now, 1)
+	if !unreachable {
+		return
+	}
+	s.restarted = true
+	s.down(now)
+}
+
+func (s *server) down(now time.Duration) {
+	s.pause = min(max(2*s.pause, firstPause), maxPause)
+	s.downUntil = now + s.pause
+	s.forgetKeys()
+}
+
+func (s *server) shed(now time.Duration) {
+	s.outcome(now, 1)
+	s.shedUntil = now + shedPause
+	s.missed = 0
+}
+
+// overdue notes a request that was not answered in time.
+func (s *server) overdue(now time.Duration) {
+	s.outcome(now, 1)
+	s.missed++
+	if s.missed >= overdueLimit {
+		s.restarted = true
+		s.down(now)
+	}
+}
+
+func (s *server) holds(key string) bool { _, ok := s.keys[key]; return ok }
+
+// touch notes a request about an object. It returns true if the server is not
+// believed to hold the object yet.
+func (s *server) touch(key string, now time.Duration) bool {
+	_, held := s.keys[key]
+	s.keys[key] = now
+	if len(s.keys) > maxOwnKeys {
+		s.evict()
+	}
+	return !held
+}
+
+func (s *server) evict() {
+	oldest, at := "", time.Duration(math.MaxInt64)
+	for k, t := range s.keys {
+		if t < at || t == at && k < oldest {
+			oldest, at = k, t
+		}
+	}
+	delete(s.keys, oldest)
+}
+
+func (s *server) drop(key string) { delete(s.keys, key) }
+
+func (s *server) forgetKeys() { clear(s.keys) }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,135 @@
+// Package fleet describes what a host knows of the deployment at one moment:
+// the configuration in force, the backend servers, the entry hosts and the
+// failure domains that are evacuated. A Snapshot is immutable.
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenabeam/galenabeam/internal/routetable"
+)
+
+// Backend is one incarnation of a backend server.
+type Backend struct {
+	ID, Service, Address, Domain, Region string
+	Slots                                int
+	// Draining tells that the server announced that it is leaving.
+	Draining bool
+	// ColdUntil is the monotonic time at which the server stops being cold.
+	ColdUntil time.Duration
+	// Born is the wall clock time of the start in Unix milliseconds. It tells
+	// two incarnations under one ID apart. 0 when the server did not tell.
+	Born int64
+}
+
+// Host is one run of the daemon on an entry host.
+type Host struct {
+	Name, Domain, Region string
+	// Front is the "IP:port" for callers, Peer the one for other entry hosts.
+	Front, Peer string
+	// Incarnation grows with each start of the daemon on the host.
+	Incarnation int64
+}
+
+// Snapshot is what a host knows at one moment.
+type Snapshot struct {
+	// Revision is the revision of the store that the snapshot contains.
+	Revision  uint64
+	Table     *routetable.Table
+	Backends  map[string]*Backend
+	Services  map[string][]*Backend
+	Hosts     map[string]*Host
+	Evacuated map[string]bool
+	// Domains maps each failure domain to its region.
+	Domains map[string]string
+}
+
+// New returns an indexed snapshot.
+func New(revision uint64, table *routetable.Table, backends []*Backend, hosts []*Host, evacuated map[string]bool, domains map[string]string) *Snapshot {
+	s := &Snapshot{
+		Revision: revision, Table: table, Evacuated: evacuated, Domains: domains,
+		Backends: make(map[string]*Backend, len(backends)),
+		Services: map[string][]*Backend{}, Hosts: make(map[string]*Host, len(hosts)),
+	}
+	for _, b := range backends {
+		s.Backends[b.ID] = b
+		s.Services[b.Service] = append(s.Services[b.Service], b)
+	}
+	for _, list := range s.Services {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	for _, h := range hosts {
+		s.Hosts[h.Name] = h
+	}
+	return s
+}
+
+// Dispatchers returns the hosts of a region in the order in which they dispatch
+// a service: the first one that answers decides. All hosts compute the same
+// order from the same snapshot.
+func (s *Snapshot) Dispatchers(region, service string) []*Host {
+	return s.rank("dispatch/"+service, func(h *Host) bool { return h.Region == region })
+}
+
+// Readers returns the hosts of a region in the order in which they read the
+// store on behalf of the others.
+func (s *Snapshot) Readers(region string) []*Host {
+	return s.rank("read/", func(h *Host) bool { return h.Region == region })
+}
+
+// rank orders hosts by rendezvous hashing of the purpose and the host's name.
+func (s *Snapshot) rank(purpose string, keep func(*Host) bool) []*Host {
+	type scored struct {
+		host  *Host
+		score uint64
+	}
+	var list []scored
+	for _, h := range s.Hosts {
+		if keep(h) {
+			list = append(list, scored{h, xxhash.Sum64String(purpose + "/" + h.Name)})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
+	hosts := make([]*Host, len(list))
+	for i, e := range list {
+		hosts[i] = e.host
+	}
+	return hosts
+}
+
+// Steering limits of directory answers.
+const (
+	// maxAddresses is the most addresses that a caller takes from one answer.
+	maxAddresses = 64
+	// minDomainHosts is the number of hosts below which callers of a failure
+	// domain are also sent to the other domains of the region, so that the loss
+	// of one host leaves a choice.
+	minDomainHosts = 2
+)
+
+// Steer returns the front addresses for callers of a region and failure domain:
+// hosts of the domain, else of the region, else all hosts.
+func (s *Snapshot) Steer(region, domain string) []string {
+	var same, near, far []string
+	for _, h := range s.rank("steer/"+domain, func(h *Host) bool { return h.Front != "" }) {
+		switch {
+		case h.Domain == domain:
+			same = append(same, h.Front)
+		case h.Region == region:
+			near = append(near, h.Front)
+		default:
+			far = append(far, h.Front)
+		}
+	}
+	list := same
+	if len(list) < minDomainHosts {
+		list = append(list, near...)
+	}
+	if len(list) == 0 {
+		list = far
+	}
+	return list[:min(len(list), maxAddresses)]
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// writeAnswers writes the answers of a connection in the order of its requests.
+func (c *frontConn) writeAnswers(cancel context.CancelFunc) {
+	bw := bufio.NewWriterSize(c.nc, writeBuffer)
+	broken := false
+	for ex := range c.queue {
+		<-ex.done
+		complete := false
+		if !broken && !ex.answer.Abort {
+			complete = c.writeAnswer(bw, ex) == nil
+		}
+		ended := !complete || ex.answer.Close
+		if ex.answer.Done != nil {
+			ex.answer.Done(complete)
+		}
+		c.settle(ended)
+		close(ex.written)
+		if ended && !broken {
+			broken = true
+			cancel()
+			_ = c.nc.Close()
+		}
+	}
+}
+
+func (c *frontConn) writeAnswer(bw *bufio.Writer, ex *exchange) error {
+	a := ex.answer
+	_ = c.nc.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+	a.Close = c.closes(a)
+	head := ex.request != nil && ex.request.HTTP.Method == http.MethodHead
+	fmt.Fprintf(bw, "HTTP/1.1 %03d %s\r\n", a.Status, http.StatusText(a.Status))
+	chunked := a.Rest != nil && a.Length < 0
+	switch {
+	case chunked:
+		a.Header.Set("Transfer-Encoding", "chunked")
+	case bodyless(a.Status):
+	case a.Rest != nil:
+		a.Header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	case !head || a.Header.Get("Content-Length") == "":
+		a.Header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	if a.Close {
+		a.Header.Set("Connection", "close")
+	}
+	_ = a.Header.Write(bw)
+	_, _ = bw.WriteString("\r\n")
+	if !head && !bodyless(a.Status) {
+		if err := c.writeBody(bw, a, chunked); err != nil {
+			return err
+		}
+	}
+	return bw.Flush()
+}
+
+func bodyless(status int) bool {
+	return status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+func (c *frontConn) writeBody(bw *bufio.Writer, a *Answer, chunked bool) error {
+	if a.Rest == nil {
+		_, err := bw.Write(a.Body)
+		return err
+	}
+	body := io.MultiReader(newBytesReader(a.Body), a.Rest)
+	if !chunked {
+		n, err := io.Copy(deadlineWriter{c, bw}, body)
+		if err == nil && n != a.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			fmt.Fprintf(bw, "%x\r\n", n)
+			_, _ = bw.Write(buf[:n])
+			_, _ = bw.WriteString("\r\n")
+			_ = c.nc.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+			if ferr := bw.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if err == io.EOF {
+			_, werr := bw.WriteString("0\r\n\r\n")
+			return werr
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// deadlineWriter gives each write of a long answer its own time.
+type deadlineWriter struct {
+	c  *frontConn
+	bw *bufio.Writer
+}
+
+func (d deadlineWriter) Write(p []byte) (int, error) {
+	_ = d.c.nc.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
+	return d.bw.Write(p)
+}
--- /dev/null
+++ b/internal/gateway/desk.go
@@ -0,0 +1,398 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/dispatch"
+	"github.com/galenabeam/galenabeam/internal/fleet"
+)
+
+// Methods between entry hosts.
+const (
+	MethodAcquire = "dispatch.acquire"
+	MethodRelease = "dispatch.release"
+	MethodDigest  = "dispatch.digest"
+)
+
+// Times of the dispatch between hosts.
+const (
+	// acquireTimeout bounds the answer of a dispatcher in the same region.
+	acquireTimeout = 80 * time.Millisecond
+	// suspectTime is how long a dispatcher that did not answer is left out.
+	suspectTime = time.Second
+	// maxDispatchers is the number of dispatchers that are asked in turn.
+	maxDispatchers = 2
+	// digestPeriod is the time between two digests to other regions.
+	digestPeriod = 200 * time.Millisecond
+	// idleDigest is the time between two digests without a change.
+	idleDigest = time.Second
+	// poolIdle is how long after its last request a pool sends digests.
+	poolIdle = 2 * time.Second
+)
+
+// Caller calls other entry hosts.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+	Notify(ctx context.Context, address, method string, params any) error
+}
+
+// AcquireParams asks a dispatcher for a backend server. Times are in
+// milliseconds from now.
+type AcquireParams struct {
+	Service   string   `json:"service"`
+	ID        string   `json:"id"`
+	Class     string   `json:"class"`
+	Key       string   `json:"key,omitempty"`
+	Domain    string   `json:"domain"`
+	Priority  int      `json:"priority"`
+	Bytes     int64    `json:"bytes,omitempty"`
+	Objective float64  `json:"objective_ms"`
+	Left      float64  `json:"left_ms"`
+	Exclude   []string `json:"exclude,omitempty"`
+	Allowed   []string `json:"allowed,omitempty"`
+}
+
+// ReleaseParams ends a grant.
+type ReleaseParams struct {
+	Service string          `json:"service"`
+	Grant   uint64          `json:"grant"`
+	Process int64           `json:"process"`
+	Report  dispatch.Report `json:"report"`
+}
+
+// AcquireResult is a dispatcher's decision.
+type AcquireResult struct {
+	// Process is the incarnation that gave the grant.
+	Process  int64             `json:"process"`
+	Decision dispatch.Decision `json:"decision"`
+}
+
+// Desk decides where requests go: by the pools of this host, or by asking the
+// host that dispatches the service in the region.
+type Desk struct {
+	self    fleet.Host
+	caller  Caller
+	log     logrus.FieldLogger
+	started time.Time
+	view    atomic.Pointer[fleet.Snapshot]
+
+	mu       sync.Mutex
+	shared   map[string]*poolState
+	alone    map[string]*poolState
+	suspects map[string]time.Time
+}
+
+type poolState struct {
+	pool     *dispatch.Pool
+	revision uint64
+	used     time.Duration
+	digested time.Duration
+}
+
+// NewDesk returns the desk of a host.
+func NewDesk(self fleet.Host, caller Caller, log logrus.FieldLogger) *Desk {
+	return &Desk{
+		self: self, caller: caller, log: log, started: time.Now(),
+		shared: map[string]*poolState{}, alone: map[string]*poolState{}, suspects: map[string]time.Time{},
+	}
+}
+
+// SetView makes a snapshot the one in force.
+func (d *Desk) SetView(s *fleet.Snapshot) {
+	d.view.Store(s)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, ps := range d.shared {
+		d.refresh(name, ps, s)
+	}
+	for name, ps := range d.alone {
+		d.refresh(name, ps, s)
+	}
+}
+
+func (d *Desk) now() time.Duration { return time.Since(d.started) }
+
+// Now returns the clock of the pools, which snapshots use for cold servers.
+func (d *Desk) Now() time.Duration { return d.now() }
+
+// poolKind tells whose requests a pool decides on.
+type poolKind int
+
+const (
+	// sharedPools decide for all hosts of the region.
+	sharedPools poolKind = iota
+	// ownPools decide for this host while no dispatcher answers.
+	ownPools
+)
+
+// pool returns the state of a service's pool. The caller holds the lock.
+func (d *Desk) pool(kind poolKind, service string) *poolState {
+	pools := d.shared
+	if kind == ownPools {
+		pools = d.alone
+	}
+	ps := pools[service]
+	if ps == nil {
+		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: d.self.Region, Shared: kind == sharedPools})}
+		pools[service] = ps
+		if s := d.view.Load(); s != nil {
+			d.refresh(service, ps, s)
+		}
+	}
+	ps.used = d.now()
+	return ps
+}
+
+func (d *Desk) refresh(service string, ps *poolState, s *fleet.Snapshot) {
+	var rate float64
+	var coldFor time.Duration
+	if s.Table != nil {
+		spec := s.Table.Services[service]
+		rate, coldFor = spec.ColdRate, spec.ColdStart
+	}
+	ps.pool.Update(d.now(), s.Services[service], s.Evacuated, rate, coldFor)
+}
+
+// ticket is a decision and the pool that made it.
+type ticket struct {
+	dispatch.Decision
+	service string
+	// host made the decision; nil is this host.
+	host    *fleet.Host
+	process int64
+	local   *poolState
+	// by tells who decided, for the log.
+	by string
+}
+
+// Acquire decides on a request. It never waits for longer than the dispatchers
+// may take to answer: without one, this host decides alone.
+func (d *Desk) Acquire(ctx context.Context, p AcquireParams) ticket {
+	s := d.view.Load()
+	asked := 0
+	for _, h := range s.Dispatchers(d.self.Region, p.Service) {
+		if h.Name == d.self.Name {
+			return d.acquireHere(sharedPools, p, "self")
+		}
+		if asked >= maxDispatchers || d.suspected(h.Name) {
+			continue
+		}
+		asked++
+		t, err := d.ask(ctx, h, p)
+		if err == nil {
+			return t
+		}
+		if ctx.Err() != nil {
+			return ticket{Decision: dispatch.Decision{Refused: dispatch.Late}, by: "none"}
+		}
+		d.suspect(h.Name, err)
+	}
+	return d.acquireHere(ownPools, p, "alone")
+}
+
+func (d *Desk) ask(ctx context.Context, h *fleet.Host, p AcquireParams) (ticket, error) {
+	actx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	var r AcquireResult
+	if err := d.caller.Call(actx, h.Peer, MethodAcquire, p, &r); err != nil {
+		return ticket{}, err
+	}
+	return ticket{Decision: r.Decision, service: p.Service, host: h, process: r.Process, by: h.Name}, nil
+}
+
+func (d *Desk) suspected(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	until, ok := d.suspects[name]
+	return ok && time.Now().Before(until)
+}
+
+func (d *Desk) suspect(name string, err error) {
+	d.mu.Lock()
+	until, known := d.suspects[name]
+	fresh := !known || time.Now().After(until)
+	d.suspects[name] = time.Now().Add(suspectTime)
+	d.mu.Unlock()
+	if fresh {
+		d.log.WithError(err).WithField("host", name).Warn("dispatcher does not answer; asking the next one")
+	}
+}
+
+func (d *Desk) acquireHere(kind poolKind, p AcquireParams, by string) ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ps := d.pool(kind, p.Service)
+	return ticket{Decision: ps.pool.Acquire(d.now(), d.request(p)), service: p.Service, local: ps, by: by}
+}
+
+func (d *Desk) request(p AcquireParams) dispatch.Request {
+	now := d.now()
+	return dispatch.Request{
+		ID: p.ID, Class: p.Class, Key: p.Key, Domain: p.Domain, Priority: p.Priority, Bytes: p.Bytes,
+		Objective: now + millis(p.Objective), Deadline: now + millis(p.Left),
+		Exclude: p.Exclude, Allowed: p.Allowed,
+	}
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Release ends the grant of a ticket.
+func (d *Desk) Release(t ticket, r dispatch.Report) {
+	if t.Refused != "" {
+		return
+	}
+	if t.host == nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		t.local.pool.Release(d.now(), t.Grant, r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
+	defer cancel()
+	p := ReleaseParams{Service: t.service, Grant: t.Grant, Process: t.process, Report: r}
+	if err := d.caller.Notify(ctx, t.host.Peer, MethodRelease, p); err != nil {
+		// The dispatcher drops the grant at its deadline.
+		d.log.WithError(err).WithField("host", t.host.Name).Debug("grant not released")
+	}
+}
+
+// HandleAcquire serves MethodAcquire.
+func (d *Desk) HandleAcquire(_ context.Context, p AcquireParams) (AcquireResult, error) {
+	if d.view.Load() == nil {
+		return AcquireResult{}, errNoView
+	}
+	t := d.acquireHere(sharedPools, p, "self")
+	return AcquireResult{Process: d.self.Incarnation, Decision: t.Decision}, nil
+}
+
+// errNoView tells that a host knows no deployment yet.
+var errNoView = errors.New("no configuration is known yet")
+
+// HandleRelease serves MethodRelease.
+func (d *Desk) HandleRelease(_ context.Context, p ReleaseParams) (struct{}, error) {
+	if p.Process != d.self.Incarnation {
+		return struct{}{}, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ps := d.shared[p.Service]; ps != nil {
+		ps.pool.Release(d.now(), p.Grant, p.Report)
+	}
+	return struct{}{}, nil
+}
+
+// HandleDigest serves MethodDigest.
+func (d *Desk) HandleDigest(_ context.Context, g dispatch.Digest) (struct{}, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	used := time.Duration(0)
+	if ps := d.shared[g.Service]; ps != nil {
+		used = ps.used
+	}
+	ps := d.pool(sharedPools, g.Service)
+	ps.used = used
+	ps.pool.Merge(d.now(), g)
+	return struct{}{}, nil
+}
+
+// outgoing is a digest with its receivers.
+type outgoing struct {
+	digest dispatch.Digest
+	to     []string
+}
+
+// Run exchanges digests with other dispatchers until ctx is done.
+func (d *Desk) Run(ctx context.Context) error {
+	ticker := time.NewTicker(digestPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, o := range d.digests() {
+			for _, address := range o.to {
+				go d.send(ctx, address, o.digest)
+			}
+		}
+	}
+}
+
+func (d *Desk) send(ctx context.Context, address string, g dispatch.Digest) {
+	nctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := d.caller.Notify(nctx, address, MethodDigest, g); err != nil {
+		d.log.WithError(err).WithField("address", address).Debug("digest not sent")
+	}
+}
+
+func (d *Desk) digests() []outgoing {
+	s := d.view.Load()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	var list []outgoing
+	for _, ps := range d.alone {
+		ps.pool.Relax(now)
+	}
+	for service, ps := range d.shared {
+		ps.pool.Relax(now)
+		if s == nil || now-ps.used > poolIdle {
+			continue
+		}
+		g := ps.pool.Digest()
+		if len(g.InFlight) == 0 && len(g.Warmed) == 0 && now-ps.digested < idleDigest {
+			continue
+		}
+		ps.digested = now
+		g.Service = service
+		list = append(list, outgoing{digest: g, to: d.receivers(s, service)})
+	}
+	return list
+}
+
+// receivers are the first dispatchers of the other regions and the one that
+// follows this host in its own.
+func (d *Desk) receivers(s *fleet.Snapshot, service string) []string {
+	regions := map[string]bool{}
+	for _, h := range s.Hosts {
+		regions[h.Region] = true
+	}
+	var to []string
+	for region := range regions {
+		for _, h := range s.Dispatchers(region, service) {
+			if h.Name != d.self.Name {
+				to = append(to, h.Peer)
+				break
+			}
+		}
+	}
+	return to
+}
+
+// Dump returns the state of the pools for the state dump.
+func (d *Desk) Dump() json.RawMessage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state := map[string]map[string]any{"shared": {}, "alone": {}}
+	for service, ps := range d.shared {
+		state["shared"][service] = ps.pool.Dump(d.now())
+	}
+	for service, ps := range d.alone {
+		state["alone"][service] = ps.pool.Dump(d.now())
+	}
+	raw, err := json.Marshal(state)
+	if err != nil {
+		d.log.WithError(err).Error("state dump failed")
+		return nil
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/gateway/record.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/dispatch"
+)
+
+var resultNames = map[dispatch.Result]string{
+	dispatch.Served: "served", dispatch.Failed: "failed", dispatch.Shed: "shed",
+	dispatch.Unreachable: "unreachable", dispatch.Misdirected: "misdirected",
+	dispatch.TimedOut: "timed_out", dispatch.Abandoned: "abandoned",
+}
+
+func resultName(r reply) string {
+	name := resultNames[r.result]
+	if r.err != nil {
+		name += ": " + r.err.Error()
+	}
+	return name
+}
+
+// record writes the line of a request and counts its end.
+func (g *Gateway) record(f *flight, a *Answer, reason string) {
+	took := time.Since(f.request.Received)
+	route := ""
+	if f.route != nil {
+		route = f.route.Name
+	}
+	g.cfg.Metrics.request(route, reason, took)
+	entry := g.cfg.Log.WithFields(logrus.Fields{
+		"request": f.id, "route": route, "service": f.service, "key": f.key, "config_version": f.version,
+		"view_age_ms": time.Now().UnixMilli() - g.viewed.Load(), "status": a.Status, "outcome": reason,
+		"took_ms": ms(took), "left_ms": ms(time.Until(f.deadline)), "attempts": f.trail,
+	})
+	if reason == "served" && a.Status < 500 {
+		entry.Info("request answered")
+		return
+	}
+	entry.Warn("request not served")
+}
--- /dev/null
+++ b/internal/mirror/presence.go
@@ -0,0 +1,105 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// ErrLeaseEnded tells that a lease has ended.
+var ErrLeaseEnded = errors.New("lease has ended")
+
+// Times of a host's registration.
+const (
+	// presenceTTL is how long the registration outlives its host.
+	presenceTTL = 4 * time.Second
+	// presenceRenew is the time between two renewals.
+	presenceRenew = 1500 * time.Millisecond
+	// presenceRetry is the time before a failed registration is tried again.
+	presenceRetry = 500 * time.Millisecond
+	// presenceTimeout bounds a call.
+	presenceTimeout = time.Second
+)
+
+// Registrar writes leased items to the platform's store.
+type Registrar interface {
+	// Grant starts a lease and returns its number.
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	// Renew extends a lease. It returns ErrLeaseEnded if there is none.
+	Renew(ctx context.Context, lease int64) error
+	// End ends a lease and removes its items.
+	End(ctx context.Context, lease int64) error
+	// Put writes an item that lives as long as the lease.
+	Put(ctx context.Context, key string, value []byte, lease int64) error
+}
+
+// Presence keeps a host registered in the store.
+type Presence struct {
+	store Registrar
+	key   string
+	value []byte
+	log   logrus.FieldLogger
+	// Listed tells whether the item is present in the copy of the store.
+	Listed func() bool
+	lease  int64
+	since  time.Time
+}
+
+// NewPresence returns the registration of an item that is not written yet.
+func NewPresence(store Registrar, key string, value []byte, log logrus.FieldLogger) *Presence {
+	return &Presence{store: store, key: key, value: value, log: log}
+}
+
+// Run registers and renews until ctx is done, and then removes the item.
+func (p *Presence) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := p.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	if p.lease == 0 {
+		return nil
+	}
+	ectx, cancel := context.WithTimeout(context.Background(), presenceTimeout)
+	defer cancel()
+	if err := p.store.End(ectx, p.lease); err != nil {
+		p.log.WithError(err).Warn("registration not removed; it ends with its lease")
+	}
+	return nil
+}
+
+func (p *Presence) step(ctx context.Context) time.Duration {
+	cctx, cancel := context.WithTimeout(ctx, presenceTimeout)
+	defer cancel()
+	if p.lease != 0 {
+		err := p.store.Renew(cctx, p.lease)
+		switch {
+		case errors.Is(err, ErrLeaseEnded):
+			p.log.Warn("registration lapsed; registering again")
+			p.lease = 0
+		case err != nil:
+			p.log.WithError(err).Warn("registration not renewed")
+			return presenceRetry
+		case time.Since(p.since) > presenceTTL && !p.Listed():
+			// The store took the item away although its lease lives.
+			p.lease = 0
+		default:
+			return presenceRenew
+		}
+	}
+	lease, err := p.store.Grant(cctx, presenceTTL)
+	if err == nil {
+		err = p.store.Put(cctx, p.key, p.value, lease)
+	}
+	if err != nil {
+		p.log.WithError(err).Warn("host not registered")
+		return presenceRetry
+	}
+	p.lease, p.since = lease, time.Now()
+	p.log.WithField("lease", lease).Info("host registered")
+	return presenceRenew
+}
--- /dev/null
+++ b/internal/mirror/sync.go
@@ -0,0 +1,263 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// MethodFetch fetches changes from another entry host.
+const MethodFetch = "mirror.fetch"
+
+// Times of the synchronization.
+const (
+	// storeWait is how long a watch of the store waits for a change. It bounds
+	// the time until a silent connection is noticed.
+	storeWait = 1500 * time.Millisecond
+	// storePause is the time between two reads of the store by one host.
+	storePause = 150 * time.Millisecond
+	// storeRetry is the time before the store is asked again after a failure.
+	storeRetry = 400 * time.Millisecond
+	// peerWait is how long a fetch from another host waits for a change.
+	peerWait = 500 * time.Millisecond
+	// peerTimeout bounds a fetch from another host in the same region.
+	peerTimeout = peerWait + 250*time.Millisecond
+	// peerPause is the time between two fetches from a host.
+	peerPause = 20 * time.Millisecond
+	// peerSuspect is how long a host that did not answer is left out.
+	peerSuspect = 2 * time.Second
+	// maxAge is the age of another host's news above which the store is asked.
+	maxAge = 2200 * time.Millisecond
+	// maxPeers is the number of hosts that are asked before the store.
+	maxPeers = 2
+	// outageLength is how long the store must have failed for removals of leased
+	// items to be doubted.
+	outageLength = 500 * time.Millisecond
+	// holdTime is how long after an outage leased items may come back. Their
+	// writers renew them within two seconds of the store's return.
+	holdTime = 2200 * time.Millisecond
+	// catchUpTimeout bounds the wait of a fetch by another host.
+	catchUpTimeout = time.Second
+	// unconfirmedAge is the age told by a host that has never heard from the
+	// store.
+	unconfirmedAge = time.Hour
+)
+
+// Store reads the platform's store.
+type Store interface {
+	// Fetch returns the changes after a revision. It waits for one until wait
+	// is over, and then returns an empty batch. It returns all items if after is
+	// 0 or the store has forgotten the changes.
+	Fetch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+}
+
+// Peer calls other entry hosts.
+type Peer interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
+// Source is a host that may be asked for changes.
+type Source struct{ Name, Address string }
+
+// FetchParams asks for the changes after a revision.
+type FetchParams struct {
+	After uint64 `json:"after"`
+	// Wait is how long to wait for a change, in milliseconds.
+	Wait int64 `json:"wait_ms"`
+}
+
+// Syncer keeps a Mirror up to date.
+type Syncer struct {
+	store Store
+	peer  Peer
+	log   logrus.FieldLogger
+	// Sources returns the hosts to ask before the store, the first one first.
+	Sources func() []Source
+	// Changed is called with the mirror after a change, from one goroutine.
+	Changed func(revision uint64, items []Item)
+
+	started time.Time
+
+	mu        sync.Mutex
+	mirror    *Mirror
+	confirmed time.Time // when the store confirmed the revision
+	holdUntil time.Time
+	news      chan struct{} // closed at the next change
+
+	failing  time.Time // start of the store's present failure
+	suspects map[string]time.Time
+	from     string
+	calls    map[string]int64
+}
+
+// NewSyncer returns a syncer of an empty mirror.
+func NewSyncer(store Store, peer Peer, m *Mirror, log logrus.FieldLogger) *Syncer {
+	return &Syncer{
+		store: store, peer: peer, mirror: m, log: log, started: time.Now(),
+		news: make(chan struct{}), suspects: map[string]time.Time{},
+	}
+}
+
+// Age returns how long ago the store confirmed what the mirror contains.
+func (s *Syncer) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.confirmed.IsZero() {
+		return time.Since(s.started)
+	}
+	return time.Since(s.confirmed)
+}
+
+// Run synchronizes until ctx is done.
+func (s *Syncer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := s.step(ctx)
+		s.expire()
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return nil
+}
+
+// step asks one source and returns the time until the next step.
+func (s *Syncer) step(ctx context.Context) time.Duration {
+	asked := 0
+	for _, src := range s.Sources() {
+		if asked >= maxPeers {
+			break
+		}
+		if time.Now().Before(s.suspects[src.Name]) {
+			continue
+		}
+		asked++
+		err := s.fetchPeer(ctx, src)
+		if err == nil {
+			return peerPause
+		}
+		if ctx.Err() != nil {
+			return 0
+		}
+		s.suspects[src.Name] = time.Now().Add(peerSuspect)
+		s.log.WithError(err).WithField("host", src.Name).Warn("host has no fresh copy of the store")
+	}
+	return s.fetchStore(ctx)
+}
+
+// errStale tells that a host has not heard from the store for too long.
+var errStale = errors.New("copy is too old")
+
+func (s *Syncer) fetchPeer(ctx context.Context, src Source) error {
+	cctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var b Batch
+	p := FetchParams{After: s.revision(), Wait: peerWait.Milliseconds()}
+	if err := s.peer.Call(cctx, src.Address, MethodFetch, p, &b); err != nil {
+		return err
+	}
+	if b.Age > maxAge {
+		return errStale
+	}
+	s.take(b, time.Now().Add(-b.Age), src.Name)
+	return nil
+}
+
+func (s *Syncer) fetchStore(ctx context.Context) time.Duration {
+	b, err := s.store.Fetch(ctx, s.revision(), storeWait)
+	now := time.Now()
+	if err != nil {
+		if s.failing.IsZero() {
+			s.failing = now
+			s.log.WithError(err).Warn("store does not answer; the last known state stays in force")
+		}
+		return storeRetry
+	}
+	if !s.failing.IsZero() {
+		away := now.Sub(s.failing)
+		s.failing = time.Time{}
+		if away > outageLength {
+			s.mu.Lock()
+			s.holdUntil = now.Add(holdTime)
+			s.mu.Unlock()
+		}
+		s.log.WithField("away_ms", away.Milliseconds()).Info("store answers again")
+	}
+	s.mu.Lock()
+	b.Hold = max(s.holdUntil.Sub(now), 0)
+	s.mu.Unlock()
+	s.take(b, now, "store")
+	return storePause
+}
+
+func (s *Syncer) revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirror.Revision()
+}
+
+// take applies a batch and tells whoever waits for changes.
+func (s *Syncer) take(b Batch, confirmed time.Time, from string) {
+	s.mu.Lock()
+	if from != s.from {
+		s.log.WithFields(logrus.Fields{"from": from, "before": s.from, "revision": b.Revision}).Info("source of the store's changes")
+		s.from = from
+	}
+	if b.Revision >= s.mirror.Revision() && confirmed.After(s.confirmed) {
+		s.confirmed = confirmed
+	}
+	if b.Hold > 0 {
+		if until := time.Now().Add(b.Hold); until.After(s.holdUntil) {
+			s.holdUntil = until
+		}
+	}
+	s.finish(s.mirror.Apply(time.Since(s.started), b))
+}
+
+func (s *Syncer) expire() {
+	s.mu.Lock()
+	s.finish(s.mirror.Expire(time.Since(s.started)))
+}
+
+// finish publishes a change and unlocks.
+func (s *Syncer) finish(changed bool) {
+	if !changed {
+		s.mu.Unlock()
+		return
+	}
+	close(s.news)
+	s.news = make(chan struct{})
+	revision, items := s.mirror.Revision(), s.mirror.Items()
+	s.mu.Unlock()
+	s.Changed(revision, items)
+}
+
+// HandleFetch serves MethodFetch: it waits for a change after the revision.
+func (s *Syncer) HandleFetch(ctx context.Context, p FetchParams) (Batch, error) {
+	wait := min(time.Duration(p.Wait)*time.Millisecond, catchUpTimeout)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		b, news := s.mirror.Since(p.After), s.news
+		b.Age = unconfirmedAge
+		if !s.confirmed.IsZero() {
+			b.Age = time.Since(s.confirmed)
+		}
+		b.Hold = max(time.Until(s.holdUntil), 0)
+		s.mu.Unlock()
+		if len(b.Items) > 0 && b.Revision > p.After {
+			return b, nil
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return b, nil
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -47,6 +47,9 @@
 	return true
 }
 
+// Left tells whether Take would succeed. It counts nothing.
+func (b *Budget) Left() bool { return b.tokens >= 1 }
+
 // Stats returns the present counts.
 func (b *Budget) Stats() Stats { return b.stats }
 
