--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,6 +80,20 @@
 	return s.rank("read/", func(h *Host) bool { return h.Region == region })
 }
 
+// Regions returns the regions that have entry hosts, in order.
+func (s *Snapshot) Regions() []string {
+	seen := map[string]bool{}
+	var list []string
+	for _, h := range s.Hosts {
+		if !seen[h.Region] {
+			seen[h.Region] = true
+			list = append(list, h.Region)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
 // rank orders hosts by rendezvous hashing of the purpose and the host's name.
 func (s *Snapshot) rank(purpose string, keep func(*Host) bool) []*Host {
 	type scored struct {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -24,6 +24,9 @@
 	// Full tells that Items holds every item, so that others were removed.
 	Full  bool   `json:"full,omitempty"`
 	Items []Item `json:"items,omitempty"`
+	// Direct tells that the batch comes from a host that reads the store itself.
+	// Hosts follow only such hosts, so that none confirms its own news.
+	Direct bool `json:"direct,omitempty"`
 	// Age is how long ago the store confirmed the revision.
 	Age time.Duration `json:"age"`
 	// Hold is how long removals of leased items are still doubted because the
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -32,7 +32,7 @@
 	// maxAge is the age of another host's news above which the store is asked.
 	maxAge = 2200 * time.Millisecond
 	// maxPeers is the number of hosts that are asked before the store.
-	maxPeers = 2
+	maxPeers = 3
 	// outageLength is how long the store must have failed for removals of leased
 	// items to be doubted.
 	outageLength = 500 * time.Millisecond
@@ -60,7 +60,11 @@
 }
 
 // Source is a host that may be asked for changes.
-type Source struct{ Name, Address string }
+type Source struct {
+	Name, Address string
+	// Self tells that the source is this host, which asks the store.
+	Self bool
+}
 
 // FetchParams asks for the changes after a revision.
 type FetchParams struct {
@@ -74,7 +78,8 @@
 	store Store
 	peer  Peer
 	log   logrus.FieldLogger
-	// Sources returns the hosts to ask before the store, the first one first.
+	// Sources returns the hosts to ask, the first one first. This host is one of
+	// them and stands for the store.
 	Sources func() []Source
 	// Changed is called with the mirror after a change, from one goroutine.
 	Changed func(revision uint64, items []Item)
@@ -90,7 +95,8 @@
 	failing  time.Time // start of the store's present failure
 	suspects map[string]time.Time
 	from     string
-	calls    map[string]int64
+	// direct tells that the last news came from the store itself.
+	direct bool
 }
 
 // NewSyncer returns a syncer of an empty mirror.
@@ -124,31 +130,57 @@
 	return nil
 }
 
-// step asks one source and returns the time until the next step.
+// step asks sources until one answers and returns the time until the next step.
 func (s *Syncer) step(ctx context.Context) time.Duration {
-	asked := 0
+	asked, stored := 0, false
 	for _, src := range s.Sources() {
-		if asked >= maxPeers {
+		if ctx.Err() != nil || asked >= maxPeers {
 			break
 		}
+		if src.Self {
+			if stored = true; s.fetchStore(ctx) {
+				return storePause
+			}
+			continue
+		}
 		if time.Now().Before(s.suspects[src.Name]) {
 			continue
 		}
 		asked++
 		err := s.fetchPeer(ctx, src)
 		if err == nil {
+			s.setDirect(false)
 			return peerPause
 		}
-		if ctx.Err() != nil {
-			return 0
+		if ctx.Err() == nil {
+			s.suspects[src.Name] = time.Now().Add(peerSuspect)
+			s.log.WithError(err).WithField("host", src.Name).Warn("host has no fresh copy of the store")
 		}
-		s.suspects[src.Name] = time.Now().Add(peerSuspect)
-		s.log.WithError(err).WithField("host", src.Name).Warn("host has no fresh copy of the store")
 	}
-	return s.fetchStore(ctx)
+	if !stored && s.fetchStore(ctx) {
+		return storePause
+	}
+	s.setDirect(false)
+	return storeRetry
 }
 
-// errStale tells that a host has not heard from the store for too long.
+// setDirect notes whether this host reads the store itself. Hosts that wait for
+// its news are told at once when it does no longer.
+func (s *Syncer) setDirect(direct bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if direct == s.direct {
+		return
+	}
+	s.direct = direct
+	if !direct {
+		close(s.news)
+		s.news = make(chan struct{})
+	}
+}
+
+// errStale tells that a host cannot reach the store or has not heard from it for
+// too long.
 var errStale = errors.New("copy is too old")
 
 func (s *Syncer) fetchPeer(ctx context.Context, src Source) error {
@@ -159,14 +191,15 @@
 	if err := s.peer.Call(cctx, src.Address, MethodFetch, p, &b); err != nil {
 		return err
 	}
-	if b.Age > maxAge {
+	if !b.Direct || b.Age > maxAge {
 		return errStale
 	}
 	s.take(b, time.Now().Add(-b.Age), src.Name)
 	return nil
 }
 
-func (s *Syncer) fetchStore(ctx context.Context) time.Duration {
+// fetchStore asks the store and tells whether it answered.
+func (s *Syncer) fetchStore(ctx context.Context) bool {
 	b, err := s.store.Fetch(ctx, s.revision(), storeWait)
 	now := time.Now()
 	if err != nil {
@@ -174,7 +207,7 @@
 			s.failing = now
 			s.log.WithError(err).Warn("store does not answer; the last known state stays in force")
 		}
-		return storeRetry
+		return false
 	}
 	if !s.failing.IsZero() {
 		away := now.Sub(s.failing)
@@ -190,7 +223,8 @@
 	b.Hold = max(s.holdUntil.Sub(now), 0)
 	s.mu.Unlock()
 	s.take(b, now, "store")
-	return storePause
+	s.setDirect(true)
+	return true
 }
 
 func (s *Syncer) revision() uint64 {
@@ -240,24 +274,32 @@
 	wait := min(time.Duration(p.Wait)*time.Millisecond, catchUpTimeout)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		b, news := s.mirror.Since(p.After), s.news
-		b.Age = unconfirmedAge
-		if !s.confirmed.IsZero() {
-			b.Age = time.Since(s.confirmed)
-		}
-		b.Hold = max(time.Until(s.holdUntil), 0)
-		s.mu.Unlock()
-		if len(b.Items) > 0 && b.Revision > p.After {
+	for expired := false; ; {
+		b, news := s.newsAfter(p.After)
+		if expired || !b.Direct || len(b.Items) > 0 && b.Revision > p.After {
 			return b, nil
 		}
 		select {
 		case <-news:
 		case <-timer.C:
-			return b, nil
+			// The age must be that of the answer, not of the question.
+			expired = true
 		case <-ctx.Done():
 			return b, ctx.Err()
 		}
 	}
 }
+
+// newsAfter returns the changes after a revision and a channel that is closed at
+// the next one.
+func (s *Syncer) newsAfter(after uint64) (Batch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.mirror.Since(after)
+	b.Age = unconfirmedAge
+	if !s.confirmed.IsZero() {
+		b.Age = time.Since(s.confirmed)
+	}
+	b.Hold, b.Direct = max(time.Until(s.holdUntil), 0), s.direct
+	return b, s.news
+}
