dispatch, gateway: keep what pools have learnt in the store

Cause: after all hosts lost power, the new dispatchers did not know which server holds which object and ran most requests cold for 10 s; waits were estimated from warm service times although cold requests filled the queues; servers that joined got no request while others were warm.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -20,10 +20,7 @@
 func (p *Pool) choose(now time.Duration, r Request, c *class, healthy bool) (*server, option) {
 	var best *server
 	var choice option
-	key := ""
-	if r.Key != "" {
-		key = r.Class + "\x00" + r.Key
-	}
+	key := objectKey(r.Class, r.Key)
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		// The first pass keeps the bound on shifts between regions; the second
 		// serves a request that has no other place.
@@ -81,18 +78,19 @@
 	if s.cold(now) {
 		o.service *= 2
 	}
-	load := s.load(now)
-	if over := load + 1 - float64(s.slots); over > 0 {
-		o.wait = time.Duration(over / float64(s.slots) * float64(typical) * s.slowness)
-	}
+	o.wait = s.queueTime(now, time.Duration(float64(typical)*s.slowness))
 	o.finish = p.roundTrip(s.region) + o.wait + o.service
 	o.inTime = now+o.finish <= r.Objective
-	o.cost = o.finish + time.Duration(slotWeight*float64(o.service))
+	o.cost = o.finish + time.Duration((slotWeight+busySlotWeight*p.busy)*float64(o.service))
 	o.cost += time.Duration(s.utilization(now) * float64(utilizationWeight))
 	o.cost += time.Duration(s.failureRate(now) * float64(failureWeight))
 	o.cost += time.Duration(spread(key, s.id) * float64(spreadWeight))
 	if s.region != p.opts.Region {
 		o.cost += foreignWeight
+	} else if p.opts.Shared && !s.tried && !s.cold(now) && now-s.known > trialDelay && s.inflight == 0 {
+		// A server that has joined is tried with one request, however warm the
+		// others are: the next ones then find it warm.
+		o.cost, o.inTime = 0, true
 	}
 	if s.domain != r.Domain {
 		o.cost += time.Duration(r.Bytes>>10) * bodyWeight
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"github.com/galenabeam/galenabeam/internal/fleet"
@@ -122,15 +123,17 @@
 	// its objective until requests of the class have ended.
 	assumedCold, assumedWarm = 1.0, 0.35
 	// slotWeight is how much a millisecond of slot time counts against a
-	// millisecond of the caller's time.
-	slotWeight = 0.5
+	// millisecond of the caller's time while slots are free, and busySlotWeight
+	// what is added when all slots of the service are taken: other requests wait
+	// for the slot then.
+	slotWeight, busySlotWeight = 0.5, 1.5
 	// utilizationWeight is the cost of a server that was fully used lately.
 	utilizationWeight = 150 * time.Millisecond
 	// failureWeight is the cost of a server that fails every request.
 	failureWeight = 2 * time.Second
 	// spreadWeight bounds the fixed preference of an object for a server, which
 	// makes pools without common knowledge choose alike.
-	spreadWeight = 40 * time.Millisecond
+	spreadWeight = 250 * time.Millisecond
 	// foreignWeight is the cost of another region beside the round trip: its
 	// links are narrow and its own callers come first.
 	foreignWeight = 60 * time.Millisecond
@@ -154,11 +157,15 @@
 	servers  map[string]*server
 	grants   map[uint64]*grant
 	next     uint64
-	classes  map[string]*class
-	far      map[string]time.Duration // measured round trips by region
-	evac     map[string]bool
-	shifts   shifts
-	warmed   []Warmth
+	// busy is the part of the service's slots that is taken, from 0 to 1.
+	busy    float64
+	classes map[string]*class
+	far     map[string]time.Duration // measured round trips by region
+	evac    map[string]bool
+	shifts  shifts
+	warmed  []Warmth
+	// learnt tells that the knowledge changed since the last export.
+	learnt bool
 }
 
 type grant struct {
@@ -213,6 +220,7 @@
 // Acquire decides on a request at time now.
 func (p *Pool) Acquire(now time.Duration, r Request) Decision {
 	c := p.class(r.Class, r.Objective-now)
+	p.busy = p.occupancy(now)
 	best, choice := p.choose(now, r, c, true)
 	if best == nil {
 		// A server that is believed to be down is better than none.
@@ -222,10 +230,10 @@
 		return Decision{Refused: NoServer, RetryAfter: retryNoServer}
 	}
 	if choice.finish > r.Deadline-now-deadlineMargin {
-		return Decision{Refused: Late, RetryAfter: retryAfter(choice.wait)}
+		return Decision{Refused: Late, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
 	}
 	if choice.finish > r.Objective-now && best.load(now) > lateLoad*float64(best.slots) {
-		return Decision{Refused: Overload, RetryAfter: retryAfter(choice.wait)}
+		return Decision{Refused: Overload, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
 	}
 	return p.grant(now, r, best, choice)
 }
@@ -234,6 +242,9 @@
 const (
 	// retryNoServer is when to come back while there is no server.
 	retryNoServer = 300 * time.Millisecond
+	// retryOverload is when to come back after a refusal for lack of slots. The
+	// answer will be late in any case; it is likelier once a burst has passed.
+	retryOverload = 700 * time.Millisecond
 	// minRetry and maxRetry bound the time after which to come back.
 	minRetry, maxRetry = 100 * time.Millisecond, 2 * time.Second
 	// deadlineMargin is kept for the way back to the caller.
@@ -250,17 +261,48 @@
 	}
 	p.grants[p.next] = g
 	s.inflight++
+	s.tried = true
+	s.expected += c.service
 	s.use(now)
 	if s.cold(now) {
 		s.takeCold(now, p.coldRate*coldShare)
 	}
-	if r.Key != "" && s.touch(r.Class+"\x00"+r.Key, now) {
-		p.warmed = append(p.warmed, Warmth{Server: s.id, Key: r.Class + "\x00" + r.Key})
+	if key := objectKey(r.Class, r.Key); key != "" && s.touch(key, now) {
+		p.learnt = true
+		p.warmed = append(p.warmed, Warmth{Server: s.id, Key: key})
 	}
 	p.shifts.count(now, s.region)
 	return Decision{Grant: p.next, Server: s.id, Warm: c.warm, Wait: c.wait, Service: c.service}
 }
 
+// objectKey names an object among all classes; "" if there is none.
+func objectKey(class, key string) string {
+	if key == "" {
+		return ""
+	}
+	return class + "\x00" + key
+}
+
+func splitObjectKey(k string) (class, key string) {
+	class, key, _ = strings.Cut(k, "\x00")
+	return class, key
+}
+
+// occupancy returns the part of the usable servers' slots that is taken.
+func (p *Pool) occupancy(now time.Duration) float64 {
+	load, slots := 0.0, 0.0
+	for _, s := range p.servers {
+		if !s.draining && !s.gone && !p.evac[s.domain] && s.available(now) {
+			load += min(s.load(now), float64(s.slots))
+			slots += float64(s.slots)
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return load / slots
+}
+
 // Release ends a grant. A grant that is not known, because another pool gave it
 // or it was released before, is ignored.
 func (p *Pool) Release(now time.Duration, id uint64, r Report) {
@@ -270,8 +312,7 @@
 	}
 	delete(p.grants, id)
 	s := g.server
-	s.inflight--
-	s.use(now)
+	s.end(now, g)
 	if r.Connect > 0 {
 		p.measured(s.region, r.Connect)
 	}
@@ -284,6 +325,7 @@
 // learn updates what the pool believes of the server and the class.
 func (p *Pool) learn(now time.Duration, g *grant, r Report) {
 	s := g.server
+	key := objectKey(g.class, g.key)
 	switch r.Result {
 	case Served:
 		wasDown := s.downUntil > 0
@@ -298,18 +340,21 @@
 		p.class(g.class, 0).observe(g, s, r.Elapsed-p.roundTrip(s.region))
 	case Failed:
 		s.failed(now, false)
-		s.drop(g.class + "\x00" + g.key)
+		s.drop(key)
 	case Shed:
 		s.shed(now)
-		s.drop(g.class + "\x00" + g.key)
+		s.drop(key)
 	case Unreachable:
 		s.failed(now, true)
-		s.drop(g.class + "\x00" + g.key)
+		s.drop(key)
 	case Misdirected:
 		s.gone = true
 	case TimedOut:
 		s.overdue(now)
 	case Abandoned:
+		if !g.warm {
+			s.drop(key)
+		}
 	}
 }
 
@@ -342,8 +387,7 @@
 	for id, g := range p.grants {
 		if now > g.deadline+expireMargin {
 			delete(p.grants, id)
-			g.server.inflight--
-			g.server.use(now)
+			g.server.end(now, g)
 		}
 	}
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -22,6 +22,9 @@
 	// firstPause and maxPause bound the time for which a server that cannot be
 	// reached is left out.
 	firstPause, maxPause = 400 * time.Millisecond, 1600 * time.Millisecond
+	// trialDelay is how long a server is known before it gets a request for its
+	// own sake: most get one earlier.
+	trialDelay = 800 * time.Millisecond
 	// shedPause is how long a server that refused a request is left out.
 	shedPause = 60 * time.Millisecond
 	// overdueLimit is the number of requests without an answer in a row after
@@ -41,7 +44,10 @@
 	slots                       int
 	draining, gone              bool
 
+	tried      bool          // a request was given to the server
+	known      time.Duration // when the pool learnt of the server
 	inflight   int
+	expected   time.Duration        // sum of the expected service times in flight
 	peers      map[string]peerCount // by region
 	reported   int
 	reportedAt time.Duration
@@ -69,7 +75,7 @@
 func newServer(now time.Duration, b *fleet.Backend) *server {
 	return &server{
 		id: b.ID, address: b.Address, born: b.Born, peers: map[string]peerCount{},
-		slowness: 1, tokensAt: now, reportedAt: -reportAge, usedAt: now, failuresAt: now,
+		slowness: 1, known: now, tokensAt: now, reportedAt: -reportAge, usedAt: now, failuresAt: now,
 		keys: map[string]time.Duration{},
 	}
 }
@@ -88,6 +94,26 @@
 	return float64(n)
 }
 
+// end takes a grant out of the load.
+func (s *server) end(now time.Duration, g *grant) {
+	s.inflight--
+	s.expected -= g.expect
+	s.use(now)
+}
+
+// queueTime estimates how long a further request waits for a slot. typical is
+// the service time of requests that other pools sent.
+func (s *server) queueTime(now, typical time.Duration) time.Duration {
+	over := s.load(now) + 1 - float64(s.slots)
+	if over <= 0 {
+		return 0
+	}
+	if s.inflight > 0 {
+		typical = max(typical, s.expected/time.Duration(s.inflight))
+	}
+	return time.Duration(over / float64(s.slots) * float64(typical))
+}
+
 func decay(age, constant time.Duration) float64 {
 	return math.Exp(-float64(age) / float64(constant))
 }
@@ -192,7 +218,7 @@
 			oldest, at = k, t
 		}
 	}
-	delete(s.keys, oldest)
+	s.drop(oldest)
 }
 
 func (s *server) drop(key string) { delete(s.keys, key) }
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -35,6 +35,14 @@
 	idleDigest = time.Second
 	// poolIdle is how long after its last request a pool sends digests.
 	poolIdle = 2 * time.Second
+	// savePeriod is the time between two saves of a pool's knowledge, and
+	// saveRate the bytes a second above which the time grows.
+	savePeriod = 4 * time.Second
+	saveRate   = 1 << 10
+	// saveTimeout bounds a save or load.
+	saveTimeout = time.Second
+	// loadTries is how often a load is tried while the store does not answer.
+	loadTries = 5
 )
 
 // Caller calls other entry hosts.
@@ -43,6 +51,14 @@
 	Notify(ctx context.Context, address, method string, params any) error
 }
 
+// Keeper keeps values beyond the life of all entry hosts.
+type Keeper interface {
+	// Save keeps a value under a name.
+	Save(ctx context.Context, name string, value []byte) error
+	// Load returns the value of a name, nil if there is none.
+	Load(ctx context.Context, name string) ([]byte, error)
+}
+
 // AcquireParams asks a dispatcher for a backend server. Times are in
 // milliseconds from now.
 type AcquireParams struct {
@@ -79,6 +95,7 @@
 type Desk struct {
 	self    fleet.Host
 	caller  Caller
+	keeper  Keeper
 	log     logrus.FieldLogger
 	started time.Time
 	view    atomic.Pointer[fleet.Snapshot]
@@ -94,12 +111,14 @@
 	revision uint64
 	used     time.Duration
 	digested time.Duration
+	// next is when the knowledge may be saved again.
+	next time.Duration
 }
 
 // NewDesk returns the desk of a host.
-func NewDesk(self fleet.Host, caller Caller, log logrus.FieldLogger) *Desk {
+func NewDesk(self fleet.Host, caller Caller, keeper Keeper, log logrus.FieldLogger) *Desk {
 	return &Desk{
-		self: self, caller: caller, log: log, started: time.Now(),
+		self: self, caller: caller, keeper: keeper, log: log, started: time.Now(),
 		shared: map[string]*poolState{}, alone: map[string]*poolState{}, suspects: map[string]time.Time{},
 	}
 }
@@ -145,6 +164,10 @@
 		if s := d.view.Load(); s != nil {
 			d.refresh(service, ps, s)
 		}
+		if kind == sharedPools {
+			ps.next = d.now() + savePeriod
+			go d.load(service, ps)
+		}
 	}
 	ps.used = d.now()
 	return ps
@@ -318,6 +341,7 @@
 			return nil
 		case <-ticker.C:
 		}
+		d.save(ctx)
 		for _, o := range d.digests() {
 			for _, address := range o.to {
 				go d.send(ctx, address, o.digest)
@@ -359,6 +383,87 @@
 	return list
 }
 
+// load takes over what an earlier dispatcher of the service has learnt.
+func (d *Desk) load(service string, ps *poolState) {
+	name := d.self.Region + "/" + service
+	for range loadTries {
+		ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
+		raw, err := d.keeper.Load(ctx, name)
+		cancel()
+		if err != nil {
+			d.log.WithError(err).WithField("pool", name).Warn("knowledge of the pool not loaded")
+			time.Sleep(saveTimeout)
+			continue
+		}
+		if raw == nil {
+			return
+		}
+		var k dispatch.Knowledge
+		if err := json.Unmarshal(raw, &k); err != nil {
+			d.log.WithError(err).WithField("pool", name).Warn("knowledge of the pool cannot be read")
+			return
+		}
+		d.mu.Lock()
+		ps.pool.Import(d.now(), k)
+		d.mu.Unlock()
+		d.log.WithFields(logrus.Fields{"pool": name, "servers": len(k.Servers)}).Info("knowledge of the pool loaded")
+		return
+	}
+}
+
+// save keeps what the pools of this host have learnt.
+func (d *Desk) save(ctx context.Context) {
+	for name, k := range d.dueKnowledge() {
+		raw, err := json.Marshal(k)
+		if err != nil {
+			d.log.WithError(err).WithField("pool", name).Error("knowledge of the pool cannot be written")
+			continue
+		}
+		go func() {
+			sctx, cancel := context.WithTimeout(ctx, saveTimeout)
+			defer cancel()
+			if err := d.keeper.Save(sctx, name, raw); err != nil {
+				d.log.WithError(err).WithField("pool", name).Warn("knowledge of the pool not saved")
+			}
+		}()
+		d.postpone(name, len(raw))
+	}
+}
+
+// postpone sets the next save of a pool by the size of its knowledge.
+func (d *Desk) postpone(name string, size int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service, ps := range d.shared {
+		if d.self.Region+"/"+service == name {
+			ps.next = d.now() + max(savePeriod, time.Duration(size)*time.Second/saveRate)
+		}
+	}
+}
+
+// dueKnowledge returns the changed knowledge of the pools that this host is the
+// first dispatcher of.
+func (d *Desk) dueKnowledge() map[string]dispatch.Knowledge {
+	s := d.view.Load()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	due := map[string]dispatch.Knowledge{}
+	for service, ps := range d.shared {
+		if s == nil || now < ps.next || now-ps.used > poolIdle {
+			continue
+		}
+		if list := s.Dispatchers(d.self.Region, service); len(list) == 0 || list[0].Name != d.self.Name {
+			continue
+		}
+		ps.next = now + savePeriod
+		if k, changed := ps.pool.Export(); changed {
+			due[d.self.Region+"/"+service] = k
+		}
+	}
+	return due
+}
+
 // receivers are the first dispatchers of the other regions and the one that
 // follows this host in its own.
 func (d *Desk) receivers(s *fleet.Snapshot, service string) []string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	Headers Headers
 	Budget  Budget
 	Caller  Caller
+	Keeper  Keeper
 	Log     logrus.FieldLogger
 	Metrics *Metrics
 }
@@ -70,7 +71,7 @@
 // New returns a gateway that refuses requests until SetView is called.
 func New(cfg Config) *Gateway {
 	return &Gateway{
-		cfg: cfg, desk: NewDesk(cfg.Self, cfg.Caller, cfg.Log), upstream: newUpstream(cfg.Headers),
+		cfg: cfg, desk: NewDesk(cfg.Self, cfg.Caller, cfg.Keeper, cfg.Log), upstream: newUpstream(cfg.Headers),
 		budgets: map[string]*retry.Budget{},
 	}
 }
