fleet, dispatch: dispatch on the hosts with most processor time; cheaper choice

Cause: on the grown deployments hosts of 0.112 cores dispatched 340 requests a second and did not answer in time, so hosts decided alone and ran lookups cold. A decision among 288 servers took 69 us.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -21,15 +21,17 @@
 	var best *server
 	var choice option
 	key := objectKey(r.Class, r.Key)
+	hash := xxhash.Sum64String(key)
+	open := map[string]bool{}
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		// The first pass keeps the bound on shifts between regions; the second
 		// serves a request that has no other place.
-		for _, s := range p.servers {
-			if !p.usable(now, r, s, healthy) || pass == 0 && !p.shifts.allows(now, s.region) {
+		for _, s := range p.list {
+			if !p.usable(now, r, s, healthy) || pass == 0 && !p.open(now, open, s.region) {
 				continue
 			}
-			o := p.option(now, r, c, s, key)
-			if best == nil || o.better(choice) || o.cost == choice.cost && s.id < best.id {
+			o := p.option(now, r, c, s, key, hash)
+			if best == nil || o.better(choice) {
 				best, choice = s, o
 			}
 		}
@@ -37,6 +39,20 @@
 	return best, choice
 }
 
+// open tells whether the region takes a further request. known holds the answers
+// for the present request.
+func (p *Pool) open(now time.Duration, known map[string]bool, region string) bool {
+	if region == p.opts.Region {
+		return true
+	}
+	allowed, ok := known[region]
+	if !ok {
+		allowed = p.shifts.allows(now, region)
+		known[region] = allowed
+	}
+	return allowed
+}
+
 // better compares two options: an answer in time goes before a late one.
 func (o option) better(other option) bool {
 	if o.inTime != other.inTime {
@@ -66,7 +82,7 @@
 }
 
 // option estimates what the choice of a server would mean.
-func (p *Pool) option(now time.Duration, r Request, c *class, s *server, key string) option {
+func (p *Pool) option(now time.Duration, r Request, c *class, s *server, key string, hash uint64) option {
 	var o option
 	o.warm = key == "" || s.holds(key)
 	typical := c.warm()
@@ -78,13 +94,14 @@
 	if s.cold(now) {
 		o.service *= 2
 	}
-	o.wait = s.queueTime(now, time.Duration(float64(typical)*s.slowness))
+	load := s.load(now)
+	o.wait = s.queueTime(load, time.Duration(float64(typical)*s.slowness))
 	o.finish = p.roundTrip(s.region) + o.wait + o.service
 	o.inTime = now+o.finish <= r.Objective
 	o.cost = o.finish + time.Duration((slotWeight+busySlotWeight*p.busy)*float64(o.service))
-	o.cost += time.Duration(s.utilization(now) * float64(utilizationWeight))
+	o.cost += time.Duration(s.utilizationAt(now, load) * float64(utilizationWeight))
 	o.cost += time.Duration(s.failureRate(now) * float64(failureWeight))
-	o.cost += time.Duration(spread(key, s.id) * float64(spreadWeight))
+	o.cost += time.Duration(spread(hash, s.hash) * float64(spreadWeight))
 	if s.region != p.opts.Region {
 		o.cost += foreignWeight
 	} else if p.opts.Shared && !s.tried && !s.cold(now) && now-s.known > trialDelay && s.inflight == 0 {
@@ -98,7 +115,10 @@
 	return o
 }
 
-// spread returns a fixed number in [0, 1) for an object and a server.
-func spread(key, id string) float64 {
-	return float64(xxhash.Sum64String(key+"/"+id)>>11) / (1 << 53)
+// spread returns a fixed number in [0, 1) for the hashes of an object and a server.
+func spread(object, server uint64) float64 {
+	const mixer = 0xff51afd7ed558ccd // the multiplier of MurmurHash3's finalizer
+	h := (object ^ server) * mixer
+	h = (h ^ h>>33) * mixer
+	return float64((h^h>>33)>>11) / (1 << 53)
 }
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -45,6 +45,6 @@
 		return
 	}
 	for id, s := range p.servers {
-		s.peers[d.Region] = peerCount{inflight: d.InFlight[id], at: now}
+		s.setPeer(d.Region, d.InFlight[id], now)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -155,10 +156,12 @@
 	coldRate float64
 	coldFor  time.Duration
 	servers  map[string]*server
+	list     []*server // the servers in the order of their IDs
 	grants   map[uint64]*grant
 	next     uint64
 	// busy is the part of the service's slots that is taken, from 0 to 1.
 	busy    float64
+	busyAt  time.Duration
 	classes map[string]*class
 	far     map[string]time.Duration // measured round trips by region
 	evac    map[string]bool
@@ -210,17 +213,23 @@
 		s.domain, s.region, s.slots, s.draining = b.Domain, b.Region, max(b.Slots, 1), b.Draining
 		s.coldUntil = max(s.coldUntil, b.ColdUntil)
 	}
-	for id := range p.servers {
+	p.list = p.list[:0]
+	for id, s := range p.servers {
 		if !seen[id] {
 			delete(p.servers, id)
+			continue
 		}
+		p.list = append(p.list, s)
 	}
+	slices.SortFunc(p.list, func(a, b *server) int { return strings.Compare(a.id, b.id) })
 }
 
 // Acquire decides on a request at time now.
 func (p *Pool) Acquire(now time.Duration, r Request) Decision {
 	c := p.class(r.Class, r.Objective-now)
-	p.busy = p.occupancy(now)
+	if now-p.busyAt > occupancyAge {
+		p.busy, p.busyAt = p.occupancy(now), now
+	}
 	best, choice := p.choose(now, r, c, true)
 	if best == nil {
 		// A server that is believed to be down is better than none.
@@ -238,6 +247,9 @@
 	return p.grant(now, r, best, choice)
 }
 
+// occupancyAge is how long the occupancy of the service is used.
+const occupancyAge = 20 * time.Millisecond
+
 // Limits of the answer to a refused request.
 const (
 	// retryNoServer is when to come back while there is no server.
@@ -291,7 +303,7 @@
 // occupancy returns the part of the usable servers' slots that is taken.
 func (p *Pool) occupancy(now time.Duration) float64 {
 	load, slots := 0.0, 0.0
-	for _, s := range p.servers {
+	for _, s := range p.list {
 		if !s.draining && !s.gone && !p.evac[s.domain] && s.available(now) {
 			load += min(s.load(now), float64(s.slots))
 			slots += float64(s.slots)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/galenabeam/galenabeam/internal/fleet"
 )
 
@@ -17,6 +19,9 @@
 	utilizationTime = 2 * time.Second
 	// failureTime is the time constant of the failure rate.
 	failureTime = 4 * time.Second
+	// failureGain is the weight of one outcome in the failure rate, and negligible
+	// the rate that counts as none.
+	failureGain, negligible = 1.0 / 6, 0.001
 	// slownessTime is the time constant with which a slow server is trusted again.
 	slownessTime = 4 * time.Second
 	// firstPause and maxPause bound the time for which a server that cannot be
@@ -33,12 +38,14 @@
 )
 
 type peerCount struct {
+	region   string
 	inflight int
 	at       time.Duration
 }
 
 // server is what a pool believes of one incarnation of a backend server.
 type server struct {
+	hash                        uint64 // of id
 	id, address, domain, region string
 	born                        int64
 	slots                       int
@@ -47,8 +54,8 @@
 	tried      bool          // a request was given to the server
 	known      time.Duration // when the pool learnt of the server
 	inflight   int
-	expected   time.Duration        // sum of the expected service times in flight
-	peers      map[string]peerCount // by region
+	expected   time.Duration // sum of the expected service times in flight
+	peers      []peerCount   // one for each other region that sends
 	reported   int
 	reportedAt time.Duration
 
@@ -74,7 +81,7 @@
 
 func newServer(now time.Duration, b *fleet.Backend) *server {
 	return &server{
-		id: b.ID, address: b.Address, born: b.Born, peers: map[string]peerCount{},
+		hash: xxhash.Sum64String(b.ID), id: b.ID, address: b.Address, born: b.Born,
 		slowness: 1, known: now, tokensAt: now, reportedAt: -reportAge, usedAt: now, failuresAt: now,
 		keys: map[string]time.Duration{},
 	}
@@ -103,8 +110,8 @@
 
 // queueTime estimates how long a further request waits for a slot. typical is
 // the service time of requests that other pools sent.
-func (s *server) queueTime(now, typical time.Duration) time.Duration {
-	over := s.load(now) + 1 - float64(s.slots)
+func (s *server) queueTime(load float64, typical time.Duration) time.Duration {
+	over := load + 1 - float64(s.slots)
 	if over <= 0 {
 		return 0
 	}
@@ -114,8 +121,22 @@
 	return time.Duration(over / float64(s.slots) * float64(typical))
 }
 
+// setPeer notes the requests that another region has in flight at the server.
+func (s *server) setPeer(region string, inflight int, now time.Duration) {
+	for i := range s.peers {
+		if s.peers[i].region == region {
+			s.peers[i].inflight, s.peers[i].at = inflight, now
+			return
+		}
+	}
+	s.peers = append(s.peers, peerCount{region: region, inflight: inflight, at: now})
+}
+
+// decay is close to exp(-age/constant) and cheaper: it is evaluated for each
+// server and request.
 func decay(age, constant time.Duration) float64 {
-	return math.Exp(-float64(age) / float64(constant))
+	x := float64(age) / float64(constant)
+	return 1 / (1 + x*(1+x*(1.0/2+x/6)))
 }
 
 // use folds the time since the last change of inflight into the utilization.
@@ -125,7 +146,11 @@
 }
 
 func (s *server) utilization(now time.Duration) float64 {
-	busy := min(s.load(now)/float64(max(s.slots, 1)), 1)
+	return s.utilizationAt(now, s.load(now))
+}
+
+func (s *server) utilizationAt(now time.Duration, load float64) float64 {
+	busy := min(load/float64(max(s.slots, 1)), 1)
 	return busy + (s.used-busy)*decay(now-s.usedAt, utilizationTime)
 }
 
@@ -153,13 +178,18 @@
 }
 
 func (s *server) failureRate(now time.Duration) float64 {
+	if s.failures == 0 {
+		return 0
+	}
 	return s.failures * decay(now-s.failuresAt, failureTime)
 }
 
 // outcome folds one success (0) or failure (1) into the failure rate.
 func (s *server) outcome(now time.Duration, failed float64) {
 	rate := s.failureRate(now)
-	s.failures, s.failuresAt = rate+(failed-rate)/6, now
+	if s.failures, s.failuresAt = rate+(failed-rate)*failureGain, now; s.failures < negligible {
+		s.failures = 0
+	}
 }
 
 func (s *server) succeeded(now time.Duration) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,6 +32,8 @@
 	Front, Peer string
 	// Incarnation grows with each start of the daemon on the host.
 	Incarnation int64
+	// Cores is the processor time that the host has, in cores.
+	Cores float64
 }
 
 // Snapshot is what a host knows at one moment.
@@ -68,8 +70,8 @@
 }
 
 // Dispatchers returns the hosts of a region in the order in which they dispatch
-// a service: the first one that answers decides. All hosts compute the same
-// order from the same snapshot.
+// a service: the first one that answers decides. Hosts with more processor time
+// come first. All hosts compute the same order from the same snapshot.
 func (s *Snapshot) Dispatchers(region, service string) []*Host {
 	return s.rank("dispatch/"+service, func(h *Host) bool { return h.Region == region })
 }
@@ -94,7 +96,8 @@
 	return list
 }
 
-// rank orders hosts by rendezvous hashing of the purpose and the host's name.
+// rank orders hosts by their processor time and then by rendezvous hashing of the
+// purpose and the host's name.
 func (s *Snapshot) rank(purpose string, keep func(*Host) bool) []*Host {
 	type scored struct {
 		host  *Host
@@ -106,7 +109,12 @@
 			list = append(list, scored{h, xxhash.Sum64String(purpose + "/" + h.Name)})
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].score > list[j].score })
+	sort.Slice(list, func(i, j int) bool {
+		if a, b := list[i].host.Cores, list[j].host.Cores; a != b {
+			return a > b
+		}
+		return list[i].score > list[j].score
+	})
 	hosts := make([]*Host, len(list))
 	for i, e := range list {
 		hosts[i] = e.host
