fleet: send callers to the large hosts of a domain

Cause: with 99 hosts and 106 servers a pair of both met too rarely to reuse a connection, which costs a round trip of 110 ms between regions, and hosts with 0.112 cores and 10 Mbit/s delayed what they carried. Requests of a region now also keep to few servers of other regions, and the choice counts the time of a new connection.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -96,15 +96,25 @@
 	}
 	load := s.load(now)
 	o.wait = s.queueTime(load, time.Duration(float64(typical)*s.slowness))
-	o.finish = p.roundTrip(s.region) + o.wait + o.service
+	trip := p.roundTrip(s.region)
+	o.finish = trip + o.wait + o.service
+	foreign := s.region != p.opts.Region
+	if foreign {
+		o.finish += time.Duration(float64(trip) * float64(r.Bytes) / windowBytes)
+		if last, ok := s.senders[r.Host]; !ok || now-last > reuseTime {
+			o.finish += trip
+		}
+	}
 	o.inTime = now+o.finish <= r.Objective
 	o.cost = o.finish + time.Duration((slotWeight+busySlotWeight*p.busy)*float64(o.service))
 	o.cost += time.Duration(s.utilizationAt(now, load) * float64(utilizationWeight))
 	o.cost += time.Duration(s.failureRate(now) * float64(failureWeight))
-	o.cost += time.Duration(spread(hash, s.hash) * float64(spreadWeight))
-	if s.region != p.opts.Region {
-		o.cost += foreignWeight
-	} else if p.opts.Shared && !s.tried && !s.cold(now) && now-s.known > trialDelay && s.inflight == 0 {
+	if foreign {
+		o.cost += foreignWeight + time.Duration(s.rank)*foreignRank + time.Duration(spread(hash, s.hash)*float64(foreignSpread))
+	} else {
+		o.cost += time.Duration(spread(hash, s.hash) * float64(spreadWeight))
+	}
+	if !foreign && p.opts.Shared && !s.tried && !s.cold(now) && now-s.known > trialDelay && s.inflight == 0 {
 		// A server that has joined is tried with one request, however warm the
 		// others are: the next ones then find it warm.
 		o.cost, o.inTime = 0, true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,10 +10,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/galenabeam/galenabeam/internal/fleet"
 )
 
@@ -37,8 +40,8 @@
 	Class string
 	// Key names the object that the request is about; "" if there is none.
 	Key string
-	// Domain is the failure domain of the entry host that sends the request.
-	Domain string
+	// Host is the entry host that sends the request, Domain its failure domain.
+	Host, Domain string
 	// Priority is the rank; 0 is the most urgent.
 	Priority int
 	// Bytes is the size of the body.
@@ -138,8 +141,18 @@
 	// foreignWeight is the cost of another region beside the round trip: its
 	// links are narrow and its own callers come first.
 	foreignWeight = 60 * time.Millisecond
+	// foreignSpread replaces spreadWeight in other regions, and foreignRank is the
+	// cost of each server there that goes before in the order of the region. They
+	// keep the requests of a region at few servers of others, so that connections
+	// between regions, which take long to open, are used again.
+	foreignSpread = 60 * time.Millisecond
+	foreignRank   = 4 * time.Millisecond
+	// reuseTime is how long after a request a connection is likely to be open.
+	reuseTime = 6 * time.Second
 	// bodyWeight is the cost of a kilobyte of body that leaves the domain.
 	bodyWeight = 600 * time.Microsecond
+	// windowBytes is the part of a body that is sent in one round trip.
+	windowBytes = 16 << 10
 	// lateLoad is the load, in requests per slot, up to which a server takes
 	// requests that miss their objective.
 	lateLoad = 1.5
@@ -222,6 +235,20 @@
 		p.list = append(p.list, s)
 	}
 	slices.SortFunc(p.list, func(a, b *server) int { return strings.Compare(a.id, b.id) })
+	p.rankForeign()
+}
+
+// rankForeign orders the servers of each other region in an order of this
+// region's own.
+func (p *Pool) rankForeign() {
+	own := xxhash.Sum64String(p.opts.Region)
+	ordered := slices.Clone(p.list)
+	slices.SortFunc(ordered, func(a, b *server) int { return cmp.Compare(spread(own, a.hash), spread(own, b.hash)) })
+	next := map[string]int{}
+	for _, s := range ordered {
+		s.rank = next[s.region]
+		next[s.region]++
+	}
 }
 
 // Acquire decides on a request at time now.
@@ -235,13 +262,14 @@
 		// A server that is believed to be down is better than none.
 		best, choice = p.choose(now, r, c, false)
 	}
-	if best == nil {
+	switch {
+	case best == nil:
 		return Decision{Refused: NoServer, RetryAfter: retryNoServer}
-	}
-	if choice.finish > r.Deadline-now-deadlineMargin {
+	case choice.finish > r.Deadline-now-deadlineMargin:
 		return Decision{Refused: Late, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
-	}
-	if choice.finish > r.Objective-now && best.load(now) > lateLoad*float64(best.slots) {
+	case !choice.inTime && best.load(now) > lateLoad*float64(best.slots):
+		// Another server with a free slot would have to load the object first,
+		// which takes the slot from several requests that find theirs loaded.
 		return Decision{Refused: Overload, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
 	}
 	return p.grant(now, r, best, choice)
@@ -274,6 +302,9 @@
 	p.grants[p.next] = g
 	s.inflight++
 	s.tried = true
+	if s.region != p.opts.Region {
+		s.senders[r.Host] = now
+	}
 	s.expected += c.service
 	s.use(now)
 	if s.cold(now) {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -51,8 +51,10 @@
 	slots                       int
 	draining, gone              bool
 
-	tried      bool          // a request was given to the server
-	known      time.Duration // when the pool learnt of the server
+	rank       int                      // in the order of the pool's region
+	senders    map[string]time.Duration // last request by entry host, for other regions
+	tried      bool                     // a request was given to the server
+	known      time.Duration            // when the pool learnt of the server
 	inflight   int
 	expected   time.Duration // sum of the expected service times in flight
 	peers      []peerCount   // one for each other region that sends
@@ -83,7 +85,7 @@
 	return &server{
 		hash: xxhash.Sum64String(b.ID), id: b.ID, address: b.Address, born: b.Born,
 		slowness: 1, known: now, tokensAt: now, reportedAt: -reportAge, usedAt: now, failuresAt: now,
-		keys: map[string]time.Duration{},
+		keys: map[string]time.Duration{}, senders: map[string]time.Duration{},
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -130,28 +130,56 @@
 	// domain are also sent to the other domains of the region, so that the loss
 	// of one host leaves a choice.
 	minDomainHosts = 2
+	// minLargeShare is the part of the processor time that the large hosts of a
+	// domain must have to take all of its callers.
+	minLargeShare = 0.3
 )
 
 // Steer returns the front addresses for callers of a region and failure domain:
-// hosts of the domain, else of the region, else all hosts.
+// hosts of the domain, else of the region, else all hosts. Among those, hosts
+// that are small beside the others are left out: fewer hosts reuse more of their
+// connections, and small ones delay more.
 func (s *Snapshot) Steer(region, domain string) []string {
-	var same, near, far []string
+	var same, near, far []*Host
 	for _, h := range s.rank("steer/"+domain, func(h *Host) bool { return h.Front != "" }) {
 		switch {
 		case h.Domain == domain:
-			same = append(same, h.Front)
+			same = append(same, h)
 		case h.Region == region:
-			near = append(near, h.Front)
+			near = append(near, h)
 		default:
-			far = append(far, h.Front)
+			far = append(far, h)
 		}
 	}
-	list := same
+	list := large(same)
 	if len(list) < minDomainHosts {
-		list = append(list, near...)
+		list = append(list, large(near)...)
 	}
 	if len(list) == 0 {
-		list = far
+		list = large(far)
 	}
-	return list[:min(len(list), maxAddresses)]
+	list = list[:min(len(list), maxAddresses)]
+	addresses := make([]string, len(list))
+	for i, h := range list {
+		addresses[i] = h.Front
+	}
+	return addresses
+}
+
+// large returns the hosts, which are in descending order of their processor
+// time, without those that have less than half of the largest one's, if enough
+// hosts and processor time remain.
+func large(hosts []*Host) []*Host {
+	total, kept, n := 0.0, 0.0, 0
+	for _, h := range hosts {
+		total += h.Cores
+		if h.Cores >= hosts[0].Cores/2 {
+			kept += h.Cores
+			n++
+		}
+	}
+	if n < minDomainHosts || kept < total*minLargeShare {
+		return hosts
+	}
+	return hosts[:n]
 }
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -66,6 +66,7 @@
 	ID        string   `json:"id"`
 	Class     string   `json:"class"`
 	Key       string   `json:"key,omitempty"`
+	Host      string   `json:"host"`
 	Domain    string   `json:"domain"`
 	Priority  int      `json:"priority"`
 	Bytes     int64    `json:"bytes,omitempty"`
@@ -258,7 +259,7 @@
 func (d *Desk) request(p AcquireParams) dispatch.Request {
 	now := d.now()
 	return dispatch.Request{
-		ID: p.ID, Class: p.Class, Key: p.Key, Domain: p.Domain, Priority: p.Priority, Bytes: p.Bytes,
+		ID: p.ID, Class: p.Class, Key: p.Key, Host: p.Host, Domain: p.Domain, Priority: p.Priority, Bytes: p.Bytes,
 		Objective: now + millis(p.Objective), Deadline: now + millis(p.Left),
 		Exclude: p.Exclude, Allowed: p.Allowed,
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -299,7 +299,8 @@
 	s := g.view.Load()
 	for range maxUnsent {
 		t := g.desk.Acquire(ctx, AcquireParams{
-			Service: f.service, ID: f.id, Class: f.route.Name, Key: g.affinity(f), Domain: g.cfg.Self.Domain,
+			Service: f.service, ID: f.id, Class: f.route.Name, Key: g.affinity(f),
+			Host: g.cfg.Self.Name, Domain: g.cfg.Self.Domain,
 			Priority: f.route.Priority, Bytes: max(f.request.Length, int64(len(f.request.Body))),
 			Objective: ms(time.Until(f.objective)), Left: ms(time.Until(f.deadline)),
 			Exclude: f.exclude, Allowed: f.route.Regions,
