--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,326 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/galenabeam/galenabeam/internal/fleet"
+)
+
+const (
+	ms        = time.Millisecond
+	objective = 500 * ms
+	deadline  = 3 * time.Second
+)
+
+func backend(id, region string) *fleet.Backend {
+	return &fleet.Backend{ID: id, Service: "s", Address: "x:1", Domain: region + "-a", Region: region, Slots: 4}
+}
+
+func pool(region string, list ...*fleet.Backend) *Pool {
+	p := New(Options{Region: region, Shared: true})
+	p.Update(0, list, nil, 5, 3*time.Second)
+	return p
+}
+
+func request(now time.Duration, key string) Request {
+	return Request{ID: "r", Class: "c", Key: key, Domain: "r-a", Objective: now + objective, Deadline: now + deadline}
+}
+
+// TestUsable guards against work that goes to a server that must not get any.
+func TestUsable(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		change  func(*fleet.Backend)
+		evac    map[string]bool
+		request func(*Request)
+		report  *Report
+	}{
+		{desc: "draining", change: func(b *fleet.Backend) { b.Draining = true }},
+		{desc: "evacuated domain", evac: map[string]bool{"r-a": true}},
+		{desc: "tried before", request: func(r *Request) { r.Exclude = []string{"a"} }},
+		{desc: "region not allowed", request: func(r *Request) { r.Allowed = []string{"q"} }},
+		{desc: "another server has its address", report: &Report{Result: Misdirected}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			a := backend("a", "r")
+			p := pool("r", a)
+			if c.report != nil {
+				d := p.Acquire(0, request(0, "k"))
+				p.Release(0, d.Grant, *c.report)
+			}
+			if c.change != nil {
+				c.change(a)
+			}
+			p.Update(0, []*fleet.Backend{a}, c.evac, 5, time.Second)
+			r := request(0, "k")
+			if c.request != nil {
+				c.request(&r)
+			}
+			d := p.Acquire(0, r)
+			NewWithT(t).Expect(d.Refused).To(Equal(NoServer))
+			NewWithT(t).Expect(d.RetryAfter).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// TestColdLimit checks that a cold server gets no more requests in any second
+// than its rate allows while two pools of its region dispatch at once and pools
+// of other regions and of single hosts know of it: rate x 1.5 + 5, the bound of
+// the users' rules with its smallest slack.
+func TestColdLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate = 5.0
+		cold := backend("a", "r")
+		cold.ColdUntil = 10 * time.Second
+		pools := []*Pool{New(Options{Region: "r", Shared: true}), New(Options{Region: "r", Shared: true}), New(Options{Region: "q", Shared: true}), New(Options{Region: "r"})}
+		for _, p := range pools {
+			p.Update(0, []*fleet.Backend{cold}, nil, rate, 3*time.Second)
+		}
+		var sent []time.Duration
+		now := time.Duration(0)
+		for range 400 {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "step")) * ms
+			p := pools[rapid.IntRange(0, 3).Draw(t, "pool")]
+			if d := p.Acquire(now, request(now, "")); d.Refused == "" && now < cold.ColdUntil {
+				sent = append(sent, now)
+				p.Release(now, d.Grant, Report{Result: Served, Elapsed: ms})
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < sent[i]+time.Second {
+					n++
+				}
+			}
+			if float64(n) > rate*1.5+5 {
+				t.Fatalf("%d requests in the second from %v", n, sent[i])
+			}
+		}
+	})
+}
+
+// TestWarmFirst guards against requests that make a second server load an object
+// that another one holds and could serve in time.
+func TestWarmFirst(t *testing.T) {
+	g := NewWithT(t)
+	var list []*fleet.Backend
+	for i := range 8 {
+		list = append(list, backend(fmt.Sprint("b", i), "r"))
+	}
+	p := pool("r", list...)
+	for _, s := range p.list {
+		s.tried = true // none has just joined
+	}
+	first := p.Acquire(0, request(0, "k"))
+	g.Expect(first.Warm).To(BeFalse())
+	p.Release(600*ms, first.Grant, Report{Result: Served, Elapsed: 600 * ms})
+	for range 3 {
+		d := p.Acquire(time.Second, request(time.Second, "k"))
+		g.Expect(d.Server).To(Equal(first.Server))
+		g.Expect(d.Warm).To(BeTrue())
+	}
+	// The server is full and its queue too long: another one loads the object.
+	for i := range 20 {
+		p.Acquire(time.Second, Request{ID: fmt.Sprint(i), Class: "c", Key: "k", Domain: "r-a", Objective: time.Second + objective, Deadline: time.Second + deadline})
+	}
+	holders := 0
+	for _, s := range p.list {
+		if s.holds(objectKey("c", "k")) {
+			holders++
+		}
+	}
+	g.Expect(holders).To(BeNumerically(">", 1))
+}
+
+// TestKnowledgeOutlivesTheDispatcher guards against a new dispatcher that sends
+// requests to servers that do not hold their objects, and against knowledge of
+// an earlier incarnation of a server.
+func TestKnowledgeOutlivesTheDispatcher(t *testing.T) {
+	g := NewWithT(t)
+	list := []*fleet.Backend{backend("a", "r"), backend("b", "r"), backend("c", "r")}
+	p := pool("r", list...)
+	held := map[string]string{}
+	for i := range 12 {
+		key := fmt.Sprint("k", i)
+		d := p.Acquire(0, request(0, key))
+		held[key] = d.Server
+		p.Release(0, d.Grant, Report{Result: Served, Elapsed: 600 * ms})
+	}
+	k, changed := p.Export()
+	g.Expect(changed).To(BeTrue())
+	_, changed = p.Export()
+	g.Expect(changed).To(BeFalse())
+
+	next := pool("r", list...)
+	next.Import(0, k)
+	for key, server := range held {
+		d := next.Acquire(time.Minute, request(time.Minute, key))
+		g.Expect(d.Server).To(Equal(server), key)
+		g.Expect(d.Warm).To(BeTrue(), key)
+		next.Release(time.Minute, d.Grant, Report{Result: Served, Elapsed: 200 * ms})
+	}
+
+	reborn := []*fleet.Backend{backend("a", "r"), backend("b", "r"), backend("c", "r")}
+	for _, b := range reborn {
+		b.Born = 7
+	}
+	again := pool("r", reborn...)
+	again.Import(0, k)
+	d := again.Acquire(0, request(0, "k0"))
+	g.Expect(d.Warm).To(BeFalse())
+}
+
+// TestJoinedServerIsTried guards against servers that join and get no request
+// because others are warm.
+func TestJoinedServerIsTried(t *testing.T) {
+	g := NewWithT(t)
+	list := []*fleet.Backend{backend("a", "r"), backend("b", "r")}
+	p := pool("r", list...)
+	for i := range 50 {
+		now := time.Duration(i) * 10 * ms
+		d := p.Acquire(now, request(now, fmt.Sprint(i%4)))
+		p.Release(now, d.Grant, Report{Result: Served, Elapsed: 100 * ms})
+	}
+	list = append(list, backend("new", "r"))
+	p.Update(time.Second, list, nil, 5, 3*time.Second)
+	tried := false
+	for i := range 200 {
+		now := time.Second + time.Duration(i)*10*ms
+		d := p.Acquire(now, request(now, fmt.Sprint(i%4)))
+		tried = tried || d.Server == "new"
+		p.Release(now, d.Grant, Report{Result: Served, Elapsed: 100 * ms})
+	}
+	g.Expect(tried).To(BeTrue())
+}
+
+// TestDownServer guards against requests that keep going to a server that does
+// not answer, and against a server that is never tried again.
+func TestDownServer(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		result Result
+		times  int
+	}{
+		{"refuses connections", Unreachable, 1},
+		{"does not answer", TimedOut, overdueLimit},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pool("r", backend("a", "r"), backend("b", "r"))
+			first := p.Acquire(0, request(0, "k"))
+			p.Release(0, first.Grant, Report{Result: c.result})
+			for range c.times - 1 {
+				d := p.grantTo(first.Server)
+				p.Release(0, d, Report{Result: c.result})
+			}
+			for range 3 {
+				d := p.Acquire(ms, request(ms, "k"))
+				g.Expect(d.Server).NotTo(Equal(first.Server))
+				p.Release(ms, d.Grant, Report{Result: Served, Elapsed: 100 * ms})
+			}
+			later := 2 * maxPause
+			r := request(later, "k2")
+			r.Exclude = []string{"a"}
+			if first.Server == "a" {
+				r.Exclude = []string{"b"}
+			}
+			g.Expect(p.Acquire(later, r).Server).To(Equal(first.Server))
+		})
+	}
+}
+
+// grantTo gives a request to a server regardless of the choice.
+func (p *Pool) grantTo(id string) uint64 {
+	return p.grant(0, request(0, "k"), p.servers[id], option{}).Grant
+}
+
+// TestLateIsRefusedAtOnce guards against requests that are held although no
+// server can answer before their deadline.
+func TestLateIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", backend("a", "r"))
+	r := request(0, "k")
+	r.Deadline = 100 * ms
+	d := p.Acquire(0, r)
+	g.Expect(d.Refused).To(Equal(Late))
+	g.Expect(p.Grants()).To(BeZero())
+}
+
+// TestLostReports guards against slots that stay taken after the host that held
+// them has ended.
+func TestLostReports(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", backend("a", "r"))
+	p.Acquire(0, request(0, "k"))
+	p.Relax(deadline)
+	g.Expect(p.Grants()).To(Equal(1))
+	p.Relax(deadline + expireMargin + ms)
+	g.Expect(p.Grants()).To(BeZero())
+	g.Expect(p.list[0].inflight).To(BeZero())
+	g.Expect(p.list[0].expected).To(BeZero())
+}
+
+// TestShiftBound guards against requests of a region that move to another one
+// faster than the cap on shifts allows: a burst fills the region's own servers,
+// and from one window to the next the part that runs elsewhere must grow by less
+// than 0.15, the smallest cap of the users' deployments.
+func TestShiftBound(t *testing.T) {
+	g := NewWithT(t)
+	list := []*fleet.Backend{backend("near", "r")}
+	for i := range 10 {
+		list = append(list, backend(fmt.Sprint("far", i), "q"))
+	}
+	p := pool("r", list...)
+	type sample struct {
+		at  time.Duration
+		far bool
+	}
+	var all []sample
+	release := map[time.Duration][]uint64{}
+	for now := time.Duration(0); now < 12*time.Second; now += 10 * ms {
+		for _, id := range release[now] {
+			p.Release(now, id, Report{Result: Served, Elapsed: 100 * ms})
+		}
+		if now%(200*ms) == 0 {
+			p.Relax(now)
+		}
+		requests := 1
+		if now >= 5*time.Second {
+			requests = 3
+		} else if now%(50*ms) != 0 {
+			continue
+		}
+		for range requests {
+			d := p.Acquire(now, request(now, ""))
+			if d.Refused == "" {
+				all = append(all, sample{now, d.Server != "near"})
+				at := now + 100*ms
+				release[at] = append(release[at], d.Grant)
+			}
+		}
+	}
+	part := func(from time.Duration) (far float64, n int) {
+		for _, s := range all {
+			if s.at >= from && s.at < from+shiftWindow {
+				n++
+				if s.far {
+					far++
+				}
+			}
+		}
+		return far / float64(max(n, 1)), n
+	}
+	for from := 2 * time.Second; from < 8*time.Second; from += 250 * ms {
+		before, n := part(from)
+		after, m := part(from + shiftWindow)
+		if n >= shiftLeast && m >= shiftLeast {
+			g.Expect(after-before).To(BeNumerically("<", 0.15), "from %v", from)
+		}
+	}
+}
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -29,6 +29,9 @@
 	peerPause = 20 * time.Millisecond
 	// peerSuspect is how long a host that did not answer is left out.
 	peerSuspect = 2 * time.Second
+	// staleSuspect is how long a host is left out that answered but does not read
+	// the store: it may begin to at any moment.
+	staleSuspect = 300 * time.Millisecond
 	// maxAge is the age of another host's news above which the store is asked.
 	maxAge = 2200 * time.Millisecond
 	// maxPeers is the number of hosts that are asked before the store.
@@ -153,7 +156,7 @@
 			return peerPause
 		}
 		if ctx.Err() == nil {
-			s.suspects[src.Name] = time.Now().Add(peerSuspect)
+			s.suspect(src.Name, err)
 			s.log.WithError(err).WithField("host", src.Name).Warn("host has no fresh copy of the store")
 		}
 	}
@@ -164,6 +167,14 @@
 	return storeRetry
 }
 
+func (s *Syncer) suspect(name string, err error) {
+	pause := peerSuspect
+	if errors.Is(err, errStale) {
+		pause = staleSuspect
+	}
+	s.suspects[name] = time.Now().Add(pause)
+}
+
 // setDirect notes whether this host reads the store itself. Hosts that wait for
 // its news are told at once when it does no longer.
 func (s *Syncer) setDirect(direct bool) {
--- /dev/null
+++ b/internal/mirror/sync_test.go
@@ -0,0 +1,196 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+)
+
+var errAway = errors.New("store is away")
+
+// scriptedStore answers with what the test sets.
+type scriptedStore struct {
+	mu    sync.Mutex
+	batch Batch
+	err   error
+	calls int
+}
+
+func (s *scriptedStore) Fetch(context.Context, uint64, time.Duration) (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.batch, s.err
+}
+
+// network connects syncers by address.
+type network map[string]*Syncer
+
+func (n network) Call(ctx context.Context, address, _ string, params, result any) error {
+	s := n[address]
+	if s == nil {
+		return errors.New("no such host")
+	}
+	p := params.(FetchParams)
+	p.Wait = 1
+	b, err := s.HandleFetch(ctx, p)
+	*result.(*Batch) = b
+	return err
+}
+
+func quietLog() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+func newHost(n network, name string, store Store, order ...string) *Syncer {
+	s := NewSyncer(store, n, New("servers/"), quietLog())
+	s.Sources = func() []Source {
+		var list []Source
+		for _, o := range order {
+			list = append(list, Source{Name: o, Address: o, Self: o == name})
+		}
+		return list
+	}
+	s.Changed = func(uint64, []Item) {}
+	n[name] = s
+	return s
+}
+
+// TestHostsDoNotConfirmEachOther guards against two hosts that the store refuses
+// and that take each other's old news for fresh: each must turn to a host that
+// reads the store, and be told by the others that they do not.
+func TestHostsDoNotConfirmEachOther(t *testing.T) {
+	g := NewWithT(t)
+	n := network{}
+	order := []string{"a", "b", "c"}
+	refused := &scriptedStore{batch: Batch{Revision: 1}}
+	served := &scriptedStore{batch: Batch{Revision: 1}}
+	a, b := newHost(n, "a", refused, order...), newHost(n, "b", refused, order...)
+	c := newHost(n, "c", served, order...)
+	ctx := context.Background()
+	for _, s := range []*Syncer{a, b, c} {
+		s.step(ctx)
+	}
+	refused.err = errAway
+	served.batch = Batch{Revision: 2, Items: []Item{put("op/config", 2)}}
+	for range 3 {
+		for _, s := range []*Syncer{a, b, c} {
+			for name, until := range s.suspects {
+				g.Expect(time.Until(until)).To(BeNumerically("<=", staleSuspect), name)
+			}
+			clear(s.suspects) // as after staleSuspect
+			s.step(ctx)
+		}
+	}
+	for name, s := range n {
+		g.Expect(s.revision()).To(Equal(uint64(2)), name)
+	}
+	g.Expect(c.from).To(Equal("store"))
+	g.Expect(a.from).To(Equal("c"))
+	g.Expect(b.from).To(Equal("c"))
+}
+
+// TestFollowersLeaveTheStoreAlone guards against store calls that grow with the
+// fleet: only the first host of the order reads the store.
+func TestFollowersLeaveTheStoreAlone(t *testing.T) {
+	g := NewWithT(t)
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 3, Full: true, Items: []Item{put("op/config", 3)}}}
+	order := []string{"a", "b", "c", "d"}
+	var all []*Syncer
+	for _, name := range order {
+		all = append(all, newHost(n, name, store, order...))
+	}
+	for range 10 {
+		for _, s := range all {
+			s.step(context.Background())
+		}
+	}
+	g.Expect(store.calls).To(Equal(10))
+	g.Expect(all[3].revision()).To(Equal(uint64(3)))
+}
+
+// TestAnswerTellsItsOwnAge guards against news that look fresher than they are
+// because their age was taken before the wait.
+func TestAnswerTellsItsOwnAge(t *testing.T) {
+	g := NewWithT(t)
+	n := network{}
+	s := newHost(n, "a", &scriptedStore{batch: Batch{Revision: 1}}, "a")
+	s.step(context.Background())
+	b, err := s.HandleFetch(context.Background(), FetchParams{After: 1, Wait: 60})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.Age).To(BeNumerically(">=", 60*time.Millisecond))
+}
+
+// TestOutageDoubtsRemovals guards against a fleet that drops all servers whose
+// registrations lapsed while the store was away.
+func TestOutageDoubtsRemovals(t *testing.T) {
+	g := NewWithT(t)
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 2, Full: true, Items: []Item{put("servers/a", 1)}}}
+	s := newHost(n, "a", store, "a")
+	ctx := context.Background()
+	s.step(ctx)
+	store.err = errAway
+	s.step(ctx)
+	s.failing = time.Now().Add(-outageLength - time.Millisecond)
+	store.err = nil
+	store.batch = Batch{Revision: 3, Items: []Item{del("servers/a", 3)}}
+	s.step(ctx)
+	g.Expect(keys(s.mirror)).To(Equal([]string{"servers/a"}))
+	s.mirror.Expire(time.Since(s.started) + holdTime)
+	g.Expect(keys(s.mirror)).To(BeEmpty())
+}
+
+// scriptedRegistrar fails or takes items away as the test says.
+type scriptedRegistrar struct {
+	renewErr, grantErr error
+	grants, puts, ends int
+}
+
+func (r *scriptedRegistrar) Grant(context.Context, time.Duration) (int64, error) {
+	r.grants++
+	return int64(r.grants), r.grantErr
+}
+func (r *scriptedRegistrar) Renew(context.Context, int64) error { return r.renewErr }
+func (r *scriptedRegistrar) End(context.Context, int64) error   { r.ends++; return nil }
+func (r *scriptedRegistrar) Put(context.Context, string, []byte, int64) error {
+	r.puts++
+	return nil
+}
+
+// TestPresence guards against a host that lives and is missing from the store.
+func TestPresence(t *testing.T) {
+	for _, c := range []struct {
+		desc       string
+		renewErr   error
+		listed     bool
+		wantGrants int
+	}{
+		{"renewed", nil, true, 1},
+		{"lease lapsed", ErrLeaseEnded, true, 2},
+		{"store away: the lease may live", errAway, true, 1},
+		{"item taken away although the lease lives", nil, false, 2},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			r := &scriptedRegistrar{}
+			p := NewPresence(r, "hosts/a", nil, quietLog())
+			p.Listed = func() bool { return c.listed }
+			p.step(context.Background())
+			p.since = time.Now().Add(-2 * presenceTTL)
+			r.renewErr = c.renewErr
+			p.step(context.Background())
+			g.Expect(r.grants).To(Equal(c.wantGrants))
+			g.Expect(r.puts).To(Equal(c.wantGrants))
+		})
+	}
+}
