dispatch: load objects at free servers before refusing

Cause: a request was refused when the servers that hold its object were full, although most slots of the service were free. Such a move between regions keeps the bound on shifts.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -15,19 +15,34 @@
 	inTime                bool
 }
 
-// choose returns the best server for the request, or nil. Servers that are
-// believed to be down count only if healthy is false.
-func (p *Pool) choose(now time.Duration, r Request, c *class, healthy bool) (*server, option) {
+// candidates tells which servers a choice is made from.
+type candidates int
+
+const (
+	// healthyServers are those that are believed to answer.
+	healthyServers candidates = iota
+	// freeServers are healthy servers with a free slot.
+	freeServers
+	// anyServer includes those that are believed to be down.
+	anyServer
+)
+
+// choose returns the best server for the request, or nil.
+func (p *Pool) choose(now time.Duration, r Request, c *class, from candidates) (*server, option) {
 	var best *server
 	var choice option
 	key := objectKey(r.Class, r.Key)
 	hash := xxhash.Sum64String(key)
 	open := map[string]bool{}
-	for pass := 0; pass < 2 && best == nil; pass++ {
+	passes := 2
+	if from == freeServers {
+		passes = 1
+	}
+	for pass := 0; pass < passes && best == nil; pass++ {
 		// The first pass keeps the bound on shifts between regions; the second
 		// serves a request that has no other place.
 		for _, s := range p.list {
-			if !p.usable(now, r, s, healthy) || pass == 0 && !p.open(now, open, s.region) {
+			if !p.usable(now, r, s, from) || pass == 0 && !p.open(now, open, s.region) {
 				continue
 			}
 			o := p.option(now, r, c, s, key, hash)
@@ -61,7 +76,7 @@
 	return o.cost < other.cost
 }
 
-func (p *Pool) usable(now time.Duration, r Request, s *server, healthy bool) bool {
+func (p *Pool) usable(now time.Duration, r Request, s *server, from candidates) bool {
 	if s.draining || s.gone || p.evac[s.domain] || slices.Contains(r.Exclude, s.id) {
 		return false
 	}
@@ -71,7 +86,10 @@
 	if s.cold(now) && !p.mayWarm(now, s) {
 		return false
 	}
-	return !healthy || s.available(now)
+	if from == freeServers && s.load(now) >= float64(s.slots) {
+		return false
+	}
+	return from == anyServer || s.available(now)
 }
 
 // mayWarm tells whether the pool may send to a cold server. Only the pool that
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -156,6 +156,9 @@
 	// lateLoad is the load, in requests per slot, up to which a server takes
 	// requests that miss their objective.
 	lateLoad = 1.5
+	// spareOccupancy is the occupancy of the service up to which servers with free
+	// slots load objects that others hold.
+	spareOccupancy = 0.5
 	// coldShare is the part of the cold rate that one pool uses, so that two
 	// pools that dispatch at once stay below the limit.
 	coldShare = 0.75
@@ -257,24 +260,37 @@
 	if now-p.busyAt > occupancyAge {
 		p.busy, p.busyAt = p.occupancy(now), now
 	}
-	best, choice := p.choose(now, r, c, true)
+	best, choice := p.choose(now, r, c, healthyServers)
 	if best == nil {
 		// A server that is believed to be down is better than none.
-		best, choice = p.choose(now, r, c, false)
+		best, choice = p.choose(now, r, c, anyServer)
+	}
+	if best != nil && p.overloaded(now, best, choice) {
+		// While many slots are free, another server may load the object. Without
+		// them that would take the slot from several requests that find theirs
+		// loaded, so the request is refused.
+		if p.busy > spareOccupancy {
+			return Decision{Refused: Overload, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
+		}
+		if best, choice = p.choose(now, r, c, freeServers); best == nil {
+			return Decision{Refused: Overload, RetryAfter: retryOverload}
+		}
 	}
 	switch {
 	case best == nil:
 		return Decision{Refused: NoServer, RetryAfter: retryNoServer}
 	case choice.finish > r.Deadline-now-deadlineMargin:
 		return Decision{Refused: Late, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
-	case !choice.inTime && best.load(now) > lateLoad*float64(best.slots):
-		// Another server with a free slot would have to load the object first,
-		// which takes the slot from several requests that find theirs loaded.
-		return Decision{Refused: Overload, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
 	}
 	return p.grant(now, r, best, choice)
 }
 
+// overloaded tells whether a request at the server would miss its objective and
+// make others wait.
+func (p *Pool) overloaded(now time.Duration, s *server, o option) bool {
+	return !o.inTime && s.load(now) > lateLoad*float64(s.slots)
+}
+
 // occupancyAge is how long the occupancy of the service is used.
 const occupancyAge = 20 * time.Millisecond
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -125,9 +125,11 @@
 		g.Expect(d.Server).To(Equal(first.Server))
 		g.Expect(d.Warm).To(BeTrue())
 	}
-	// The server is full and its queue too long: another one loads the object.
+	// The server is full and its queue too long: another one, of which all slots
+	// are free, loads the object instead of a refusal.
 	for i := range 20 {
-		p.Acquire(time.Second, Request{ID: fmt.Sprint(i), Class: "c", Key: "k", Domain: "r-a", Objective: time.Second + objective, Deadline: time.Second + deadline})
+		now := time.Second + time.Duration(i)*ms
+		g.Expect(p.Acquire(now, request(now, "k")).Refused).To(BeEmpty())
 	}
 	holders := 0
 	for _, s := range p.list {
