gateway: tests of the request path; end the connection of an early answer

Found by the race detector: the front asked whether a streamed body was read to its end while the body was still being sent on after an early answer.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -227,19 +227,15 @@
 		}
 		if ex.request.Rest != nil {
 			<-ex.written
-			if !c.drained(ex) {
+			if !ex.request.Rest.ended.Load() {
+				// Whoever sends the body on may still read it: the connection
+				// ends with the answer.
 				return
 			}
 		}
 	}
 }
 
-// drained tells whether a streamed body was read to its end.
-func (c *frontConn) drained(ex *exchange) bool {
-	n, err := ex.request.Rest.Read(make([]byte, 1))
-	return n == 0 && errors.Is(err, io.EOF)
-}
-
 func (c *frontConn) run(ctx context.Context, ex *exchange) {
 	ex.answer = c.front.handler.Serve(ctx, ex.request)
 	close(ex.done)
@@ -348,7 +344,7 @@
 		r.Length = int64(len(r.Body))
 		return nil, true
 	}
-	r.Rest = &io.LimitedReader{R: body, N: limits.BodyBytes - int64(len(r.Body)) + 1}
+	r.Rest = &restReader{r: io.LimitReader(body, limits.BodyBytes-int64(len(r.Body))+1)}
 	return nil, true
 }
 
@@ -389,3 +385,18 @@
 	_ = t.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	return t.r.Read(p)
 }
+
+// restReader reads the part of a large body that is not held. One goroutine
+// reads; any may ask whether the end was reached.
+type restReader struct {
+	r     io.Reader
+	ended atomic.Bool
+}
+
+func (b *restReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,549 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/dispatch"
+	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/routetable"
+)
+
+var testHeaders = Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", Affinity: "X-Key", ExpectInstance: "X-Expect",
+	Load: "X-Load", NotRun: "X-Not-Run", Signature: "X-Signature",
+}
+
+// server is a backend server that answers as the test says.
+type server struct {
+	l    net.Listener
+	runs atomic.Int32
+	mu   sync.Mutex
+	seen []string // request lines with bodies
+	gone chan struct{}
+}
+
+// startServer serves each request by answer, which returns false to close the
+// connection.
+func startServer(t *testing.T, answer func(s *server, c net.Conn, r *http.Request, body string) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{l: l, gone: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(c net.Conn, answer func(*server, net.Conn, *http.Request, string) bool) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			s.gone <- struct{}{}
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.runs.Add(1)
+		s.mu.Lock()
+		s.seen = append(s.seen, r.Method+" "+r.RequestURI+" "+string(body))
+		s.mu.Unlock()
+		if !answer(s, c, r, string(body)) {
+			return
+		}
+	}
+}
+
+// send writes a whole answer with a signature.
+func send(c net.Conn, r *http.Request, status int, body string, extra ...string) bool {
+	head := strings.Join(append(extra, ""), "\r\n")
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Signature: sig\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, r.Header.Get("X-Id"), len(body), head, body)
+	return err == nil
+}
+
+func ok(_ *server, c net.Conn, r *http.Request, body string) bool {
+	return send(c, r, 200, "answer to "+r.Header.Get("X-Id")+" "+body)
+}
+
+// noPeer stands for a fleet of one host.
+type noPeer struct{}
+
+func (noPeer) Call(context.Context, string, string, any, any) error { return errors.New("no peer") }
+func (noPeer) Notify(context.Context, string, string, any) error    { return errors.New("no peer") }
+func (noPeer) Save(context.Context, string, []byte) error           { return nil }
+func (noPeer) Load(context.Context, string) ([]byte, error)         { return nil, nil }
+
+type fixture struct {
+	g       *Gateway
+	front   *Front
+	address string
+}
+
+// start runs a gateway in front of backend servers. Routes: /get/ may be
+// repeated, /post/ must run at most once.
+func start(t *testing.T, servers ...*server) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := fleet.Host{Name: "h", Domain: "d", Region: "r", Front: "f", Peer: "p", Cores: 1}
+	g := New(Config{Self: self, Headers: testHeaders, Budget: Budget{Ratio: 0.2, Slack: 50}, Caller: noPeer{}, Keeper: noPeer{}, Log: log})
+	table, err := routetable.New(1, defaultLimits, []routetable.Service{{Name: "s", ColdRate: 5, ColdStart: time.Second}}, []routetable.Route{
+		{Name: "get", Host: "x", Prefix: "/get/", Targets: []routetable.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
+		{Name: "post", Host: "x", Prefix: "/post/", Kind: routetable.NonIdempotent, Targets: []routetable.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
+		{Name: "short", Host: "x", Prefix: "/short/", Targets: []routetable.Target{{Service: "s", Weight: 1}}, Timeout: 150 * time.Millisecond, Objective: 100 * time.Millisecond, MaxAttempts: 2},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var backends []*fleet.Backend
+	for i, s := range servers {
+		backends = append(backends, &fleet.Backend{ID: fmt.Sprint("b", i), Service: "s", Address: s.l.Addr().String(), Domain: "d", Region: "r", Slots: 4})
+	}
+	g.SetView(fleet.New(1, table, backends, []*fleet.Host{&self}, nil, map[string]string{"d": "r"}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{g: g, front: NewFront(g), address: l.Addr().String()}
+	go func() { _ = f.front.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return f
+}
+
+func (f *fixture) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func rawRequest(method, path, id, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nX-Id: %s\r\nX-Deadline: 2000\r\nContent-Length: %d\r\n\r\n%s", method, path, id, len(body), body)
+}
+
+// read returns the status and body of an answer, or status 0 if the connection
+// ended without a whole one.
+func read(in *bufio.Reader) (int, string, http.Header) {
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0, "", nil
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, "", nil
+	}
+	if resp.Close { // the library takes the header away
+		resp.Header.Set("Connection", "close")
+	}
+	return resp.StatusCode, string(body), resp.Header
+}
+
+func (f *fixture) do(t *testing.T, method, path, id, body string) (int, string, http.Header) {
+	t.Helper()
+	c, in := f.dial(t)
+	if _, err := io.WriteString(c, rawRequest(method, path, id, body)); err != nil {
+		t.Fatal(err)
+	}
+	return read(in)
+}
+
+// TestOutcomes holds for each failure of a backend server what a caller may be
+// told: 503 only if the request has certainly not run, a whole answer or none,
+// and at most one run of a request that must not be repeated.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		answer func(*server, net.Conn, *http.Request, string) bool
+		// statuses for a request that may be repeated (the second server is
+		// sound) and for one that must not.
+		get, post int
+		postRuns  int32
+	}{
+		{"sound", ok, 200, 200, 1},
+		{"refuses before running", func(_ *server, c net.Conn, r *http.Request, _ string) bool {
+			return send(c, r, 503, "", "X-Not-Run: 1")
+		}, 200, 200, 2},
+		{"is another server", func(_ *server, c net.Conn, r *http.Request, _ string) bool { return send(c, r, 421, "") }, 200, 200, 2},
+		{"fails", func(_ *server, c net.Conn, r *http.Request, _ string) bool { return send(c, r, 500, "oops") }, 200, 500, 1},
+		{"closes without an answer", func(*server, net.Conn, *http.Request, string) bool { return false }, 200, 502, 1},
+		{"breaks off its answer", func(_ *server, c net.Conn, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: 100\r\n\r\nhalf", r.Header.Get("X-Id"))
+			return false
+		}, 200, 502, 1},
+		{"sends bytes that are no answer", func(_ *server, c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, "\x00\x01 garbage\r\n\r\n")
+			return false
+		}, 200, 502, 1},
+		{"answers another request", func(_ *server, c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nbad")
+			return false
+		}, 200, 502, 1},
+		{"answers without a signature", func(_ *server, c net.Conn, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 3\r\n\r\nbad", r.Header.Get("X-Id"))
+			return false
+		}, 200, 502, 1},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			bad, sound := startServer(t, c.answer), startServer(t, ok)
+			f := start(t, bad, sound)
+			first := f.prefer(bad, "b0")
+			status, body, _ := f.do(t, "GET", "/get/a", "g1", "")
+			g.Expect(status).To(Equal(c.get))
+			if status == 200 {
+				g.Expect(body).To(Equal("answer to g1 "))
+			}
+			bad.runs.Store(0)
+			sound.runs.Store(0)
+			f = start(t, bad, sound)
+			f.prefer(bad, first)
+			status, body, _ = f.do(t, "POST", "/post/a", "p1", "body")
+			g.Expect(status).To(Equal(c.post))
+			if status == 200 {
+				g.Expect(body).To(Equal("answer to p1 body"))
+			}
+			g.Expect(bad.runs.Load() + sound.runs.Load()).To(Equal(c.postRuns))
+		})
+	}
+}
+
+// prefer makes the pool send the first request to a server: the other one counts
+// as failing.
+func (f *fixture) prefer(_ *server, id string) string {
+	d := f.g.desk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(sharedPools, "s").pool
+	// Each failure of the other server adds to its failure rate.
+	for range 20 {
+		for other := range f.g.View().Backends {
+			if other == id {
+				continue
+			}
+			r := dispatch.Request{Class: "c", Objective: d.now() + time.Second, Deadline: d.now() + 10*time.Second, Exclude: []string{id}}
+			p.Release(d.now(), p.Acquire(d.now(), r).Grant, dispatch.Report{Result: dispatch.Failed})
+		}
+	}
+	return id
+}
+
+// TestUnreachable guards against requests that are lost, or told to have run,
+// when no connection can be made.
+func TestUnreachable(t *testing.T) {
+	g := NewWithT(t)
+	gone := startServer(t, ok)
+	_ = gone.l.Close()
+	f := start(t, gone)
+	status, _, header := f.do(t, "POST", "/post/a", "p", "body")
+	g.Expect(status).To(Equal(503))
+	g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+	sound := startServer(t, ok)
+	f = start(t, gone, sound)
+	status, _, _ = f.do(t, "POST", "/post/a", "p", "body")
+	g.Expect(status).To(Equal(200))
+	g.Expect(sound.runs.Load()).To(Equal(int32(1)))
+}
+
+// TestPipelined guards against answers in the wrong order, and against requests
+// that wait until the one before them is answered.
+func TestPipelined(t *testing.T) {
+	g := NewWithT(t)
+	slow := startServer(t, func(_ *server, c net.Conn, r *http.Request, _ string) bool {
+		time.Sleep(150 * time.Millisecond)
+		return send(c, r, 200, r.Header.Get("X-Id"))
+	})
+	f := start(t, slow)
+	c, in := f.dial(t)
+	began := time.Now()
+	for i := range 4 {
+		_, _ = io.WriteString(c, rawRequest("GET", "/get/a", fmt.Sprint("r", i), ""))
+	}
+	for i := range 4 {
+		status, body, _ := read(in)
+		g.Expect(status).To(Equal(200))
+		g.Expect(body).To(Equal(fmt.Sprint("r", i)))
+	}
+	g.Expect(time.Since(began)).To(BeNumerically("<", 450*time.Millisecond))
+}
+
+// TestCallerLeaves guards against servers that work for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	g := NewWithT(t)
+	started := make(chan struct{}, 1)
+	slow := startServer(t, func(_ *server, _ net.Conn, _ *http.Request, _ string) bool {
+		started <- struct{}{}
+		return true // no answer; the next read ends when the gateway closes
+	})
+	f := start(t, slow)
+	c, _ := f.dial(t)
+	_, _ = io.WriteString(c, rawRequest("GET", "/get/a", "g", ""))
+	<-started
+	_ = c.Close()
+	g.Eventually(slow.gone, "400ms").Should(Receive())
+	g.Eventually(f.front.Open, "1s").Should(BeZero())
+}
+
+// TestTimeout guards against callers that are kept waiting beyond the route's
+// timeout.
+func TestTimeout(t *testing.T) {
+	g := NewWithT(t)
+	silent := startServer(t, func(*server, net.Conn, *http.Request, string) bool { time.Sleep(time.Second); return false })
+	f := start(t, silent)
+	began := time.Now()
+	status, _, _ := f.do(t, "GET", "/short/a", "g", "")
+	g.Expect(status).To(Equal(504))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 600*time.Millisecond))
+}
+
+// TestExtraAnswer guards against a second answer of a server that is taken for
+// the answer to the next request on the connection.
+func TestExtraAnswer(t *testing.T) {
+	g := NewWithT(t)
+	twice := startServer(t, func(s *server, c net.Conn, r *http.Request, body string) bool {
+		send(c, r, 200, "first "+r.Header.Get("X-Id"))
+		if s.runs.Load() == 1 {
+			go func() { time.Sleep(30 * time.Millisecond); send(c, r, 200, "extra "+r.Header.Get("X-Id")) }()
+		}
+		return true
+	})
+	f := start(t, twice)
+	for i := range 4 {
+		id := fmt.Sprint("r", i)
+		status, body, _ := f.do(t, "GET", "/get/a", id, "")
+		g.Expect(status).To(Equal(200))
+		g.Expect(body).To(Equal("first " + id))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestEarlyAnswer guards against a long body of which the rest is taken for the
+// next request: a server answers before it has read the body and reads on later.
+func TestEarlyAnswer(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	const size = 12 << 20 // more than the buffers of a connection hold
+	var wrong atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+						return
+					}
+					if err != nil {
+						wrong.Add(1)
+						return
+					}
+					send(c, r, 200, "early "+r.Header.Get("X-Id"))
+					time.Sleep(50 * time.Millisecond)
+					body, err := io.ReadAll(r.Body)
+					if strings.Trim(string(body), "x") != "" {
+						wrong.Add(1)
+					}
+					if err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	f := start(t, &server{l: l})
+	for _, n := range []int{size, 60_000, size, 10} {
+		id := fmt.Sprint("p", n)
+		c, in := f.dial(t)
+		go func() { _, _ = io.WriteString(c, rawRequest("POST", "/post/a", id, strings.Repeat("x", n))) }()
+		status, body, _ := read(in)
+		g.Expect(status).To(Equal(200))
+		g.Expect(body).To(Equal("early " + id))
+	}
+	g.Expect(wrong.Load()).To(BeZero())
+}
+
+// TestBodies guards against bodies that are cut or changed on their way, of a
+// known length or in chunks, short or too long to be held whole.
+func TestBodies(t *testing.T) {
+	for _, size := range []int{0, 10, 60_000, wholeBody, 3 * wholeBody} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d chunked=%v", size, chunked), func(t *testing.T) {
+				g := NewWithT(t)
+				s := startServer(t, func(_ *server, c net.Conn, r *http.Request, body string) bool {
+					return send(c, r, 200, body)
+				})
+				f := start(t, s)
+				c, in := f.dial(t)
+				body := strings.Repeat("abcdefghij", size/10+1)[:size]
+				go func() {
+					if !chunked {
+						_, _ = io.WriteString(c, rawRequest("POST", "/post/a?q=1", "p", body))
+						return
+					}
+					_, _ = io.WriteString(c, "POST /post/a?q=1 HTTP/1.1\r\nHost: x\r\nX-Id: p\r\nX-Deadline: 2000\r\nTransfer-Encoding: chunked\r\n\r\n")
+					for len(body) > 0 {
+						n := min(len(body), 50_000)
+						_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", n, body[:n])
+						body = body[n:]
+					}
+					_, _ = io.WriteString(c, "0\r\n\r\n")
+				}()
+				status, got, _ := read(in)
+				g.Expect(status).To(Equal(200))
+				g.Expect(len(got)).To(Equal(size))
+				g.Expect(s.seen[0]).To(HavePrefix("POST /post/a?q=1 abcdefghij"[:17+min(size, 10)]))
+			})
+		}
+	}
+}
+
+// TestMalformed guards against a malformed request that poisons the next one on
+// its connection, and against answers that name the wrong cause.
+func TestMalformed(t *testing.T) {
+	for _, c := range []struct {
+		desc, raw string
+		want      int
+	}{
+		{"no request line", "hello\r\n\r\n", 400},
+		{"header too long", "GET /get/a HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 64<<10) + "\r\n\r\n", 431},
+		{"body too long", "POST /post/a HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n", 413},
+		{"no host", "GET /get/a HTTP/1.1\r\n\r\n", 400},
+		{"no route", "GET /none/ HTTP/1.1\r\nHost: x\r\n\r\n", 404},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			s := startServer(t, ok)
+			f := start(t, s)
+			conn, in := f.dial(t)
+			go func() { _, _ = io.WriteString(conn, c.raw) }()
+			status, _, _ := read(in)
+			g.Expect(status).To(Equal(c.want))
+			g.Expect(s.runs.Load()).To(BeZero())
+		})
+	}
+}
+
+// TestUnconfigured guards against a host without a configuration that denies
+// routes it does not know yet.
+func TestUnconfigured(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t)
+	f.g.view.Store(nil)
+	status, _, header := f.do(t, "GET", "/get/a", "g", "")
+	g.Expect(status).To(Equal(503))
+	g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+}
+
+// TestConfigurationNeverReverts guards against a view with an older or missing
+// configuration that replaces a newer one.
+func TestConfigurationNeverReverts(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t)
+	table := func(version uint64) *routetable.Table {
+		tab, err := routetable.New(version, defaultLimits, nil, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		return tab
+	}
+	for _, v := range []*routetable.Table{table(5), table(4), nil} {
+		f.g.SetView(fleet.New(9, v, nil, nil, nil, nil))
+	}
+	g.Expect(f.g.View().Table.Version).To(Equal(uint64(5)))
+}
+
+// TestDrain guards against a shutdown that cuts requests in progress, leaves idle
+// connections open, or lets the last answer invite another request.
+func TestDrain(t *testing.T) {
+	g := NewWithT(t)
+	slow := startServer(t, func(_ *server, c net.Conn, r *http.Request, _ string) bool {
+		time.Sleep(200 * time.Millisecond)
+		return send(c, r, 200, "done")
+	})
+	f := start(t, slow)
+	idle, idleIn := f.dial(t)
+	_, _ = io.WriteString(idle, rawRequest("GET", "/get/a", "i", ""))
+	status, _, _ := read(idleIn)
+	g.Expect(status).To(Equal(200))
+	busy, busyIn := f.dial(t)
+	_, _ = io.WriteString(busy, rawRequest("GET", "/get/a", "b", ""))
+	g.Eventually(f.front.Open, "1s").Should(Equal(int64(1)))
+	f.front.Drain()
+	f.front.CloseIdle()
+	status, body, header := read(busyIn)
+	g.Expect(status).To(Equal(200))
+	g.Expect(body).To(Equal("done"))
+	g.Expect(header.Get("Connection")).To(Equal("close"))
+	_, err := idleIn.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+}
+
+// TestLeavingServer guards against a server that this host knows to be leaving
+// and that gets work because its dispatcher does not know yet.
+func TestLeavingServer(t *testing.T) {
+	g := NewWithT(t)
+	leaving, sound := startServer(t, ok), startServer(t, ok)
+	f := start(t, leaving, sound)
+	f.prefer(leaving, "b0")
+	s := *f.g.View()
+	backends := []*fleet.Backend{}
+	for id, b := range s.Backends {
+		c := *b
+		c.Draining = id == "b0"
+		backends = append(backends, &c)
+	}
+	f.g.view.Store(fleet.New(2, s.Table, backends, nil, nil, s.Domains)) // the desk keeps the old view
+	status, _, _ := f.do(t, "GET", "/get/a", "g", "")
+	g.Expect(status).To(Equal(200))
+	g.Expect(leaving.runs.Load()).To(BeZero())
+}
+
+// TestParse covers the headers by which servers tell of themselves.
+func TestParse(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(parseLoad("3, 1,8")).To(Equal(&dispatch.Load{Running: 3, Waiting: 1, Slots: 8}))
+	for _, bad := range []string{"", "1,2", "1,2,x", "-1,0,4", "1,2,3,4"} {
+		g.Expect(parseLoad(bad)).To(BeNil(), bad)
+	}
+	d, found := keepAlive("max=5, timeout=10")
+	g.Expect(found).To(BeTrue())
+	g.Expect(d).To(Equal(10 * time.Second))
+	_, found = keepAlive("timeout=soon")
+	g.Expect(found).To(BeFalse())
+}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -36,7 +36,7 @@
 	// Body is the whole body, or its beginning if Rest is set.
 	Body []byte
 	// Rest is the part of a large body that has not been read yet.
-	Rest io.Reader
+	Rest *restReader
 	// Length is the size of the body; -1 if it is not known.
 	Length int64
 	// Received is when the header was complete.
