--- a/cmd/galenabeamd/main.go
+++ b/cmd/galenabeamd/main.go
@@ -76,16 +76,21 @@
 	}
 	sink := logsink.New(stdout)
 	defer sink.Close()
-	log := logrus.New()
-	log.SetOutput(sink)
-	log.SetFormatter(&logrus.JSONFormatter{})
-	if err := platform.Run(s, log); err != nil {
+	if err := platform.Run(s, jsonLog(sink, s.Host), jsonLog(sink.Routine(), s.Host)); err != nil {
 		fmt.Fprintln(stderr, "galenabeamd:", err)
 		return exitFailed
 	}
 	return exitOK
 }
 
+// jsonLog returns a logger of a host that writes one JSON object a line.
+func jsonLog(out io.Writer, host string) logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return log.WithField("host", host)
+}
+
 // serve runs the daemon until a signal. The first one starts the graceful
 // shutdown, a second one ends it at once. SIGUSR1 prints a state dump.
 func serve(s *settings.Settings) error {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,6 +77,7 @@
 		{"drain start", "KIND TARGET", "Drains a backend-server, a failure-domain (REGION/NAME) or a region.", true, prepareDrainStart},
 		{"drain list", "", "Lists the drains in force with their progress.", true, prepareDrainList},
 		{"drain abort", "KIND TARGET", "Takes a drain back.", true, prepareDrainAbort},
+		{"explain", "ID [LOG...]", "Prints what the logs of entry hosts tell of a request. Offline; reads standard input without files.", false, prepareExplain},
 		{"call", "", "Sends one request through the system.", true, prepareCall},
 		{"report", "BEFORE AFTER", "Writes an HTML page that compares two benchmark or quickstart results.", false, prepareReport},
 		{"quickstart", "", "Runs a demonstration on loopback addresses.", true, prepareQuickstart},
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,7 +63,10 @@
 	Warm bool
 	// Wait and Service are the expected time in the server's queue and at work.
 	Wait, Service time.Duration
-	Refused       Reason
+	// Load is the number of requests at the server, Busy the part of the service's
+	// slots that was taken.
+	Load, Busy float64
+	Refused    Reason
 	// RetryAfter is when the request is likely to be accepted.
 	RetryAfter time.Duration
 }
@@ -270,17 +273,17 @@
 		// them that would take the slot from several requests that find theirs
 		// loaded, so the request is refused.
 		if p.busy > spareOccupancy {
-			return Decision{Refused: Overload, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
+			return p.refuse(now, Overload, best, choice)
 		}
 		if best, choice = p.choose(now, r, c, freeServers); best == nil {
-			return Decision{Refused: Overload, RetryAfter: retryOverload}
+			return p.refuse(now, Overload, nil, choice)
 		}
 	}
 	switch {
 	case best == nil:
-		return Decision{Refused: NoServer, RetryAfter: retryNoServer}
+		return p.refuse(now, NoServer, nil, choice)
 	case choice.finish > r.Deadline-now-deadlineMargin:
-		return Decision{Refused: Late, RetryAfter: max(retryAfter(choice.wait), retryOverload)}
+		return p.refuse(now, Late, best, choice)
 	}
 	return p.grant(now, r, best, choice)
 }
@@ -301,19 +304,31 @@
 	// retryOverload is when to come back after a refusal for lack of slots. The
 	// answer will be late in any case; it is likelier once a burst has passed.
 	retryOverload = 700 * time.Millisecond
-	// minRetry and maxRetry bound the time after which to come back.
-	minRetry, maxRetry = 100 * time.Millisecond, 2 * time.Second
+	// maxRetry bounds the time after which to come back.
+	maxRetry = 2 * time.Second
 	// deadlineMargin is kept for the way back to the caller.
 	deadlineMargin = 20 * time.Millisecond
 )
 
-func retryAfter(wait time.Duration) time.Duration { return min(max(wait, minRetry), maxRetry) }
+// refuse returns the refusal of a request. s is the server that would have been
+// the best, nil if there was none.
+func (p *Pool) refuse(now time.Duration, reason Reason, s *server, o option) Decision {
+	d := Decision{Refused: reason, Wait: o.wait, Service: o.service, Busy: p.busy, RetryAfter: retryNoServer}
+	if s != nil {
+		d.Load = s.load(now)
+	}
+	if reason != NoServer {
+		d.RetryAfter = min(max(o.wait, retryOverload), maxRetry)
+	}
+	return d
+}
 
 func (p *Pool) grant(now time.Duration, r Request, s *server, c option) Decision {
 	p.next++
+	load := s.load(now)
 	g := &grant{
 		server: s, key: r.Key, class: r.Class, warm: c.warm, sent: now, wait: c.wait,
-		expect: c.service, deadline: r.Deadline, alone: s.load(now) < float64(s.slots),
+		expect: c.service, deadline: r.Deadline, alone: load < float64(s.slots),
 	}
 	p.grants[p.next] = g
 	s.inflight++
@@ -331,7 +346,7 @@
 		p.warmed = append(p.warmed, Warmth{Server: s.id, Key: key})
 	}
 	p.shifts.count(now, s.region)
-	return Decision{Grant: p.next, Server: s.id, Warm: c.warm, Wait: c.wait, Service: c.service}
+	return Decision{Grant: p.next, Server: s.id, Warm: c.warm, Wait: c.wait, Service: c.service, Load: load, Busy: p.busy}
 }
 
 // objectKey names an object among all classes; "" if there is none.
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -245,7 +245,7 @@
 	d.suspects[name] = time.Now().Add(suspectTime)
 	d.mu.Unlock()
 	if fresh {
-		d.log.WithError(err).WithField("host", name).Warn("dispatcher does not answer; asking the next one")
+		d.log.WithError(err).WithField("peer", name).Warn("dispatcher does not answer; asking the next one")
 	}
 }
 
@@ -283,7 +283,7 @@
 	p := ReleaseParams{Service: t.service, Grant: t.Grant, Process: t.process, Report: r}
 	if err := d.caller.Notify(ctx, t.host.Peer, MethodRelease, p); err != nil {
 		// The dispatcher drops the grant at its deadline.
-		d.log.WithError(err).WithField("host", t.host.Name).Debug("grant not released")
+		d.log.WithError(err).WithField("peer", t.host.Name).Debug("grant not released")
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,10 @@
 	Caller  Caller
 	Keeper  Keeper
 	Log     logrus.FieldLogger
+	// Access takes the lines of requests that were answered.
+	Access logrus.FieldLogger
+	// Age returns how long ago the store confirmed the view.
+	Age     func() time.Duration
 	Metrics *Metrics
 }
 
@@ -61,7 +65,6 @@
 	desk     *Desk
 	upstream *upstream
 	view     atomic.Pointer[fleet.Snapshot]
-	viewed   atomic.Int64 // wall clock of the last view, Unix milliseconds
 	closing  atomic.Bool
 
 	mu      sync.Mutex
@@ -92,7 +95,6 @@
 		s = &copied
 	}
 	g.view.Store(s)
-	g.viewed.Store(time.Now().UnixMilli())
 	g.desk.SetView(s)
 	g.upstream.prune(s.Backends)
 }
@@ -130,6 +132,8 @@
 	Server  string  `json:"server,omitempty"`
 	By      string  `json:"by"`
 	Warm    bool    `json:"warm"`
+	Load    float64 `json:"load"`
+	Busy    float64 `json:"busy"`
 	Wait    float64 `json:"wait_ms"`
 	Service float64 `json:"service_ms"`
 	Took    float64 `json:"took_ms"`
@@ -360,7 +364,8 @@
 		f.unsent++
 	}
 	f.trail = append(f.trail, hop{
-		Server: a.ticket.Server, By: a.ticket.by, Warm: a.ticket.Warm, Wait: ms(a.ticket.Wait),
+		Server: a.ticket.Server, By: a.ticket.by, Warm: a.ticket.Warm,
+		Load: a.ticket.Load, Busy: a.ticket.Busy, Wait: ms(a.ticket.Wait),
 		Service: ms(a.ticket.Service), Took: ms(a.took), Result: resultName(a.reply),
 	})
 	g.cfg.Metrics.attempt(f.service, resultNames[a.reply.result], a.took)
@@ -433,7 +438,7 @@
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &Answer{Abort: true}, "caller_left"
 	}
-	f.trail = append(f.trail, hop{By: t.by, Result: string(t.Refused)})
+	f.trail = append(f.trail, hop{By: t.by, Load: t.Load, Busy: t.Busy, Wait: ms(t.Wait), Service: ms(t.Service), Result: string(t.Refused)})
 	return refusal(t.RetryAfter, string(t.Refused)), string(t.Refused)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -114,7 +114,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := fleet.Host{Name: "h", Domain: "d", Region: "r", Front: "f", Peer: "p", Cores: 1}
-	g := New(Config{Self: self, Headers: testHeaders, Budget: Budget{Ratio: 0.2, Slack: 50}, Caller: noPeer{}, Keeper: noPeer{}, Log: log})
+	g := New(Config{Self: self, Headers: testHeaders, Budget: Budget{Ratio: 0.2, Slack: 50}, Caller: noPeer{}, Keeper: noPeer{}, Log: log, Access: log,
+		Age: func() time.Duration { return 0 }})
 	table, err := routetable.New(1, defaultLimits, []routetable.Service{{Name: "s", ColdRate: 5, ColdStart: time.Second}}, []routetable.Route{
 		{Name: "get", Host: "x", Prefix: "/get/", Targets: []routetable.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
 		{Name: "post", Host: "x", Prefix: "/post/", Kind: routetable.NonIdempotent, Targets: []routetable.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -30,12 +30,21 @@
 		route = f.route.Name
 	}
 	g.cfg.Metrics.request(route, reason, took)
-	entry := g.cfg.Log.WithFields(logrus.Fields{
+	log := g.cfg.Log
+	answered := reason == "served" && a.Status < 500
+	if answered {
+		log = g.cfg.Access
+	}
+	revision := uint64(0)
+	if s := g.view.Load(); s != nil {
+		revision = s.Revision
+	}
+	entry := log.WithFields(logrus.Fields{
 		"request": f.id, "route": route, "service": f.service, "key": f.key, "config_version": f.version,
-		"view_age_ms": time.Now().UnixMilli() - g.viewed.Load(), "status": a.Status, "outcome": reason,
+		"view_revision": revision, "view_age_ms": g.cfg.Age().Milliseconds(), "status": a.Status, "outcome": reason,
 		"took_ms": ms(took), "left_ms": ms(time.Until(f.deadline)), "attempts": f.trail,
 	})
-	if reason == "served" && a.Status < 500 {
+	if answered {
 		entry.Info("request answered")
 		return
 	}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -14,8 +14,9 @@
 
 // Bounds of the volume.
 const (
-	// linesPerSecond is the bound on request lines of one process.
-	linesPerSecond = 120
+	// linesPerSecond bounds the lines on failures and changes of one process,
+	// routinePerSecond those on what went well.
+	linesPerSecond, routinePerSecond = 120, 60
 	// burstLines may be written at once.
 	burstLines = 400
 	// queueLines is the number of lines that wait for the output.
@@ -29,6 +30,7 @@
 	out     io.Writer
 	lines   chan []byte
 	limit   *rate.Limiter
+	routine *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
 	stopped chan struct{}
@@ -38,15 +40,25 @@
 func New(out io.Writer) *Sink {
 	s := &Sink{
 		out: out, lines: make(chan []byte, queueLines), limit: rate.NewLimiter(linesPerSecond, burstLines),
-		done: make(chan struct{}), stopped: make(chan struct{}),
+		routine: rate.NewLimiter(routinePerSecond, burstLines), done: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	go s.run()
 	return s
 }
 
 // Write queues a line or drops it. It never blocks and never fails.
-func (s *Sink) Write(line []byte) (int, error) {
-	if !s.limit.Allow() {
+func (s *Sink) Write(line []byte) (int, error) { return s.queue(line, s.limit) }
+
+// Routine returns a writer for lines on what went well. They have a bound of
+// their own, so that they never take the place of failures.
+func (s *Sink) Routine() io.Writer { return routineWriter{s} }
+
+type routineWriter struct{ s *Sink }
+
+func (w routineWriter) Write(line []byte) (int, error) { return w.s.queue(line, w.s.routine) }
+
+func (s *Sink) queue(line []byte, limit *rate.Limiter) (int, error) {
+	if !limit.Allow() {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -157,7 +157,7 @@
 		}
 		if ctx.Err() == nil {
 			s.suspect(src.Name, err)
-			s.log.WithError(err).WithField("host", src.Name).Warn("host has no fresh copy of the store")
+			s.log.WithError(err).WithField("peer", src.Name).Warn("host has no fresh copy of the store")
 		}
 	}
 	if !stored && s.fetchStore(ctx) {
