dispatch, gateway: weigh bytes between domains; spend more of the retry budget

Cause: uploads of 60 KB crossed failure domains for a slightly better server; a server that shed a request counted as having lost its objects; hosts left 0.4 of the shared retry budget unused. New hosts now start with an empty budget, so that restarts do not multiply it.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -138,7 +138,7 @@
 		o.cost, o.inTime = 0, true
 	}
 	if s.domain != r.Domain {
-		o.cost += time.Duration(r.Bytes>>10) * bodyWeight
+		o.cost += time.Duration(float64(r.Bytes+c.answerBytes) / 1024 * float64(byteWeight))
 	}
 	return o
 }
--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -15,6 +15,7 @@
 type class struct {
 	coldTime, warmTime time.Duration
 	coldSeen, warmSeen bool
+	answerBytes        int64
 }
 
 // class returns the class by name. left is the time to the objective of the
@@ -57,6 +58,15 @@
 	}
 }
 
+// observeBytes learns the size of the answers.
+func (c *class) observeBytes(n int64) {
+	if c.answerBytes == 0 {
+		c.answerBytes = n
+		return
+	}
+	c.answerBytes += int64(estimateGain * float64(n-c.answerBytes))
+}
+
 func (c *class) observeSlowness(g *grant, s *server, now, elapsed time.Duration) {
 	if !c.coldSeen || !c.warmSeen {
 		return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -106,6 +106,8 @@
 	Connect time.Duration
 	// Load is nil if the server did not tell.
 	Load *Load
+	// Bytes is the size of the answer.
+	Bytes int64
 }
 
 // Options are the limits of a pool.
@@ -152,8 +154,9 @@
 	foreignRank   = 4 * time.Millisecond
 	// reuseTime is how long after a request a connection is likely to be open.
 	reuseTime = 6 * time.Second
-	// bodyWeight is the cost of a kilobyte of body that leaves the domain.
-	bodyWeight = 600 * time.Microsecond
+	// byteWeight is the cost of a kilobyte that crosses to another failure domain:
+	// links between domains are narrow or paid for.
+	byteWeight = 5 * time.Millisecond
 	// windowBytes is the part of a body that is sent in one round trip.
 	windowBytes = 16 << 10
 	// lateLoad is the load, in requests per slot, up to which a server takes
@@ -411,13 +414,17 @@
 			s.coldUntil = max(s.coldUntil, now+p.coldFor)
 			s.forgetKeys()
 		}
+		p.class(g.class, 0).observeBytes(r.Bytes)
 		p.class(g.class, 0).observe(g, s, r.Elapsed-p.roundTrip(s.region))
 	case Failed:
 		s.failed(now, false)
 		s.drop(key)
 	case Shed:
+		// The server still holds what it held.
 		s.shed(now)
-		s.drop(key)
+		if !g.warm {
+			s.drop(key)
+		}
 	case Unreachable:
 		s.failed(now, true)
 		s.drop(key)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,7 +33,7 @@
 	hedgeBase   = 40 * time.Millisecond
 	// budgetPart is the part of the shared retry budget that hosts use, which
 	// leaves room for requests that are counted elsewhere.
-	budgetPart = 0.6
+	budgetPart = 0.85
 )
 
 // Budget is the retry budget that all hosts share.
@@ -203,7 +203,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = retry.NewBudget(g.cfg.Budget.Ratio*budgetPart, max(g.cfg.Budget.Slack*budgetPart/float64(hosts), 1))
+		b = retry.NewEmptyBudget(g.cfg.Budget.Ratio*budgetPart, max(g.cfg.Budget.Slack*budgetPart/float64(hosts), 1))
 		g.budgets[service] = b
 	}
 	b.Request()
@@ -373,8 +373,12 @@
 }
 
 func (g *Gateway) release(a *attempt) {
+	bytes := int64(0)
+	if a.reply.answer != nil {
+		bytes = int64(len(a.reply.answer.Body))
+	}
 	g.desk.Release(a.ticket, dispatch.Report{
-		Result: a.reply.result, Elapsed: a.took - a.reply.connect, Connect: a.reply.connect, Load: a.reply.load,
+		Bytes: bytes, Result: a.reply.result, Elapsed: a.took - a.reply.connect, Connect: a.reply.connect, Load: a.reply.load,
 	})
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/routetable"
 )
 
@@ -116,6 +117,7 @@
 	self := fleet.Host{Name: "h", Domain: "d", Region: "r", Front: "f", Peer: "p", Cores: 1}
 	g := New(Config{Self: self, Headers: testHeaders, Budget: Budget{Ratio: 0.2, Slack: 50}, Caller: noPeer{}, Keeper: noPeer{}, Log: log, Access: log,
 		Age: func() time.Duration { return 0 }})
+	g.budgets["s"] = retry.NewBudget(0.2, 50) // as after many requests
 	table, err := routetable.New(1, defaultLimits, []routetable.Service{{Name: "s", ColdRate: 5, ColdStart: time.Second}}, []routetable.Route{
 		{Name: "get", Host: "x", Prefix: "/get/", Targets: []routetable.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
 		{Name: "post", Host: "x", Prefix: "/post/", Kind: routetable.NonIdempotent, Targets: []routetable.Target{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
@@ -548,3 +550,26 @@
 	_, found = keepAlive("timeout=soon")
 	g.Expect(found).To(BeFalse())
 }
+
+// TestBudgetOfRestartedHosts guards against hosts that start again and again and
+// each time spend a full share of the retry budget that all hosts have together.
+func TestBudgetOfRestartedHosts(t *testing.T) {
+	g := NewWithT(t)
+	const hosts, restarts, requests = 20, 3, 10
+	budget := Budget{Ratio: 0.2, Slack: 50}
+	var list []*fleet.Host
+	for i := range hosts {
+		list = append(list, &fleet.Host{Name: fmt.Sprint("h", i), Region: "r"})
+	}
+	taken := 0
+	for range hosts * restarts {
+		gw := New(Config{Self: *list[0], Budget: budget, Caller: noPeer{}, Keeper: noPeer{}, Log: logrus.New()})
+		gw.view.Store(fleet.New(1, nil, nil, list, nil, nil))
+		for range requests {
+			for b := gw.countRequest("s"); gw.takeBudget(b); {
+				taken++
+			}
+		}
+	}
+	g.Expect(float64(taken)).To(BeNumerically("<=", budget.Ratio*hosts*restarts*requests+budget.Slack))
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -30,6 +30,10 @@
 	return &Budget{share: share, burst: burst, tokens: burst}
 }
 
+// NewEmptyBudget returns a budget that starts empty, for processes that may be
+// started again and again while others count with their share.
+func NewEmptyBudget(share, burst float64) *Budget { return &Budget{share: share, burst: burst} }
+
 // Request counts one request, not an extra attempt.
 func (b *Budget) Request() {
 	b.stats.Requests++
