--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,7 @@
 // hop is one attempt, for the log.
 type hop struct {
 	Server  string  `json:"server,omitempty"`
+	Domain  string  `json:"domain,omitempty"`
 	By      string  `json:"by"`
 	Warm    bool    `json:"warm"`
 	Load    float64 `json:"load"`
@@ -363,8 +364,12 @@
 	} else {
 		f.unsent++
 	}
+	domain := ""
+	if b := g.view.Load().Backends[a.ticket.Server]; b != nil {
+		domain = b.Domain
+	}
 	f.trail = append(f.trail, hop{
-		Server: a.ticket.Server, By: a.ticket.by, Warm: a.ticket.Warm,
+		Server: a.ticket.Server, Domain: domain, By: a.ticket.by, Warm: a.ticket.Warm,
 		Load: a.ticket.Load, Busy: a.ticket.Busy, Wait: ms(a.ticket.Wait),
 		Service: ms(a.ticket.Service), Took: ms(a.took), Result: resultName(a.reply),
 	})
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -85,7 +85,18 @@
 	return h, h.start()
 }
 
+// start starts the process unless one runs: faults on a host overlap, and only
+// the first that finds it ended starts it again.
 func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.done != nil {
+		select {
+		case <-h.done:
+		default:
+			return nil
+		}
+	}
 	cmd := exec.Command(h.binary, "-platform")
 	cmd.Env = []string{"GALENABEAM_BOOT=" + h.settings, "PATH=" + os.Getenv("PATH")}
 	cmd.Stdout, cmd.Stderr = h.log, h.log
@@ -93,10 +104,8 @@
 		return err
 	}
 	done := make(chan struct{})
-	h.mu.Lock()
 	h.cmd, h.done = cmd, done
 	h.starts++
-	h.mu.Unlock()
 	go func() { _ = cmd.Wait(); close(done) }()
 	return nil
 }
