--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -100,6 +100,9 @@
 					number+1, f["by"], f["server"], f["warm"], f["load"], f["busy"], f["wait_ms"], f["service_ms"], f["result"], f["took_ms"])
 			}
 		}
+		if l.fields["retry_budget_empty"] == true {
+			fmt.Fprintln(w, "  the retry budget of the service allowed no further attempt")
+		}
 		printBeliefs(w, lines[:n], l.Host)
 	}
 	if !found {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,8 @@
 	sent      int // attempts that reached or may have reached a server
 	unsent    int // attempts that certainly did not
 	trail     []hop
+	// budgetEmpty tells that the retry budget allowed no further attempt.
+	budgetEmpty bool
 }
 
 // hop is one attempt, for the log.
@@ -221,6 +223,7 @@
 type attempt struct {
 	ticket ticket
 	reply  reply
+	began  time.Time
 	took   time.Duration
 	cancel context.CancelFunc
 }
@@ -253,6 +256,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			for _, a := range active {
+				g.note(f, a, "running")
+			}
 			return g.expired(ctx, f)
 		case <-hedge.C:
 			if t, ok := g.hedge(ctx, f, budget); ok {
@@ -338,32 +344,26 @@
 // start sends the request to the server of a ticket.
 func (g *Gateway) start(ctx context.Context, f *flight, t ticket, results chan<- *attempt) *attempt {
 	actx, cancel := context.WithCancel(ctx)
-	a := &attempt{ticket: t, cancel: cancel}
+	a := &attempt{ticket: t, cancel: cancel, began: time.Now()}
 	b := g.view.Load().Backends[t.Server]
 	f.exclude = append(f.exclude, t.Server)
 	header := f.request.HTTP.Header.Clone()
 	stripHopByHop(header)
 	c := &call{backend: b, request: f.request, header: header, id: f.id, deadline: f.deadline, repeatable: f.route.Kind.Repeatable()}
 	go func() {
-		began := time.Now()
 		if b == nil {
 			a.reply = reply{result: dispatch.Misdirected, err: errors.New("backend server is gone")}
 		} else {
 			a.reply = g.upstream.do(actx, c)
 		}
-		a.took = time.Since(began)
+		a.took = time.Since(a.began)
 		results <- a
 	}()
 	return a
 }
 
-// finish reports the end of an attempt.
-func (g *Gateway) finish(f *flight, a *attempt) {
-	if a.reply.ran || a.reply.result == dispatch.Shed || a.reply.result == dispatch.Misdirected {
-		f.sent++
-	} else {
-		f.unsent++
-	}
+// note adds an attempt to the line of its request.
+func (g *Gateway) note(f *flight, a *attempt, result string) {
 	domain := ""
 	if b := g.view.Load().Backends[a.ticket.Server]; b != nil {
 		domain = b.Domain
@@ -371,8 +371,18 @@
 	f.trail = append(f.trail, hop{
 		Server: a.ticket.Server, Domain: domain, By: a.ticket.by, Warm: a.ticket.Warm,
 		Load: a.ticket.Load, Busy: a.ticket.Busy, Wait: ms(a.ticket.Wait),
-		Service: ms(a.ticket.Service), Took: ms(a.took), Result: resultName(a.reply),
+		Service: ms(a.ticket.Service), Took: ms(time.Since(a.began)), Result: result,
 	})
+}
+
+// finish reports the end of an attempt.
+func (g *Gateway) finish(f *flight, a *attempt) {
+	if a.reply.ran || a.reply.result == dispatch.Shed || a.reply.result == dispatch.Misdirected {
+		f.sent++
+	} else {
+		f.unsent++
+	}
+	g.note(f, a, resultName(a.reply))
 	g.cfg.Metrics.attempt(f.service, resultNames[a.reply.result], a.took)
 	g.release(a)
 }
@@ -436,6 +446,7 @@
 		return ticket{}, false
 	}
 	if f.sent > 0 && !g.takeBudget(budget) {
+		f.budgetEmpty = true
 		return ticket{}, false
 	}
 	t := g.acquire(ctx, f)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -39,10 +39,14 @@
 	if s := g.view.Load(); s != nil {
 		revision = s.Revision
 	}
+	left := 0.0
+	if !f.deadline.IsZero() {
+		left = ms(time.Until(f.deadline))
+	}
 	entry := log.WithFields(logrus.Fields{
 		"request": f.id, "route": route, "service": f.service, "key": f.key, "config_version": f.version,
 		"view_revision": revision, "view_age_ms": g.cfg.Age().Milliseconds(), "status": a.Status, "outcome": reason,
-		"took_ms": ms(took), "left_ms": ms(time.Until(f.deadline)), "attempts": f.trail,
+		"took_ms": ms(took), "left_ms": left, "attempts": f.trail, "retry_budget_empty": f.budgetEmpty,
 	})
 	if answered {
 		entry.Info("request answered")
