dispatch: learn how many objects servers hold; keep heavy objects in each domain

Cause: servers were believed to hold 24 objects and keep 16 to 27, so requests ran cold that were expected warm; uploads crossed failure domains because a server of another domain held their object.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -137,6 +137,14 @@
 		// others are: the next ones then find it warm.
 		o.cost, o.inTime = 0, true
 	}
+	if !o.warm && s.domain == r.Domain && r.Bytes >= heavyBytes && len(s.keys) < int(p.keep) &&
+		load < float64(s.slots) && p.busy < spareOccupancy {
+		// Further requests of the domain will find the object here instead of
+		// sending their bodies to another domain. A server that is full would
+		// forget another object for it.
+		o.cost -= time.Duration((1 + slotWeight) * float64(o.service-typical) * (1 - 1.0/heavyUses))
+		o.inTime = true
+	}
 	if s.domain != r.Domain {
 		o.cost += time.Duration(float64(r.Bytes+c.answerBytes) / 1024 * float64(byteWeight))
 	}
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -38,7 +38,7 @@
 func (p *Pool) Merge(now time.Duration, d Digest) {
 	for _, w := range d.Warmed {
 		if s := p.servers[w.Server]; s != nil {
-			s.touch(w.Key, now)
+			s.touch(w.Key, now, int(p.keep))
 		}
 	}
 	if d.Region == p.opts.Region {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -121,9 +121,20 @@
 
 // Limits and weights of the choice.
 const (
-	// maxOwnKeys bounds the objects that a server is believed to hold. The
-	// server forgets the least recent ones; it does not tell how many it keeps.
-	maxOwnKeys = 24
+	// firstKeep is the number of objects that a server is believed to hold until
+	// its answers tell more, minKeep and maxKeep bound it. A server forgets the
+	// least recent ones and does not tell how many it keeps.
+	firstKeep, minKeep, maxKeep = 22.0, 4.0, 64.0
+	// keepDown and keepUp are the steps after an answer that shows that an object
+	// was forgotten, or that one as old as the oldest was not.
+	keepDown, keepUp = 0.5, 0.25
+	// forgottenTime is the part of the time to load an object above which a
+	// request shows that the server had forgotten it.
+	forgottenTime = 0.7
+	// heavyBytes is the size of a body above which a server of the sender's own
+	// domain is worth the loading of an object, spread over heavyUses requests.
+	heavyBytes = 16 << 10
+	heavyUses  = 10
 	// defaultFar is the round trip to another region until one was measured.
 	defaultFar = 100 * time.Millisecond
 	// defaultNear is the round trip inside a region until one was measured.
@@ -189,6 +200,8 @@
 	evac    map[string]bool
 	shifts  shifts
 	warmed  []Warmth
+	// keep is the number of objects that servers are believed to hold.
+	keep float64
 	// learnt tells that the knowledge changed since the last export.
 	learnt bool
 }
@@ -203,7 +216,10 @@
 	expect time.Duration
 	// deadline is when the caller gives up.
 	deadline time.Duration
-	alone    bool // no request waited or ran above the slots when it was sent
+	// age is the number of objects that the server was asked for since it was
+	// asked for this one.
+	age   int
+	alone bool // no request waited or ran above the slots when it was sent
 }
 
 // Warmth tells that a server was given its first request about an object.
@@ -216,7 +232,7 @@
 	return &Pool{
 		opts: o, servers: map[string]*server{}, grants: map[uint64]*grant{},
 		classes: map[string]*class{}, far: map[string]time.Duration{},
-		shifts: shifts{home: o.Region},
+		shifts: shifts{home: o.Region}, keep: firstKeep,
 	}
 }
 
@@ -344,9 +360,12 @@
 	if s.cold(now) {
 		s.takeCold(now, p.coldRate*coldShare)
 	}
-	if key := objectKey(r.Class, r.Key); key != "" && s.touch(key, now) {
-		p.learnt = true
-		p.warmed = append(p.warmed, Warmth{Server: s.id, Key: key})
+	if key := objectKey(r.Class, r.Key); key != "" {
+		g.age = s.ageOf(key)
+		if s.touch(key, now, int(p.keep)) {
+			p.learnt = true
+			p.warmed = append(p.warmed, Warmth{Server: s.id, Key: key})
+		}
 	}
 	p.shifts.count(now, s.region)
 	return Decision{Grant: p.next, Server: s.id, Warm: c.warm, Wait: c.wait, Service: c.service, Load: load, Busy: p.busy}
@@ -415,6 +434,7 @@
 			s.forgetKeys()
 		}
 		p.class(g.class, 0).observeBytes(r.Bytes)
+		p.observeKeep(g, p.class(g.class, 0), r.Elapsed-p.roundTrip(s.region))
 		p.class(g.class, 0).observe(g, s, r.Elapsed-p.roundTrip(s.region))
 	case Failed:
 		s.failed(now, false)
@@ -439,6 +459,21 @@
 	}
 }
 
+// observeKeep learns how many objects a server holds from a request that it was
+// believed to hold the object of.
+func (p *Pool) observeKeep(g *grant, c *class, elapsed time.Duration) {
+	if !g.warm || !g.alone || g.key == "" || !c.coldSeen || !c.warmSeen || g.server.slowness > 1.5 {
+		return
+	}
+	forgotten := float64(elapsed) > forgottenTime*float64(c.cold())
+	switch {
+	case forgotten && float64(g.age) < p.keep && float64(g.age) >= p.keep/2:
+		p.keep = max(p.keep-keepDown, minKeep)
+	case !forgotten && float64(g.age) >= p.keep-2:
+		p.keep = min(p.keep+keepUp, maxKeep)
+	}
+}
+
 // measured takes the time of a new connection as the round trip to a region.
 func (p *Pool) measured(region string, connect time.Duration) {
 	old, ok := p.far[region]
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -326,3 +326,59 @@
 		}
 	}
 }
+
+// TestKeepIsLearnt guards against servers that are believed to hold objects
+// which they have forgotten: a server that keeps 8 objects is asked for 16 in
+// turn, and the pool must learn that it does not hold them.
+func TestKeepIsLearnt(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", backend("a", "r"))
+	const keeps = 8
+	var recent []string
+	now := time.Duration(0)
+	for i := range 600 {
+		now += 100 * ms
+		key := fmt.Sprint("k", i%16)
+		elapsed := 600 * ms
+		for n, k := range recent {
+			if k == key {
+				elapsed = 200 * ms
+				recent = append(recent[:n], recent[n+1:]...)
+				break
+			}
+		}
+		if recent = append(recent, key); len(recent) > keeps {
+			recent = recent[1:]
+		}
+		d := p.Acquire(now, request(now, key))
+		p.Release(now, d.Grant, Report{Result: Served, Elapsed: elapsed})
+	}
+	g.Expect(p.keep).To(BeNumerically("<", 16))
+}
+
+// TestHeavyBodies guards against uploads that cross domains again and again
+// because a server of another domain holds their object, and against a server
+// that forgets its objects for that.
+func TestHeavyBodies(t *testing.T) {
+	g := NewWithT(t)
+	near, far := backend("near", "r"), backend("far", "r")
+	far.Domain = "r-b"
+	p := pool("r", near, far)
+	far0 := p.servers["far"]
+	for i := range 6 {
+		far0.touch(objectKey("c", fmt.Sprint(i)), 0, 64)
+	}
+	far0.tried, p.servers["near"].tried = true, true
+	heavy := func(now time.Duration, key string) string {
+		r := request(now, key)
+		r.Bytes = 60 << 10
+		d := p.Acquire(now, r)
+		p.Release(now, d.Grant, Report{Result: Served, Elapsed: 600 * ms})
+		return d.Server
+	}
+	g.Expect(heavy(time.Second, "0")).To(Equal("near"))
+	for i := range 64 {
+		p.servers["near"].touch(objectKey("c", fmt.Sprint("other", i)), time.Second, int(p.keep))
+	}
+	g.Expect(heavy(2*time.Second, "1")).To(Equal("far"))
+}
--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -92,7 +92,7 @@
 		for class, keys := range h.Objects {
 			for i := len(keys) - 1; i >= 0; i-- {
 				if key := objectKey(class, keys[i]); !s.holds(key) {
-					s.touch(key, now)
+					s.touch(key, now, int(p.keep))
 				}
 			}
 		}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -232,12 +232,28 @@
 
 func (s *server) holds(key string) bool { _, ok := s.keys[key]; return ok }
 
+// ageOf returns the number of objects that the server was asked for later than
+// for the one given, 0 if it is not held.
+func (s *server) ageOf(key string) int {
+	last, held := s.keys[key]
+	if !held {
+		return 0
+	}
+	n := 0
+	for _, at := range s.keys {
+		if at > last {
+			n++
+		}
+	}
+	return n
+}
+
 // touch notes a request about an object. It returns true if the server is not
-// believed to hold the object yet.
-func (s *server) touch(key string, now time.Duration) bool {
+// believed to hold the object yet. keep bounds the objects that it holds.
+func (s *server) touch(key string, now time.Duration, keep int) bool {
 	_, held := s.keys[key]
 	s.keys[key] = now
-	if len(s.keys) > maxOwnKeys {
+	for len(s.keys) > keep {
 		s.evict()
 	}
 	return !held
