gateway, mirror: wait for the first configuration of a restarted host

Cause: after all hosts lost power, 120 requests were refused in the 50 ms before hosts knew a configuration, and dispatchers that had just started were left out for 1 s. A host that shuts down no longer logs a store failure.

--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/peer"
 )
 
 // Methods between entry hosts.
@@ -27,6 +28,9 @@
 	acquireTimeout = 80 * time.Millisecond
 	// suspectTime is how long a dispatcher that did not answer is left out.
 	suspectTime = time.Second
+	// unreadyTime is how long a dispatcher is left out that answered but knows no
+	// deployment yet, and viewWait how long it waits for it before it says so.
+	unreadyTime, viewWait = 150 * time.Millisecond, 60 * time.Millisecond
 	// maxDispatchers is the number of dispatchers that are asked in turn.
 	maxDispatchers = 2
 	// digestPeriod is the time between two digests to other regions.
@@ -100,6 +104,7 @@
 	log     logrus.FieldLogger
 	started time.Time
 	view    atomic.Pointer[fleet.Snapshot]
+	viewed  chan struct{} // closed when the first snapshot is in force
 
 	mu       sync.Mutex
 	shared   map[string]*poolState
@@ -120,13 +125,15 @@
 func NewDesk(self fleet.Host, caller Caller, keeper Keeper, log logrus.FieldLogger) *Desk {
 	return &Desk{
 		self: self, caller: caller, keeper: keeper, log: log, started: time.Now(),
-		shared: map[string]*poolState{}, alone: map[string]*poolState{}, suspects: map[string]time.Time{},
+		viewed: make(chan struct{}), shared: map[string]*poolState{}, alone: map[string]*poolState{}, suspects: map[string]time.Time{},
 	}
 }
 
 // SetView makes a snapshot the one in force.
 func (d *Desk) SetView(s *fleet.Snapshot) {
-	d.view.Store(s)
+	if d.view.Swap(s) == nil {
+		close(d.viewed)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, ps := range d.shared {
@@ -242,7 +249,11 @@
 	d.mu.Lock()
 	until, known := d.suspects[name]
 	fresh := !known || time.Now().After(until)
-	d.suspects[name] = time.Now().Add(suspectTime)
+	pause := suspectTime
+	if !errors.Is(err, peer.ErrUnreachable) {
+		pause = unreadyTime
+	}
+	d.suspects[name] = time.Now().Add(pause)
 	d.mu.Unlock()
 	if fresh {
 		d.log.WithError(err).WithField("peer", name).Warn("dispatcher does not answer; asking the next one")
@@ -288,9 +299,15 @@
 }
 
 // HandleAcquire serves MethodAcquire.
-func (d *Desk) HandleAcquire(_ context.Context, p AcquireParams) (AcquireResult, error) {
-	if d.view.Load() == nil {
+func (d *Desk) HandleAcquire(ctx context.Context, p AcquireParams) (AcquireResult, error) {
+	timer := time.NewTimer(viewWait)
+	defer timer.Stop()
+	select {
+	case <-d.viewed:
+	case <-timer.C:
 		return AcquireResult{}, errNoView
+	case <-ctx.Done():
+		return AcquireResult{}, ctx.Err()
 	}
 	t := d.acquireHere(sharedPools, p, "self")
 	return AcquireResult{Process: d.self.Incarnation, Decision: t.Decision}, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,9 @@
 	defaultDeadline = 10 * time.Second
 	// retryUnconfigured is when to come back while no configuration is known.
 	retryUnconfigured = 250 * time.Millisecond
+	// configurationWait is how long a request waits for the first configuration
+	// of a host that has just started, which takes a few round trips.
+	configurationWait = 400 * time.Millisecond
 	// maxUnsent bounds the backend servers that are tried without sending.
 	maxUnsent = 3
 	// hedgeFactor and hedgeBase tell when a request that may run twice is sent
@@ -66,6 +69,8 @@
 	upstream *upstream
 	view     atomic.Pointer[fleet.Snapshot]
 	closing  atomic.Bool
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -75,7 +80,7 @@
 func New(cfg Config) *Gateway {
 	return &Gateway{
 		cfg: cfg, desk: NewDesk(cfg.Self, cfg.Caller, cfg.Keeper, cfg.Log), upstream: newUpstream(cfg.Headers),
-		budgets: map[string]*retry.Budget{},
+		budgets: map[string]*retry.Budget{}, configured: make(chan struct{}),
 	}
 }
 
@@ -94,8 +99,11 @@
 		copied.Table = old.Table
 		s = &copied
 	}
-	g.view.Store(s)
 	g.desk.SetView(s)
+	g.view.Store(s)
+	if s.Table != nil && (old == nil || old.Table == nil) {
+		close(g.configured)
+	}
 	g.upstream.prune(s.Backends)
 }
 
@@ -152,6 +160,7 @@
 }
 
 func (g *Gateway) serve(ctx context.Context, f *flight) (*Answer, string) {
+	g.awaitConfiguration(ctx)
 	s := g.view.Load()
 	if s == nil || s.Table == nil {
 		return refusal(retryUnconfigured, "no configuration is known yet"), "unconfigured"
@@ -178,6 +187,22 @@
 	return answer, reason
 }
 
+// awaitConfiguration waits for a while for the first configuration.
+func (g *Gateway) awaitConfiguration(ctx context.Context) {
+	select {
+	case <-g.configured:
+		return
+	default:
+	}
+	timer := time.NewTimer(configurationWait)
+	defer timer.Stop()
+	select {
+	case <-g.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // minClosingRetry is when callers of a host that shuts down come back.
 const minClosingRetry = 50 * time.Millisecond
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -470,11 +470,25 @@
 	g := NewWithT(t)
 	f := start(t)
 	f.g.view.Store(nil)
+	f.g.configured = make(chan struct{})
 	status, _, header := f.do(t, "GET", "/get/a", "g", "")
 	g.Expect(status).To(Equal(503))
 	g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
 }
 
+// TestFirstConfiguration guards against requests that a host refuses in the
+// moment between its start and its first configuration.
+func TestFirstConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	f := start(t, startServer(t, ok))
+	s := f.g.View()
+	f.g.view.Store(nil)
+	f.g.configured = make(chan struct{})
+	time.AfterFunc(100*time.Millisecond, func() { f.g.SetView(s) })
+	status, _, _ := f.do(t, "GET", "/get/a", "g", "")
+	g.Expect(status).To(Equal(200))
+}
+
 // TestConfigurationNeverReverts guards against a view with an older or missing
 // configuration that replaces a newer one.
 func TestConfigurationNeverReverts(t *testing.T) {
--- a/internal/mirror/presence.go
+++ b/internal/mirror/presence.go
@@ -78,6 +78,8 @@
 	if p.lease != 0 {
 		err := p.store.Renew(cctx, p.lease)
 		switch {
+		case ctx.Err() != nil:
+			return 0
 		case errors.Is(err, ErrLeaseEnded):
 			p.log.Warn("registration lapsed; registering again")
 			p.lease = 0
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -213,6 +213,9 @@
 func (s *Syncer) fetchStore(ctx context.Context) bool {
 	b, err := s.store.Fetch(ctx, s.revision(), storeWait)
 	now := time.Now()
+	if ctx.Err() != nil {
+		return false
+	}
 	if err != nil {
 		if s.failing.IsZero() {
 			s.failing = now
