--- a/internal/mirror/presence.go
+++ b/internal/mirror/presence.go
@@ -14,9 +14,9 @@
 // Times of a host's registration.
 const (
 	// presenceTTL is how long the registration outlives its host.
-	presenceTTL = 4 * time.Second
+	presenceTTL = 5 * time.Second
 	// presenceRenew is the time between two renewals.
-	presenceRenew = 1500 * time.Millisecond
+	presenceRenew = 2 * time.Second
 	// presenceRetry is the time before a failed registration is tried again.
 	presenceRetry = 500 * time.Millisecond
 	// presenceTimeout bounds a call.
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -18,7 +18,7 @@
 	// the time until a silent connection is noticed.
 	storeWait = 1500 * time.Millisecond
 	// storePause is the time between two reads of the store by one host.
-	storePause = 150 * time.Millisecond
+	storePause = 250 * time.Millisecond
 	// storeRetry is the time before the store is asked again after a failure.
 	storeRetry = 400 * time.Millisecond
 	// peerWait is how long a fetch from another host waits for a change.
