--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -158,3 +159,16 @@
 	h = (h ^ h>>33) * mixer
 	return float64((h^h>>33)>>11) / (1 << 53)
 }
+
+// rankForeign orders the servers of each other region in an order of this
+// region's own.
+func (p *Pool) rankForeign() {
+	own := xxhash.Sum64String(p.opts.Region)
+	ordered := slices.Clone(p.list)
+	slices.SortFunc(ordered, func(a, b *server) int { return cmp.Compare(spread(own, a.hash), spread(own, b.hash)) })
+	next := map[string]int{}
+	for _, s := range ordered {
+		s.rank = next[s.region]
+		next[s.region]++
+	}
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -51,7 +51,6 @@
 	draining atomic.Bool
 	mu       sync.Mutex
 	conns    map[*frontConn]struct{}
-	busy     sync.WaitGroup
 	open     atomic.Int64 // requests without a written answer
 }
 
@@ -254,7 +253,7 @@
 		finished := c.finished
 		c.mu.Unlock()
 		if finished {
-			return c.br.Buffered() > 0 && c.awaitEnd()
+			return false
 		}
 		_ = c.nc.SetReadDeadline(time.Now().Add(max(idle, time.Millisecond)))
 		_, err := c.br.Peek(1)
@@ -277,10 +276,6 @@
 	}
 }
 
-// awaitEnd stands for a connection that takes no further request although the
-// caller sent one: it was not read and is not answered.
-func (c *frontConn) awaitEnd() bool { return false }
-
 // readRequest reads one request. It returns an answer instead if the request
 // cannot be served, and nil for both if the caller left.
 func (c *frontConn) readRequest(limits routetable.Limits) (*exchange, *Answer) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -37,8 +37,8 @@
 	wholeAnswer = 1 << 20
 	// maxStray is the number of answers to earlier requests that are skipped.
 	maxStray = 2
-	// maxIdle bounds the idle connections to one server.
-	maxIdle = 8
+	// mostIdle bounds the idle connections of this host to one server.
+	mostIdle = 8
 )
 
 // errNotOwn tells that an answer belongs to another request.
@@ -53,6 +53,8 @@
 	deadline time.Time
 	// repeatable tells that the request may run more than once.
 	repeatable bool
+	// maxIdle bounds the idle connections to the server.
+	maxIdle int
 }
 
 // reply is the end of an attempt.
@@ -160,11 +162,12 @@
 	return err == nil && open
 }
 
-func (u *upstream) keep(id string, conn *upstreamConn) {
+// keep holds an idle connection for the next request to the server.
+func (u *upstream) keep(id string, conn *upstreamConn, most int) {
 	_ = conn.SetDeadline(time.Time{})
 	conn.since = time.Now()
 	u.mu.Lock()
-	if len(u.idle[id]) < maxIdle {
+	if len(u.idle[id]) < most {
 		u.idle[id] = append(u.idle[id], conn)
 		conn = nil
 	}
@@ -412,7 +415,7 @@
 		_ = conn.Close()
 		return
 	}
-	u.keep(c.backend.ID, conn)
+	u.keep(c.backend.ID, conn, c.maxIdle)
 }
 
 // keepAlive parses the timeout of a Keep-Alive header.
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -135,7 +135,10 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nGalenabeam-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\nhalf", id, signature, len(answer)+100)
 		return false
 	case 2:
-		return write(c, 200, id, answer, signature) && write(c, 200, id, answer, signature)
+		if !write(c, 200, id, answer, signature) {
+			return false
+		}
+		return write(c, 200, id, answer, signature)
 	case 3:
 		_, _ = io.WriteString(c, "no answer\r\n\r\n")
 		return false
