--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -135,6 +135,8 @@
 	warmed  []Warmth
 	// keep is the number of objects that servers are believed to hold.
 	keep float64
+	// ranks holds when each rank sent its last request.
+	ranks map[int]time.Duration
 	// learnt tells that the knowledge changed since the last export.
 	learnt bool
 }
@@ -165,7 +167,7 @@
 	return &Pool{
 		opts: o, servers: map[string]*server{}, grants: map[uint64]*grant{},
 		classes: map[string]*class{}, far: map[string]time.Duration{},
-		shifts: shifts{home: o.Region}, keep: firstKeep,
+		shifts: shifts{home: o.Region}, keep: firstKeep, ranks: map[int]time.Duration{},
 	}
 }
 
@@ -207,6 +209,9 @@
 		// A server that is believed to be down is better than none.
 		best, choice = p.choose(now, r, c, anyServer)
 	}
+	if best != nil && p.yields(now, r, best) {
+		return p.refuse(now, Overload, best, choice)
+	}
 	if best != nil && p.overloaded(now, best, choice) {
 		// While many slots are free, another server may load the object. Without
 		// them that would take the slot from several requests that find theirs
@@ -227,6 +232,18 @@
 	return p.grant(now, r, best, choice)
 }
 
+// yields tells whether a request would wait in front of more urgent ones: the
+// service is nearly full, the server has no free slot, and a more urgent rank
+// has sent requests lately.
+func (p *Pool) yields(now time.Duration, r Request, s *server) bool {
+	urgent := false
+	for rank, at := range p.ranks {
+		urgent = urgent || rank < r.Priority && now-at <= rankTime
+	}
+	p.ranks[r.Priority] = now
+	return urgent && p.busy > yieldOccupancy && s.load(now) >= float64(s.slots)
+}
+
 // overloaded tells whether a request at the server would miss its objective and
 // make others wait.
 func (p *Pool) overloaded(now time.Duration, s *server, o option) bool {
--- a/internal/dispatch/params.go
+++ b/internal/dispatch/params.go
@@ -56,6 +56,11 @@
 	// lateLoad is the load, in requests per slot, up to which a server takes
 	// requests that miss their objective.
 	lateLoad = 1.5
+	// yieldOccupancy is the occupancy of the service above which requests of a less
+	// urgent rank leave queues to the most urgent one, and rankTime how long a
+	// rank counts as present after its last request.
+	yieldOccupancy = 0.9
+	rankTime       = 2 * time.Second
 	// spareOccupancy is the occupancy of the service up to which servers with free
 	// slots load objects that others hold.
 	spareOccupancy = 0.65
