--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -49,6 +49,7 @@
 	handler Handler
 
 	draining atomic.Bool
+	closing  atomic.Bool // idle connections are closed
 	mu       sync.Mutex
 	conns    map[*frontConn]struct{}
 	open     atomic.Int64 // requests without a written answer
@@ -87,14 +88,14 @@
 // Drain makes the answers in progress the last ones of their connections.
 func (f *Front) Drain() { f.draining.Store(true) }
 
-// CloseIdle ends connections on which no request is in progress.
+// CloseIdle ends connections on which no request is in progress, and others when
+// their answers are written.
 func (f *Front) CloseIdle() {
+	f.closing.Store(true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		if c.finish() {
-			_ = c.nc.SetReadDeadline(time.Unix(1, 0))
-		}
+		c.finish()
 	}
 }
 
@@ -122,14 +123,36 @@
 	last     time.Time
 }
 
-// finish makes the connection take no further request if none is in progress.
-func (c *frontConn) finish() bool {
+// finish ends the connection if no request is in progress. The deadline wakes
+// its reader; both are set under the lock, so that the reader cannot set a later
+// deadline in between.
+func (c *frontConn) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 {
+	c.finishIdle()
+}
+
+// finishIdle is finish for callers that hold the lock.
+func (c *frontConn) finishIdle() {
+	if c.pending == 0 {
+		c.finished = true
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// expectRequest sets the time until which the next request must begin. It
+// returns false if the connection takes no further request.
+func (c *frontConn) expectRequest(limits routetable.Limits) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.finished {
 		return false
 	}
-	c.finished = true
+	idle := limits.IdleTimeout
+	if c.pending == 0 && !c.last.IsZero() {
+		idle -= time.Since(c.last)
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(max(idle, time.Millisecond)))
 	return true
 }
 
@@ -156,6 +179,9 @@
 	if last {
 		c.finished = true
 	}
+	if c.front.closing.Load() {
+		c.finishIdle()
+	}
 }
 
 // closes tells whether the answer about to be written is the last one: the host
@@ -245,17 +271,9 @@
 func (c *frontConn) awaitRequest(limits routetable.Limits) bool {
 	for {
 		c.limited.N = limits.HeaderBytes + readBuffer
-		c.mu.Lock()
-		idle := limits.IdleTimeout
-		if c.pending == 0 && !c.last.IsZero() {
-			idle -= time.Since(c.last)
-		}
-		finished := c.finished
-		c.mu.Unlock()
-		if finished {
+		if !c.expectRequest(limits) {
 			return false
 		}
-		_ = c.nc.SetReadDeadline(time.Now().Add(max(idle, time.Millisecond)))
 		_, err := c.br.Peek(1)
 		if err == nil {
 			return true
