--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,11 @@
 	Evacuated map[string]bool
 	// Domains maps each failure domain to its region.
 	Domains map[string]string
+
+	// ranks holds orders of hosts that were asked for, by purpose and region.
+	ranks sync.Map
+	// answers holds the directory's answers by domain.
+	answers sync.Map
 }
 
 // New returns an indexed snapshot.
@@ -69,17 +75,25 @@
 	return s
 }
 
+// WithTable returns the snapshot with another configuration.
+func (s *Snapshot) WithTable(t *routetable.Table) *Snapshot {
+	return &Snapshot{
+		Revision: s.Revision, Table: t, Backends: s.Backends, Services: s.Services, Hosts: s.Hosts,
+		Evacuated: s.Evacuated, Domains: s.Domains,
+	}
+}
+
 // Dispatchers returns the hosts of a region in the order in which they dispatch
 // a service: the first one that answers decides. Hosts with more processor time
 // come first. All hosts compute the same order from the same snapshot.
 func (s *Snapshot) Dispatchers(region, service string) []*Host {
-	return s.rank("dispatch/"+service, func(h *Host) bool { return h.Region == region })
+	return s.rank("dispatch/"+service, region)
 }
 
 // Readers returns the hosts of a region in the order in which they read the
 // store on behalf of the others.
 func (s *Snapshot) Readers(region string) []*Host {
-	return s.rank("read/", func(h *Host) bool { return h.Region == region })
+	return s.rank("read/", region)
 }
 
 // Regions returns the regions that have entry hosts, in order.
@@ -96,16 +110,21 @@
 	return list
 }
 
-// rank orders hosts by their processor time and then by rendezvous hashing of the
-// purpose and the host's name.
-func (s *Snapshot) rank(purpose string, keep func(*Host) bool) []*Host {
+// rank orders the hosts of a region, or all for "", by their processor time and
+// then by rendezvous hashing of the purpose and the host's name. Callers must not
+// change the result.
+func (s *Snapshot) rank(purpose, region string) []*Host {
+	key := purpose + "@" + region
+	if known, ok := s.ranks.Load(key); ok {
+		return known.([]*Host)
+	}
 	type scored struct {
 		host  *Host
 		score uint64
 	}
 	var list []scored
 	for _, h := range s.Hosts {
-		if keep(h) {
+		if region == "" || h.Region == region {
 			list = append(list, scored{h, xxhash.Sum64String(purpose + "/" + h.Name)})
 		}
 	}
@@ -119,6 +138,7 @@
 	for i, e := range list {
 		hosts[i] = e.host
 	}
+	s.ranks.Store(key, hosts)
 	return hosts
 }
 
@@ -140,9 +160,23 @@
 // that are small beside the others are left out: fewer hosts reuse more of their
 // connections, and small ones delay more.
 func (s *Snapshot) Steer(region, domain string) []string {
+	if known := s.Domains[domain]; known == "" || known != region {
+		// Only answers for places that exist are kept: callers name any.
+		return s.steer(region, domain)
+	}
+	if known, ok := s.answers.Load(domain); ok {
+		return known.([]string)
+	}
+	list := s.steer(region, domain)
+	s.answers.Store(domain, list)
+	return list
+}
+
+func (s *Snapshot) steer(region, domain string) []string {
 	var same, near, far []*Host
-	for _, h := range s.rank("steer/"+domain, func(h *Host) bool { return h.Front != "" }) {
+	for _, h := range s.rank("steer/", "") {
 		switch {
+		case h.Front == "":
 		case h.Domain == domain:
 			same = append(same, h)
 		case h.Region == region:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,9 +92,7 @@
 func (g *Gateway) SetView(s *fleet.Snapshot) {
 	old := g.view.Load()
 	if old != nil && old.Table != nil && (s.Table == nil || s.Table.Version < old.Table.Version) {
-		copied := *s
-		copied.Table = old.Table
-		s = &copied
+		s = s.WithTable(old.Table)
 	}
 	g.desk.SetView(s)
 	g.view.Store(s)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -376,7 +376,7 @@
 	leaving, sound := startServer(t, ok), startServer(t, ok)
 	f := start(t, leaving, sound)
 	f.prefer(leaving, "b0")
-	s := *f.g.View()
+	s := f.g.View()
 	backends := []*fleet.Backend{}
 	for id, b := range s.Backends {
 		c := *b
