gateway: report attempts that end with the request's time

Cause: an attempt that was still running at the request's deadline was reported as abandoned, so a server that never answers was found only by its overdue grants. TestSilentServerIsLearnt fails without the change.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -82,7 +82,9 @@
 	}
 }
 
-// abandon ends the attempts that are still running.
+// abandon reports the attempts that are still running when they have ended. A
+// server that did not answer in time counts as such; one whose attempt was
+// cancelled does not.
 func (g *Gateway) abandon(results chan *attempt, running int) {
 	if running == 0 {
 		return
@@ -90,7 +92,6 @@
 	go func() {
 		for ; running > 0; running-- {
 			a := <-results
-			a.reply.result = dispatch.Abandoned
 			g.release(a)
 			if a.reply.answer != nil && a.reply.answer.Done != nil {
 				a.reply.answer.Done(false)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -444,3 +444,22 @@
 		NewWithT(t).Expect(got).To(Equal(c.want), "%d hosts, %d connections", c.hosts, c.most)
 	}
 }
+
+// TestSilentServerIsLearnt guards against a server that never answers and keeps
+// getting requests, because attempts that end with the request's time are not
+// reported.
+func TestSilentServerIsLearnt(t *testing.T) {
+	g := NewWithT(t)
+	silent := startServer(t, func(*server, net.Conn, *http.Request, string) bool { time.Sleep(time.Second); return false })
+	f := start(t, silent)
+	for i := range 2 {
+		status, _, _ := f.do(t, "GET", "/short/a", fmt.Sprint("g", i), "")
+		g.Expect(status).To(Equal(504))
+	}
+	d := f.g.desk
+	g.Eventually(func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.shared["s"].pool.Dump(d.now())["b0"].Down
+	}, "1s").Should(BeTrue())
+}
