--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -128,10 +128,13 @@
 	o.cost = o.finish + time.Duration((slotWeight+busySlotWeight*p.busy)*float64(o.service))
 	o.cost += time.Duration(s.utilizationAt(now, load) * float64(utilizationWeight))
 	o.cost += time.Duration(s.failureRate(now) * float64(failureWeight))
+	preference := spreadWeight
 	if foreign {
-		o.cost += foreignWeight + time.Duration(s.rank)*foreignRank + time.Duration(spread(hash, s.hash)*float64(foreignSpread))
-	} else {
-		o.cost += time.Duration(spread(hash, s.hash) * float64(spreadWeight))
+		o.cost += foreignWeight + time.Duration(s.rank)*foreignRank
+		preference = foreignSpread
+	}
+	if key != "" {
+		o.cost += time.Duration(spread(hash, s.hash) * float64(preference))
 	}
 	if !foreign && p.opts.Shared && !s.tried && !s.cold(now) && now-s.known > trialDelay && s.inflight == 0 {
 		// A server that has joined is tried with one request, however warm the
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,7 +32,6 @@
 
 // Request is what the choice depends on. Times are on the pool's clock.
 type Request struct {
-	ID string
 	// Class groups requests that take similarly long, usually by route.
 	Class string
 	// Key names the object that the request is about; "" if there is none.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -28,7 +28,7 @@
 }
 
 func request(now time.Duration, key string) Request {
-	return Request{ID: "r", Class: "c", Key: key, Domain: "r-a", Objective: now + objective, Deadline: now + deadline}
+	return Request{Class: "c", Key: key, Domain: "r-a", Objective: now + objective, Deadline: now + deadline}
 }
 
 // TestUsable guards against work that goes to a server that must not get any.
@@ -382,3 +382,22 @@
 	}
 	g.Expect(heavy(2*time.Second, "1")).To(Equal("far"))
 }
+
+// TestWithoutObjects guards against requests without an object that all go to
+// the same server while others are free.
+func TestWithoutObjects(t *testing.T) {
+	g := NewWithT(t)
+	var list []*fleet.Backend
+	for i := range 6 {
+		list = append(list, backend(fmt.Sprint("b", i), "r"))
+	}
+	p := pool("r", list...)
+	count := map[string]int{}
+	for i := range 12 {
+		count[p.Acquire(time.Duration(i)*ms, request(time.Duration(i)*ms, "")).Server]++
+	}
+	for _, n := range count {
+		g.Expect(n).To(Equal(2))
+	}
+	g.Expect(count).To(HaveLen(6))
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -103,7 +103,7 @@
 func (g *Gateway) acquire(ctx context.Context, f *flight) ticket {
 	for range maxUnsent {
 		t := g.desk.Acquire(ctx, AcquireParams{
-			Service: f.service, ID: f.id, Class: f.route.Name, Key: g.affinity(f),
+			Service: f.service, Class: f.route.Name, Key: g.affinity(f),
 			Host: g.cfg.Self.Name, Domain: g.cfg.Self.Domain,
 			Priority: f.route.Priority, Bytes: max(f.request.Length, int64(len(f.request.Body))),
 			Objective: ms(time.Until(f.objective)), Left: ms(time.Until(f.deadline)),
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -67,7 +67,6 @@
 // milliseconds from now.
 type AcquireParams struct {
 	Service   string   `json:"service"`
-	ID        string   `json:"id"`
 	Class     string   `json:"class"`
 	Key       string   `json:"key,omitempty"`
 	Host      string   `json:"host"`
@@ -269,7 +268,7 @@
 func (d *Desk) request(p AcquireParams) dispatch.Request {
 	now := d.now()
 	return dispatch.Request{
-		ID: p.ID, Class: p.Class, Key: p.Key, Host: p.Host, Domain: p.Domain, Priority: p.Priority, Bytes: p.Bytes,
+		Class: p.Class, Key: p.Key, Host: p.Host, Domain: p.Domain, Priority: p.Priority, Bytes: p.Bytes,
 		Objective: now + millis(p.Objective), Deadline: now + millis(p.Left),
 		Exclude: p.Exclude, Allowed: p.Allowed,
 	}
--- a/internal/gateway/desk_test.go
+++ b/internal/gateway/desk_test.go
@@ -90,7 +90,7 @@
 }
 
 func acquireParams(key string) AcquireParams {
-	return AcquireParams{Service: "s", ID: key, Class: "c", Key: key, Domain: "r", Objective: 500, Left: 3000}
+	return AcquireParams{Service: "s", Class: "c", Key: key, Domain: "r", Objective: 500, Left: 3000}
 }
 
 // TestDispatcherOrder guards against hosts that stop to serve, or decide alone
