--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -46,6 +46,7 @@
 	start(t)
 	hedge := time.NewTimer(g.hedgeDelay(f, t))
 	defer hedge.Stop()
+	rescue := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -54,8 +55,12 @@
 			}
 			return g.expired(ctx, f)
 		case <-hedge.C:
-			if t, ok := g.hedge(ctx, f, budget); ok {
-				start(t)
+			second, ok := g.hedge(ctx, f, budget, rescue)
+			if ok {
+				start(second)
+			} else if !rescue {
+				rescue = true
+				hedge.Reset(time.Duration((rescueFactor - hedgeFactor) * float64(t.expected())))
 			}
 		case a := <-results:
 			running--
@@ -208,12 +213,12 @@
 	if !f.route.Kind.Repeatable() || f.route.MaxAttempts < 2 || f.request.Rest != nil {
 		return time.Until(f.deadline) + time.Second
 	}
-	return time.Duration(hedgeFactor*float64(t.Wait+t.Service)) + hedgeBase
+	return time.Duration(hedgeFactor*float64(t.expected())) + hedgeBase
 }
 
-// hedge decides on a second attempt while the first one runs. It is made only
-// if it is likely to be in time.
-func (g *Gateway) hedge(ctx context.Context, f *flight, budget *retry.Budget) (ticket, bool) {
+// hedge decides on a second attempt while the first one runs. It is made if it
+// is likely to be in time or, as a rescue, before the deadline.
+func (g *Gateway) hedge(ctx context.Context, f *flight, budget *retry.Budget, rescue bool) (ticket, bool) {
 	if f.sent+1 >= f.route.MaxAttempts {
 		return ticket{}, false
 	}
@@ -221,7 +226,11 @@
 	if t.Refused != "" {
 		return t, false
 	}
-	if left := time.Until(f.objective); t.Wait+t.Service > left || !g.takeBudget(budget) {
+	left := time.Until(f.objective)
+	if rescue {
+		left = time.Until(f.deadline)
+	}
+	if t.expected() > left || rescue && t.Busy > rescueOccupancy || !g.takeBudget(budget) {
 		g.desk.Release(t, dispatch.Report{Result: dispatch.Abandoned})
 		return t, false
 	}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -201,6 +201,9 @@
 	by string
 }
 
+// expected is the time that the server is likely to take.
+func (t ticket) expected() time.Duration { return t.Wait + t.Service }
+
 // Acquire decides on a request. It never waits for longer than the dispatchers
 // may take to answer: without one, this host decides alone.
 func (d *Desk) Acquire(ctx context.Context, p AcquireParams) ticket {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,11 @@
 	// to a second server: that many times the expected time after the first.
 	hedgeFactor = 1.5
 	hedgeBase   = 40 * time.Millisecond
+	// rescueFactor is the same for a second attempt that will be late: the answer
+	// of the first one is probably lost. It is made only while less than
+	// rescueOccupancy of the service's slots is taken.
+	rescueFactor    = 3.0
+	rescueOccupancy = 0.9
 	// budgetPart is the part of the shared retry budget that hosts use, which
 	// leaves room for requests that are counted elsewhere.
 	budgetPart = 0.85
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -463,3 +463,24 @@
 		return d.shared["s"].pool.Dump(d.now())["b0"].Down
 	}, "1s").Should(BeTrue())
 }
+
+// TestLostAnswer guards against callers that wait until their deadline for an
+// answer that was lost, although another server would answer a request that may
+// run twice; one that must not waits.
+func TestLostAnswer(t *testing.T) {
+	for _, c := range []struct {
+		path, method string
+		want         int
+	}{{"/get/a", "GET", 200}, {"/post/a", "POST", 504}} {
+		t.Run(c.path, func(t *testing.T) {
+			g := NewWithT(t)
+			lost := startServer(t, func(*server, net.Conn, *http.Request, string) bool { time.Sleep(3 * time.Second); return false })
+			sound := startServer(t, ok)
+			f := start(t, lost, sound)
+			f.prefer(lost, "b0")
+			status, _, _ := f.do(t, c.method, c.path, "id", "")
+			g.Expect(status).To(Equal(c.want))
+			g.Expect(lost.runs.Load()).To(Equal(int32(1)))
+		})
+	}
+}
