--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,11 +24,13 @@
 	hostCount    = 6
 	backendCount = 4 // of each of the two services
 	callerCount  = 10
-	// healTime is the end of a run without faults, goodTime its last part, in
-	// which goodShare of the requests must be served.
-	healTime, goodTime = 8 * time.Second, 2 * time.Second
-	goodShare          = 0.9
-	parallelRuns       = 3
+	// healTime is the end of a run without faults. After calmTime of it all hosts
+	// are in touch; a server leaves and a configuration comes then, so that every
+	// seed checks the promises with a time bound. In goodTime, its last part,
+	// goodShare of the requests must be served.
+	healTime, calmTime, goodTime = 11 * time.Second, contact + 300*time.Millisecond, 2 * time.Second
+	goodShare                    = 0.9
+	parallelRuns                 = 3
 )
 
 // regressions are seeds that failed once, each with its cause.
@@ -218,7 +220,14 @@
 	faults.Wait()
 	w.heal()
 	healed := time.Now()
-	time.Sleep(healTime)
+	time.Sleep(calmTime)
+	w.note("calm: a server leaves, a configuration comes")
+	var planned sync.WaitGroup
+	planned.Add(1)
+	go func() { defer planned.Done(); w.drain(w.lively()) }()
+	w.submit()
+	time.Sleep(healTime - calmTime)
+	planned.Wait()
 	cancel()
 	callers.Wait()
 	w.check(healed.Add(healTime - goodTime))
@@ -285,6 +294,18 @@
 	}
 }
 
+// lively returns a backend server that is not leaving.
+func (w *world) lively() *backend {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.backends {
+		if b.leftAt.Load() == 0 {
+			return b
+		}
+	}
+	return nil
+}
+
 // crash ends a backend server; another one takes its place.
 func (w *world) crash(b *backend) {
 	if b.leftAt.Swap(time.Now().Add(time.Hour).UnixNano()) != 0 {
@@ -298,7 +319,7 @@
 
 // drain announces that a server leaves, and ends it long after that.
 func (w *world) drain(b *backend) {
-	if !b.leftAt.CompareAndSwap(0, 1) {
+	if b == nil || !b.leftAt.CompareAndSwap(0, 1) {
 		return
 	}
 	w.addBackend(b.service, b.zone)
