platform, dispatch, mirror: take the bounds of the deployment from its settings

Cause: the cold limit (1.5, 5), the cap on shifts (0.15) and the times within which changes take effect were constants that fit the two known deployments. A deployment with a smaller overage, slack or cap would break its rules; the new cases of TestColdLimit fail with the old constants (overage 1, slack 0: 6 requests in a second).

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -12,7 +12,7 @@
 func BenchmarkAcquire(b *testing.B) {
 	for _, servers := range []int{22, 106, 288} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
-			p := New(Options{Region: "r0", Shared: true})
+			p := New(Options{Region: "r0", Shared: true, Limits: DefaultLimits})
 			var list []*fleet.Backend
 			for i := range servers {
 				region := fmt.Sprintf("r%d", i%3)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -97,7 +97,7 @@
 // dispatches for the server's own region does, so that the limit, which holds
 // over all hosts, has one keeper.
 func (p *Pool) mayWarm(now time.Duration, s *server) bool {
-	return p.opts.Shared && s.region == p.opts.Region && s.coldTokens(now, p.coldRate*coldShare) >= 1
+	return p.opts.Shared && s.region == p.opts.Region && s.coldTokens(now, p.coldRate, p.opts.Limits.coldBurst()) >= 1
 }
 
 // option estimates what the choice of a server would mean.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -113,12 +113,14 @@
 	// Shared tells that the pool sees all requests that enter in the region.
 	// A pool of a single host does not use cold servers.
 	Shared bool
+	// Limits are the operators' bounds that hold over all hosts.
+	Limits Limits
 }
 
 // Pool chooses backend servers of one service.
 type Pool struct {
 	opts     Options
-	coldRate float64
+	coldRate float64 // of this pool, in requests a second for each cold server
 	coldFor  time.Duration
 	servers  map[string]*server
 	list     []*server // the servers in the order of their IDs
@@ -166,14 +168,14 @@
 	return &Pool{
 		opts: o, servers: map[string]*server{}, grants: map[uint64]*grant{},
 		classes: map[string]*class{}, far: map[string]time.Duration{},
-		shifts: shifts{home: o.Region}, keep: firstKeep, ranks: map[int]time.Duration{},
+		shifts: shifts{home: o.Region, step: o.Limits.shiftStep()}, keep: firstKeep, ranks: map[int]time.Duration{},
 	}
 }
 
 // Update takes over the backend servers of the service from a snapshot.
 // coldRate and coldFor are the service's cold limit and cold time.
 func (p *Pool) Update(now time.Duration, list []*fleet.Backend, evacuated map[string]bool, coldRate float64, coldFor time.Duration) {
-	p.coldRate, p.coldFor, p.evac = coldRate, coldFor, evacuated
+	p.coldRate, p.coldFor, p.evac = p.opts.Limits.poolColdRate(coldRate), coldFor, evacuated
 	seen := make(map[string]bool, len(list))
 	for _, b := range list {
 		seen[b.ID] = true
@@ -294,7 +296,7 @@
 	s.expected += c.service
 	s.use(now)
 	if s.cold(now) {
-		s.takeCold(now, p.coldRate*coldShare)
+		s.takeCold(now, p.coldRate, p.opts.Limits.coldBurst())
 	}
 	if key := objectKey(r.Class, r.Key); key != "" {
 		g.age = s.ageOf(key)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -22,7 +22,7 @@
 }
 
 func pool(region string, list ...*fleet.Backend) *Pool {
-	p := New(Options{Region: region, Shared: true})
+	p := New(Options{Region: region, Shared: true, Limits: DefaultLimits})
 	p.Update(0, list, nil, 5, 3*time.Second)
 	return p
 }
@@ -70,14 +70,22 @@
 
 // TestColdLimit checks that a cold server gets no more requests in any second
 // than its rate allows while two pools of its region dispatch at once and pools
-// of other regions and of single hosts know of it: rate x 1.5 + 5, the bound of
-// the users' rules with its smallest slack.
+// of other regions and of single hosts know of it, whatever overage and slack
+// the deployment sets.
 func TestColdLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const rate = 5.0
+		limits := Limits{
+			ColdOverage: rapid.SampledFrom([]float64{1, 1.2, 1.5, 2}).Draw(t, "overage"),
+			ColdSlack:   rapid.SampledFrom([]float64{0, 2, 5, 8}).Draw(t, "slack"),
+		}
 		cold := backend("a", "r")
 		cold.ColdUntil = 10 * time.Second
-		pools := []*Pool{New(Options{Region: "r", Shared: true}), New(Options{Region: "r", Shared: true}), New(Options{Region: "q", Shared: true}), New(Options{Region: "r"})}
+		var pools []*Pool
+		for _, o := range []Options{{Region: "r", Shared: true}, {Region: "r", Shared: true}, {Region: "q", Shared: true}, {Region: "r"}} {
+			o.Limits = limits
+			pools = append(pools, New(o))
+		}
 		for _, p := range pools {
 			p.Update(0, []*fleet.Backend{cold}, nil, rate, 3*time.Second)
 		}
@@ -98,7 +106,7 @@
 					n++
 				}
 			}
-			if float64(n) > rate*1.5+5 {
+			if float64(n) > rate*limits.ColdOverage+limits.ColdSlack {
 				t.Fatalf("%d requests in the second from %v", n, sent[i])
 			}
 		}
@@ -271,14 +279,23 @@
 // TestShiftBound guards against requests of a region that move to another one
 // faster than the cap on shifts allows: a burst fills the region's own servers,
 // and from one window to the next the part that runs elsewhere must grow by less
-// than 0.15, the smallest cap of the users' deployments.
+// than the cap of the deployment.
 func TestShiftBound(t *testing.T) {
+	for _, bound := range []float64{0.08, 0.15, 0.3} {
+		t.Run(fmt.Sprint(bound), func(t *testing.T) { checkShiftBound(t, bound) })
+	}
+}
+
+func checkShiftBound(t *testing.T, bound float64) {
 	g := NewWithT(t)
 	list := []*fleet.Backend{backend("near", "r")}
 	for i := range 10 {
 		list = append(list, backend(fmt.Sprint("far", i), "q"))
 	}
-	p := pool("r", list...)
+	limits := DefaultLimits
+	limits.MaxShift = bound
+	p := New(Options{Region: "r", Shared: true, Limits: limits})
+	p.Update(0, list, nil, 5, 3*time.Second)
 	type sample struct {
 		at  time.Duration
 		far bool
@@ -322,7 +339,7 @@
 		before, n := part(from)
 		after, m := part(from + shiftWindow)
 		if n >= shiftLeast && m >= shiftLeast {
-			g.Expect(after-before).To(BeNumerically("<", 0.15), "from %v", from)
+			g.Expect(after-before).To(BeNumerically("<", bound), "from %v", from)
 		}
 	}
 }
--- a/internal/dispatch/params.go
+++ b/internal/dispatch/params.go
@@ -64,9 +64,4 @@
 	// spareOccupancy is the occupancy of the service up to which servers with free
 	// slots load objects that others hold.
 	spareOccupancy = 0.65
-	// coldShare is the part of the cold rate that one pool uses, so that two
-	// pools that dispatch at once stay below the limit.
-	coldShare = 0.75
-	// coldBurst is the most requests that a cold server gets at one moment.
-	coldBurst = 2.0
 )
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -159,12 +159,12 @@
 func (s *server) cold(now time.Duration) bool { return now < s.coldUntil }
 
 // coldTokens returns the requests that the server may get now while cold.
-func (s *server) coldTokens(now time.Duration, rate float64) float64 {
-	return min(s.tokens+rate*(now-s.tokensAt).Seconds(), coldBurst)
+func (s *server) coldTokens(now time.Duration, rate, burst float64) float64 {
+	return min(s.tokens+rate*(now-s.tokensAt).Seconds(), burst)
 }
 
-func (s *server) takeCold(now time.Duration, rate float64) {
-	s.tokens, s.tokensAt = s.coldTokens(now, rate)-1, now
+func (s *server) takeCold(now time.Duration, rate, burst float64) {
+	s.tokens, s.tokensAt = s.coldTokens(now, rate, burst)-1, now
 }
 
 // available tells whether the server is believed to answer. After its pause a
--- a/internal/dispatch/shift.go
+++ b/internal/dispatch/shift.go
@@ -6,10 +6,6 @@
 const (
 	// shiftWindow is the window over which the regions are compared.
 	shiftWindow = 2 * time.Second
-	// shiftStep is the largest growth of a region's part from one window to the
-	// next. It is below half of the smallest cap that operators set, because two
-	// regions may grow at once.
-	shiftStep = 0.06
 	// shiftLeast is the number of requests below which parts mean nothing.
 	shiftLeast = 30
 	// shiftBuckets divides the window.
@@ -19,7 +15,8 @@
 // shifts bounds how fast requests move from one region to another.
 type shifts struct {
 	home    string
-	current int64 // number of the newest bucket
+	step    float64 // largest growth of a region's part from one window to the next
+	current int64   // number of the newest bucket
 	buckets [2*shiftBuckets + 1]map[string]int
 }
 
@@ -58,7 +55,7 @@
 	if totalBefore < shiftLeast || total < shiftLeast {
 		return true
 	}
-	return float64(part+1)/float64(total+1) <= float64(before)/float64(totalBefore)+shiftStep
+	return float64(part+1)/float64(total+1) <= float64(before)/float64(totalBefore)+s.step
 }
 
 // window counts the requests of the window that ended back buckets ago.
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -98,6 +98,7 @@
 // host that dispatches the service in the region.
 type Desk struct {
 	self    fleet.Host
+	limits  dispatch.Limits
 	caller  Caller
 	keeper  Keeper
 	log     logrus.FieldLogger
@@ -119,10 +120,10 @@
 	next time.Duration
 }
 
-// NewDesk returns the desk of a host.
-func NewDesk(self fleet.Host, caller Caller, keeper Keeper, log logrus.FieldLogger) *Desk {
+// NewDesk returns the desk of a host. limits hold over all hosts.
+func NewDesk(self fleet.Host, limits dispatch.Limits, caller Caller, keeper Keeper, log logrus.FieldLogger) *Desk {
 	return &Desk{
-		self: self, caller: caller, keeper: keeper, log: log, started: time.Now(),
+		self: self, limits: limits, caller: caller, keeper: keeper, log: log, started: time.Now(),
 		viewed: make(chan struct{}), shared: map[string]*poolState{}, alone: map[string]*poolState{}, suspects: map[string]time.Time{},
 	}
 }
@@ -165,7 +166,7 @@
 	}
 	ps := pools[service]
 	if ps == nil {
-		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: d.self.Region, Shared: kind == sharedPools})}
+		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: d.self.Region, Shared: kind == sharedPools, Limits: d.limits})}
 		pools[service] = ps
 		if s := d.view.Load(); s != nil {
 			d.refresh(service, ps, s)
--- a/internal/gateway/desk_test.go
+++ b/internal/gateway/desk_test.go
@@ -82,7 +82,7 @@
 	}
 	s := fleet.New(1, nil, backends, hosts, nil, nil)
 	for _, h := range hosts {
-		d := NewDesk(*h, m, m, log)
+		d := NewDesk(*h, dispatch.DefaultLimits, m, m, log)
 		d.SetView(s)
 		m.desks[h.Name] = d
 	}
@@ -161,7 +161,7 @@
 
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	again := NewDesk(*hosts[0], m, m, log)
+	again := NewDesk(*hosts[0], dispatch.DefaultLimits, m, m, log)
 	again.self = *first
 	again.SetView(s)
 	again.acquireHere(sharedPools, acquireParams("other"), "self") // starts the load
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/routetable"
@@ -54,6 +55,7 @@
 	Self    fleet.Host
 	Headers Headers
 	Budget  Budget
+	Limits  dispatch.Limits
 	Caller  Caller
 	Keeper  Keeper
 	Log     logrus.FieldLogger
@@ -81,7 +83,7 @@
 // New returns a gateway that refuses requests until SetView is called.
 func New(cfg Config) *Gateway {
 	return &Gateway{
-		cfg: cfg, desk: NewDesk(cfg.Self, cfg.Caller, cfg.Keeper, cfg.Log), upstream: newUpstream(cfg.Headers),
+		cfg: cfg, desk: NewDesk(cfg.Self, cfg.Limits, cfg.Caller, cfg.Keeper, cfg.Log), upstream: newUpstream(cfg.Headers),
 		budgets: map[string]*retry.Budget{}, configured: make(chan struct{}),
 	}
 }
--- a/internal/mirror/presence.go
+++ b/internal/mirror/presence.go
@@ -13,10 +13,15 @@
 
 // Times of a host's registration.
 const (
-	// presenceTTL is how long the registration outlives its host.
-	presenceTTL = 5 * time.Second
-	// presenceRenew is the time between two renewals.
-	presenceRenew = 2 * time.Second
+	// maxPresenceTTL bounds how long the registration outlives its host, and
+	// minPresenceTTL is what a few renewals need.
+	maxPresenceTTL, minPresenceTTL = 5 * time.Second, 1500 * time.Millisecond
+	// contactMargin is kept below the time after an outage of the store within
+	// which ended hosts must be gone: leases may have paused meanwhile.
+	contactMargin = 500 * time.Millisecond
+	// presenceRenewPart is the time between two renewals as a part of the TTL: a
+	// lease outlives a renewal that fails.
+	presenceRenewPart = 0.4
 	// presenceRetry is the time before a failed registration is tried again.
 	presenceRetry = 500 * time.Millisecond
 	// presenceTimeout bounds a call.
@@ -35,11 +40,21 @@
 	Put(ctx context.Context, key string, value []byte, lease int64) error
 }
 
+// PresenceTTL returns the time that a registration may outlive its host so that
+// ended hosts are gone within contact after an outage of the store; 0 is no bound.
+func PresenceTTL(contact time.Duration) time.Duration {
+	if contact == 0 {
+		return maxPresenceTTL
+	}
+	return min(max(contact-contactMargin, minPresenceTTL), maxPresenceTTL)
+}
+
 // Presence keeps a host registered in the store.
 type Presence struct {
 	store Registrar
 	key   string
 	value []byte
+	ttl   time.Duration
 	log   logrus.FieldLogger
 	// Listed tells whether the item is present in the copy of the store.
 	Listed func() bool
@@ -48,10 +63,13 @@
 }
 
 // NewPresence returns the registration of an item that is not written yet.
-func NewPresence(store Registrar, key string, value []byte, log logrus.FieldLogger) *Presence {
-	return &Presence{store: store, key: key, value: value, log: log}
+func NewPresence(store Registrar, key string, value []byte, ttl time.Duration, log logrus.FieldLogger) *Presence {
+	return &Presence{store: store, key: key, value: value, ttl: ttl, log: log}
 }
 
+// renewal is the time between two renewals.
+func (p *Presence) renewal() time.Duration { return time.Duration(presenceRenewPart * float64(p.ttl)) }
+
 // Run registers and renews until ctx is done, and then removes the item.
 func (p *Presence) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -86,14 +104,14 @@
 		case err != nil:
 			p.log.WithError(err).Warn("registration not renewed")
 			return presenceRetry
-		case time.Since(p.since) > presenceTTL && !p.Listed():
+		case time.Since(p.since) > p.ttl && !p.Listed():
 			// The store took the item away although its lease lives.
 			p.lease = 0
 		default:
-			return presenceRenew
+			return p.renewal()
 		}
 	}
-	lease, err := p.store.Grant(cctx, presenceTTL)
+	lease, err := p.store.Grant(cctx, p.ttl)
 	if err == nil {
 		err = p.store.Put(cctx, p.key, p.value, lease)
 	}
@@ -103,5 +121,5 @@
 	}
 	p.lease, p.since = lease, time.Now()
 	p.log.WithField("lease", lease).Info("host registered")
-	return presenceRenew
+	return p.renewal()
 }
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -14,9 +14,13 @@
 
 // Times of the synchronization.
 const (
-	// storeWait is how long a watch of the store waits for a change. It bounds
-	// the time until a silent connection is noticed.
+	// storeWait is how long a watch of the store waits for a change at most. It
+	// bounds the time until a silent connection is noticed.
 	storeWait = 1500 * time.Millisecond
+	// storeWaitPart and maxAgePart bound storeWait and maxAge by the time within
+	// which changes must have their effect: a reader that is cut off from the store
+	// must be left in time for the change that it missed.
+	storeWaitPart, maxAgePart = 0.6, 0.88
 	// storePause is the time between two reads of the store by one host.
 	storePause = 250 * time.Millisecond
 	// storeRetry is the time before the store is asked again after a failure.
@@ -32,7 +36,8 @@
 	// staleSuspect is how long a host is left out that answered but does not read
 	// the store: it may begin to at any moment.
 	staleSuspect = 300 * time.Millisecond
-	// maxAge is the age of another host's news above which the store is asked.
+	// maxAge is the age of another host's news above which the store is asked, at
+	// most.
 	maxAge = 2200 * time.Millisecond
 	// maxPeers is the number of hosts that are asked before the store.
 	maxPeers = 3
@@ -76,10 +81,30 @@
 	Wait int64 `json:"wait_ms"`
 }
 
+// Times bound how old the news of a host may be.
+type Times struct {
+	// StoreWait is how long a watch of the store waits for a change.
+	StoreWait time.Duration
+	// MaxAge is the age of another host's news above which the store is asked.
+	MaxAge time.Duration
+}
+
+// TimesFor returns the times with which a change has its effect on every host
+// within apply, 0 if there is no such bound.
+func TimesFor(apply time.Duration) Times {
+	t := Times{StoreWait: storeWait, MaxAge: maxAge}
+	if apply > 0 {
+		t.StoreWait = min(t.StoreWait, time.Duration(storeWaitPart*float64(apply)))
+		t.MaxAge = min(t.MaxAge, time.Duration(maxAgePart*float64(apply)))
+	}
+	return t
+}
+
 // Syncer keeps a Mirror up to date.
 type Syncer struct {
 	store Store
 	peer  Peer
+	times Times
 	log   logrus.FieldLogger
 	// Sources returns the hosts to ask, the first one first. This host is one of
 	// them and stands for the store.
@@ -103,9 +128,9 @@
 }
 
 // NewSyncer returns a syncer of an empty mirror.
-func NewSyncer(store Store, peer Peer, m *Mirror, log logrus.FieldLogger) *Syncer {
+func NewSyncer(store Store, peer Peer, m *Mirror, t Times, log logrus.FieldLogger) *Syncer {
 	return &Syncer{
-		store: store, peer: peer, mirror: m, log: log, started: time.Now(),
+		store: store, peer: peer, mirror: m, times: t, log: log, started: time.Now(),
 		news: make(chan struct{}), suspects: map[string]time.Time{},
 	}
 }
@@ -202,7 +227,7 @@
 	if err := s.peer.Call(cctx, src.Address, MethodFetch, p, &b); err != nil {
 		return err
 	}
-	if !b.Direct || b.Age > maxAge {
+	if !b.Direct || b.Age > s.times.MaxAge {
 		return errStale
 	}
 	s.take(b, time.Now().Add(-b.Age), src.Name)
@@ -211,7 +236,7 @@
 
 // fetchStore asks the store and tells whether it answered.
 func (s *Syncer) fetchStore(ctx context.Context) bool {
-	b, err := s.store.Fetch(ctx, s.revision(), storeWait)
+	b, err := s.store.Fetch(ctx, s.revision(), s.times.StoreWait)
 	now := time.Now()
 	if ctx.Err() != nil {
 		return false
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -51,7 +51,7 @@
 }
 
 func newHost(n network, name string, store Store, order ...string) *Syncer {
-	s := NewSyncer(store, n, New("servers/"), quietLog())
+	s := NewSyncer(store, n, New("servers/"), TimesFor(0), quietLog())
 	s.Sources = func() []Source {
 		var list []Source
 		for _, o := range order {
@@ -154,10 +154,12 @@
 type scriptedRegistrar struct {
 	renewErr, grantErr error
 	grants, puts, ends int
+	ttl                time.Duration
 }
 
-func (r *scriptedRegistrar) Grant(context.Context, time.Duration) (int64, error) {
+func (r *scriptedRegistrar) Grant(_ context.Context, ttl time.Duration) (int64, error) {
 	r.grants++
+	r.ttl = ttl
 	return int64(r.grants), r.grantErr
 }
 func (r *scriptedRegistrar) Renew(context.Context, int64) error { return r.renewErr }
@@ -183,10 +185,10 @@
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
 			r := &scriptedRegistrar{}
-			p := NewPresence(r, "hosts/a", nil, quietLog())
+			p := NewPresence(r, "hosts/a", nil, PresenceTTL(0), quietLog())
 			p.Listed = func() bool { return c.listed }
 			p.step(context.Background())
-			p.since = time.Now().Add(-2 * presenceTTL)
+			p.since = time.Now().Add(-2 * p.ttl)
 			r.renewErr = c.renewErr
 			p.step(context.Background())
 			g.Expect(r.grants).To(Equal(c.wantGrants))
@@ -194,3 +196,34 @@
 		})
 	}
 }
+
+// TestTimesKeepTheBounds guards against a deployment with shorter bounds than
+// usual: a reader that is cut off must be left, and an ended host forgotten,
+// before the deployment's bound is over.
+func TestTimesKeepTheBounds(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 2500 * time.Millisecond, 6 * time.Second} {
+		t.Run(bound.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			times := TimesFor(bound)
+			g.Expect(times.MaxAge).To(BeNumerically("<", bound))
+			g.Expect(times.StoreWait).To(BeNumerically("<", times.MaxAge))
+			if bound >= 2*time.Second {
+				g.Expect(PresenceTTL(bound)).To(BeNumerically("<", bound))
+			}
+		})
+	}
+}
+
+// TestPausedLeaseEndsInTime guards against a directory that names an ended host
+// once the store has been back for the contact time: a lease that paused during
+// the outage runs on for its whole length.
+func TestPausedLeaseEndsInTime(t *testing.T) {
+	g := NewWithT(t)
+	const contact = 4 * time.Second
+	r := &scriptedRegistrar{}
+	p := NewPresence(r, "hosts/a", nil, PresenceTTL(contact), quietLog())
+	p.step(context.Background())
+	g.Expect(r.ttl).To(BeNumerically("<", contact))
+	// One renewal may fail and be repeated before the lease ends.
+	g.Expect(p.renewal() + presenceTimeout + presenceRetry).To(BeNumerically("<", r.ttl))
+}
