mirror, gateway, dispatch: less work and bytes per server in large deployments

Cause: at the start every host reads all items from the store; the first reader's history begins a few revisions later, so it sent all items once more to each host of its region (1.3 MB at 3,000 servers, by hosts of 10 Mbit/s). Digests carried every busy server five times a second, each decision weighed all servers of all regions, and each change of the store sorted all items on every host.

Change: an answer to a host from before the history holds the newer items and a fingerprint of the other keys; only a host that misses a removal fetches everything. Digests come less often by their size, 64 servers of each other region are weighed, the items are kept in order, and followers fetch at most ten times a second.

The property test of the new answers found two older faults: an item newer than the revision of a paged full read, and a removal that such a read had passed already, were never told to hosts that follow the reader. Both can only occur with more than a page (about 500) of items.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -10,7 +10,7 @@
 
 // BenchmarkAcquire measures a decision against the number of backend servers.
 func BenchmarkAcquire(b *testing.B) {
-	for _, servers := range []int{22, 106, 288} {
+	for _, servers := range []int{22, 106, 288, 1800} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			p := New(Options{Region: "r0", Shared: true, Limits: DefaultLimits})
 			var list []*fleet.Backend
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -43,7 +43,7 @@
 		// The first pass keeps the bound on shifts between regions; the second
 		// serves a request that has no other place.
 		for _, s := range p.list {
-			if !p.usable(now, r, s, from) || pass == 0 && !p.open(now, open, s.region) {
+			if pass == 0 && (s.region != p.opts.Region && s.rank >= maxForeign || !p.open(now, open, s.region)) || !p.usable(now, r, s, from) {
 				continue
 			}
 			o := p.option(now, r, c, s, key, hash)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -418,3 +418,33 @@
 	}
 	g.Expect(count).To(HaveLen(6))
 }
+
+// TestManyForeignServers guards against decisions that take longer with each
+// server of other regions, and against a request that finds no place because the
+// servers that are weighed are all taken.
+func TestManyForeignServers(t *testing.T) {
+	g := NewWithT(t)
+	var list []*fleet.Backend
+	for i := range 5 * maxForeign {
+		list = append(list, backend(fmt.Sprint("far", i), "q"))
+	}
+	p := pool("r", list...)
+	used := map[string]bool{}
+	for i := range 2 * maxForeign {
+		d := p.Acquire(0, request(0, fmt.Sprint("k", i)))
+		g.Expect(d.Refused).To(BeEmpty())
+		g.Expect(p.servers[d.Server].rank).To(BeNumerically("<", maxForeign))
+		used[d.Server] = true
+	}
+	var all []string
+	for _, s := range p.list {
+		if s.rank < maxForeign {
+			all = append(all, s.id)
+		}
+	}
+	r := request(0, "last")
+	r.Exclude = all
+	d := p.Acquire(0, r)
+	g.Expect(d.Refused).To(BeEmpty())
+	g.Expect(used).NotTo(HaveKey(d.Server))
+}
--- a/internal/dispatch/params.go
+++ b/internal/dispatch/params.go
@@ -46,6 +46,10 @@
 	// between regions, which take long to open, are used again.
 	foreignSpread = 60 * time.Millisecond
 	foreignRank   = 4 * time.Millisecond
+	// maxForeign is the number of servers of each other region that are weighed for
+	// a request, in the order of the region. The others are used only when there is
+	// no place besides.
+	maxForeign = 64
 	// reuseTime is how long after a request a connection is likely to be open.
 	reuseTime = 6 * time.Second
 	// byteWeight is the cost of a kilobyte that crosses to another failure domain:
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -35,6 +35,9 @@
 	maxDispatchers = 2
 	// digestPeriod is the time between two digests to other regions.
 	digestPeriod = 200 * time.Millisecond
+	// digestRate is the bytes a second above which a pool's digests to one host
+	// come less often, and maxDigestPeriod the longest time between two.
+	digestRate, maxDigestPeriod = 24 << 10, 1200 * time.Millisecond
 	// idleDigest is the time between two digests without a change.
 	idleDigest = time.Second
 	// poolIdle is how long after its last request a pool sends digests.
@@ -116,6 +119,8 @@
 	pool     *dispatch.Pool
 	used     time.Duration
 	digested time.Duration
+	// digestPeriod is the time between two digests, by their size.
+	digestPeriod time.Duration
 	// next is when the knowledge may be saved again.
 	next time.Duration
 }
--- a/internal/gateway/desk_test.go
+++ b/internal/gateway/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -191,3 +192,25 @@
 	}
 	g.Expect(other.shared["s"].pool.Dump(other.now())["b0"].Load).To(Equal(3.0))
 }
+
+// TestLargeDigestsComeLessOften guards against bytes between hosts that grow with
+// the servers: the digests of a pool stay within the rate to each receiver, or
+// come as rarely as other pools can still use them.
+func TestLargeDigestsComeLessOften(t *testing.T) {
+	for _, servers := range []int{5, 300, 3000} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			g := NewWithT(t)
+			digest := dispatch.Digest{InFlight: map[string]int{}}
+			for i := range servers {
+				digest.InFlight[fmt.Sprintf("i-%010x", i)] = 3
+			}
+			raw, err := json.Marshal(digest)
+			g.Expect(err).NotTo(HaveOccurred())
+			period := max(pauseAfter(digest), digestPeriod)
+			g.Expect(period).To(BeNumerically("<=", maxDigestPeriod))
+			if period < maxDigestPeriod {
+				g.Expect(float64(len(raw)) / period.Seconds()).To(BeNumerically("<=", 1.1*digestRate))
+			}
+		})
+	}
+}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -55,17 +55,37 @@
 		if s == nil || now-ps.used > poolIdle {
 			continue
 		}
+		if now-ps.digested < ps.digestPeriod {
+			continue
+		}
 		g := ps.pool.Digest()
 		if len(g.InFlight) == 0 && len(g.Warmed) == 0 && now-ps.digested < idleDigest {
 			continue
 		}
 		ps.digested = now
 		g.Service = service
+		ps.digestPeriod = pauseAfter(g)
 		list = append(list, outgoing{digest: g, to: d.receivers(s, service)})
 	}
 	return list
 }
 
+// pauseAfter returns the time until the next digest after one of the given size.
+// The period is that of the ticker for a pool of few servers.
+func pauseAfter(g dispatch.Digest) time.Duration {
+	size := 0
+	for id := range g.InFlight {
+		size += len(id) + entryBytes
+	}
+	for _, w := range g.Warmed {
+		size += len(w.Server) + len(w.Key) + warmthBytes
+	}
+	return min(time.Duration(size)*time.Second/digestRate, maxDigestPeriod)
+}
+
+// entryBytes and warmthBytes are the bytes of JSON around a count and a warmth.
+const entryBytes, warmthBytes = 6, 24
+
 // receivers are the first dispatchers of the other regions and the one that
 // follows this host in its own.
 func (d *Desk) receivers(s *fleet.Snapshot, service string) []string {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,9 +4,11 @@
 package mirror
 
 import (
-	"sort"
+	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Item is a key of the store with its value, or the note that it was removed.
@@ -24,6 +26,9 @@
 	// Full tells that Items holds every item, so that others were removed.
 	Full  bool   `json:"full,omitempty"`
 	Items []Item `json:"items,omitempty"`
+	// Kept is set if Items holds no removals: it describes the other items, so
+	// that the receiver can tell whether one of its own was removed.
+	Kept *Fingerprint `json:"kept,omitempty"`
 	// Direct tells that the batch comes from a host that reads the store itself.
 	// Hosts follow only such hosts, so that none confirms its own news.
 	Direct bool `json:"direct,omitempty"`
@@ -34,6 +39,18 @@
 	Hold time.Duration `json:"hold,omitempty"`
 }
 
+// Fingerprint describes a set of keys.
+type Fingerprint struct {
+	Count int `json:"n"`
+	// Sum is the sum of the hashes of the keys.
+	Sum uint64 `json:"sum"`
+}
+
+func (f *Fingerprint) add(key string) {
+	f.Count++
+	f.Sum += xxhash.Sum64String(key)
+}
+
 // historyLength is the number of changes that are kept for hosts that lag.
 const historyLength = 2048
 
@@ -44,6 +61,7 @@
 	// reach the store.
 	leased   []string
 	items    map[string]Item
+	sorted   []Item // the items in the order of their keys
 	revision uint64
 	history  []Item // in the order of arrival
 	since    uint64 // revision after which the history is complete
@@ -64,13 +82,29 @@
 func (m *Mirror) Revision() uint64 { return m.revision }
 
 // Items returns all present items in the order of their keys.
-func (m *Mirror) Items() []Item {
-	list := make([]Item, 0, len(m.items))
-	for _, i := range m.items {
-		list = append(list, i)
+func (m *Mirror) Items() []Item { return append([]Item{}, m.sorted...) }
+
+// set makes an item present.
+func (m *Mirror) set(i Item) {
+	m.items[i.Key] = i
+	at, known := m.find(i.Key)
+	if known {
+		m.sorted[at] = i
+		return
+	}
+	m.sorted = slices.Insert(m.sorted, at, i)
+}
+
+// unset makes an item absent.
+func (m *Mirror) unset(key string) {
+	delete(m.items, key)
+	if at, known := m.find(key); known {
+		m.sorted = slices.Delete(m.sorted, at, at+1)
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Key < list[b].Key })
-	return list
+}
+
+func (m *Mirror) find(key string) (int, bool) {
+	return slices.BinarySearchFunc(m.sorted, key, func(i Item, key string) int { return strings.Compare(i.Key, key) })
 }
 
 // Get returns the item of a key.
@@ -91,22 +125,34 @@
 			changed = true
 		}
 	}
-	if b.Full {
-		// The history has a gap before a full batch.
-		m.history, m.since = nil, b.Revision
+	if b.Full || b.Kept != nil {
+		m.restartHistory(b)
 	}
 	m.revision = b.Revision
 	return changed
 }
 
+// restartHistory begins the history anew after a batch that names no removals.
+// Items that are newer than the batch belong to it: when the store reports them
+// again they are known already.
+func (m *Mirror) restartHistory(b Batch) {
+	m.history, m.since = nil, b.Revision
+	for _, i := range b.Items {
+		if i.Revision > b.Revision {
+			m.remember(i)
+		}
+	}
+}
+
 func (m *Mirror) removeMissing(now time.Duration, b Batch) bool {
 	present := make(map[string]bool, len(b.Items))
 	for _, i := range b.Items {
 		present[i.Key] = !i.Deleted
 	}
 	changed := false
-	for key := range m.items {
-		if !present[key] && m.remove(now, Item{Key: key, Revision: b.Revision, Deleted: true}, b.Hold) {
+	for key, i := range m.items {
+		// Pages of a full read are not a snapshot: an item may be newer than the batch.
+		if !present[key] && i.Revision <= b.Revision && m.remove(now, Item{Key: key, Revision: b.Revision, Deleted: true}, b.Hold) {
 			changed = true
 		}
 	}
@@ -118,11 +164,17 @@
 	if ok && old.Revision >= i.Revision {
 		return false
 	}
+	if i.Deleted && !ok {
+		// A full read may have come after the removal; hosts that fetch from this
+		// one have the item still.
+		m.remember(i)
+		return false
+	}
 	if i.Deleted {
-		return ok && m.remove(now, i, hold)
+		return m.remove(now, i, hold)
 	}
 	delete(m.held, i.Key)
-	m.items[i.Key] = i
+	m.set(i)
 	m.remember(i)
 	return true
 }
@@ -136,7 +188,7 @@
 		m.remember(i)
 		return false
 	}
-	delete(m.items, i.Key)
+	m.unset(i.Key)
 	delete(m.held, i.Key)
 	m.remember(i)
 	return true
@@ -162,12 +214,31 @@
 	}
 }
 
+// Complete tells whether a batch makes the mirror complete. It does not if the
+// batch names no removals and an item of the mirror is missing from it.
+func (m *Mirror) Complete(b Batch) bool {
+	if b.Kept == nil {
+		return true
+	}
+	listed := make(map[string]bool, len(b.Items))
+	for _, i := range b.Items {
+		listed[i.Key] = true
+	}
+	own := Fingerprint{}
+	for key, i := range m.items {
+		if _, gone := m.held[key]; !gone && !listed[key] && i.Revision <= b.Revision {
+			own.add(key)
+		}
+	}
+	return own == *b.Kept
+}
+
 // Expire removes held items whose time is over and tells whether there were any.
 func (m *Mirror) Expire(now time.Duration) bool {
 	changed := false
 	for key, h := range m.held {
 		if now >= h.until {
-			delete(m.items, key)
+			m.unset(key)
 			delete(m.held, key)
 			changed = true
 		}
@@ -178,16 +249,27 @@
 // Held returns the number of items whose removal is doubted.
 func (m *Mirror) Held() int { return len(m.held) }
 
-// Since returns what changed after a revision.
+// Since returns what changed after a revision: all items for revision 0, the
+// items that are newer with a fingerprint of the others if the history does not
+// reach back to the revision.
 func (m *Mirror) Since(after uint64) Batch {
 	b := Batch{Revision: m.revision}
 	if after < m.since || after == 0 {
-		b.Full = true
-		for _, i := range m.Items() {
-			if _, gone := m.held[i.Key]; !gone {
+		b.Full = after == 0
+		kept := Fingerprint{}
+		for _, i := range m.sorted {
+			if _, gone := m.held[i.Key]; gone {
+				continue
+			}
+			if b.Full || i.Revision > after {
 				b.Items = append(b.Items, i)
+			} else {
+				kept.add(i.Key)
 			}
 		}
+		if !b.Full {
+			b.Kept = &kept
+		}
 		return b
 	}
 	for _, i := range m.history {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -87,3 +87,78 @@
 		g.Expect(follower.Items()).To(Equal(source.Items()))
 	})
 }
+
+// TestGapInHistory checks with random histories that a mirror ends with the items
+// of the store when its source has read everything anew in between, so that it
+// cannot name the removals, and when pages of a full read hold items that are
+// newer than its revision.
+func TestGapInHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		store, source, follower := New(), New(), New()
+		fetch := func() {
+			b := source.Since(follower.Revision())
+			if !follower.Complete(b) {
+				b = source.Since(0)
+			}
+			follower.Apply(0, b)
+		}
+		rev := uint64(0)
+		change := func() {
+			rev++
+			item := put(fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key")), rev)
+			if rapid.Bool().Draw(t, "removal") {
+				item = del(item.Key, rev)
+			}
+			store.Apply(0, Batch{Revision: rev, Items: []Item{item}})
+		}
+		// readAll reads all items; one change happens between its pages.
+		readAll := func(m *Mirror) {
+			at := rev
+			change()
+			b := store.Since(0)
+			b.Revision = at
+			m.Apply(0, b)
+		}
+		change()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				source = New()
+				readAll(source)
+			case 1:
+				readAll(follower)
+			case 2:
+				source.Apply(0, store.Since(source.Revision()))
+			case 3:
+				fetch()
+			default:
+				change()
+			}
+		}
+		source.Apply(0, store.Since(source.Revision()))
+		fetch()
+		g.Expect(follower.Items()).To(Equal(store.Items()))
+	})
+}
+
+// TestStartCopiesOnce guards against hosts that start together, read all items
+// from the store and then get all of them once more from the first reader, whose
+// history begins a few revisions later.
+func TestStartCopiesOnce(t *testing.T) {
+	g := NewWithT(t)
+	const servers = 1000
+	var list []Item
+	for i := range servers {
+		list = append(list, Item{Key: fmt.Sprint("servers/i-", i), Value: make([]byte, 250), Revision: uint64(i + 1)})
+	}
+	follower, reader := New(), New()
+	follower.Apply(0, Batch{Revision: servers, Full: true, Items: list})
+	reader.Apply(0, Batch{Revision: servers + 1, Full: true, Items: append(list, put("hosts/a", servers+1))})
+	b := reader.Since(follower.Revision())
+	g.Expect(b.Full).To(BeFalse())
+	g.Expect(b.Items).To(HaveLen(1))
+	g.Expect(follower.Complete(b)).To(BeTrue())
+	follower.Apply(0, b)
+	g.Expect(follower.Items()).To(Equal(reader.Items()))
+}
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -29,8 +29,9 @@
 	peerWait = 500 * time.Millisecond
 	// peerTimeout bounds a fetch from another host in the same region.
 	peerTimeout = peerWait + 250*time.Millisecond
-	// peerPause is the time between two fetches from a host.
-	peerPause = 20 * time.Millisecond
+	// peerPause is the time between two fetches from a host. Changes that come
+	// together, as when hosts restart, are taken over at once.
+	peerPause = 100 * time.Millisecond
 	// peerSuspect is how long a host that did not answer is left out.
 	peerSuspect = 2 * time.Second
 	// staleSuspect is how long a host is left out that answered but does not read
@@ -230,6 +231,16 @@
 	if !b.Direct || b.Age > s.times.MaxAge {
 		return errStale
 	}
+	if !s.complete(b) {
+		p = FetchParams{}
+		b = Batch{}
+		if err := s.peer.Call(cctx, src.Address, MethodFetch, p, &b); err != nil {
+			return err
+		}
+		if !b.Direct || b.Age > s.times.MaxAge {
+			return errStale
+		}
+	}
 	s.take(b, time.Now().Add(-b.Age), src.Name)
 	return nil
 }
@@ -266,6 +277,12 @@
 	return true
 }
 
+func (s *Syncer) complete(b Batch) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirror.Complete(b)
+}
+
 func (s *Syncer) revision() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -315,7 +332,7 @@
 	defer timer.Stop()
 	for expired := false; ; {
 		b, news := s.newsAfter(p.After)
-		if expired || !b.Direct || len(b.Items) > 0 && b.Revision > p.After {
+		if expired || !b.Direct || (len(b.Items) > 0 || b.Kept != nil) && b.Revision > p.After {
 			return b, nil
 		}
 		select {
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -227,3 +227,19 @@
 	// One renewal may fail and be repeated before the lease ends.
 	g.Expect(p.renewal() + presenceTimeout + presenceRetry).To(BeNumerically("<", r.ttl))
 }
+
+// TestRemovalBeforeTheReadersHistory guards against a host that keeps an item
+// which was removed before its source began to follow the store.
+func TestRemovalBeforeTheReadersHistory(t *testing.T) {
+	g := NewWithT(t)
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 2, Full: true, Items: []Item{put("servers/a", 1), put("servers/b", 2)}}}
+	b := newHost(n, "b", store, "a", "b")
+	g.Expect(b.fetchStore(context.Background())).To(BeTrue())
+	store.batch = Batch{Revision: 4, Full: true, Items: []Item{put("servers/b", 2), put("servers/c", 4)}}
+	a := newHost(n, "a", store, "a", "b")
+	a.step(context.Background())
+	b.step(context.Background())
+	g.Expect(b.from).To(Equal("a"))
+	g.Expect(keys(b.mirror)).To(Equal([]string{"servers/b", "servers/c"}))
+}
