gateway, platform: metrics of ages, dispatchers and the retry budget

A change of the dispatcher now has a log line with the view's revision, and galenabeamctl explain shows the last one of each service.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -25,7 +25,7 @@
 // else from now on. The last one of each kind was in force.
 var beliefs = []string{
 	"configuration in force", "source of the store's changes", "store does not answer; the last known state stays in force",
-	"store answers again", "dispatcher does not answer; asking the next one", "shutting down", "entry host started",
+	"store answers again", "dispatcher does not answer; asking the next one", "dispatcher changed", "shutting down", "entry host started",
 	"knowledge of the pool loaded",
 }
 
@@ -117,10 +117,12 @@
 	var list []string
 	for n := len(before) - 1; n >= 0; n-- {
 		l := before[n]
-		if l.Host != host || seen[l.Message] || !slices.Contains(beliefs, l.Message) {
+		// A belief may be about one service or pool.
+		about := fmt.Sprint(l.Message, l.fields["service"], l.fields["pool"])
+		if l.Host != host || seen[about] || !slices.Contains(beliefs, l.Message) {
 			continue
 		}
-		seen[l.Message] = true
+		seen[about] = true
 		list = append(list, fmt.Sprintf("  since %s: %s %s", l.Time, l.Message, details(l.fields)))
 	}
 	slices.Reverse(list)
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -194,7 +194,11 @@
 		f.unsent++
 	}
 	g.note(f, a, resultName(a.reply))
-	g.cfg.Metrics.attempt(f.service, resultNames[a.reply.result], a.took)
+	region := ""
+	if b := g.view.Load().Backends[a.ticket.Server]; b != nil {
+		region = b.Region
+	}
+	g.cfg.Metrics.attempt(f.service, region, resultNames[a.reply.result], a.took)
 	g.release(a)
 }
 
@@ -230,7 +234,7 @@
 	if rescue {
 		left = time.Until(f.deadline)
 	}
-	if t.expected() > left || rescue && t.Busy > rescueOccupancy || !g.takeBudget(budget) {
+	if t.expected() > left || rescue && t.Busy > rescueOccupancy || !g.takeBudget(f.service, budget) {
 		g.desk.Release(t, dispatch.Report{Result: dispatch.Abandoned})
 		return t, false
 	}
@@ -260,7 +264,7 @@
 	if f.sent >= f.route.MaxAttempts || f.unsent > maxUnsent {
 		return ticket{}, false
 	}
-	if f.sent > 0 && !g.takeBudget(budget) {
+	if f.sent > 0 && !g.takeBudget(f.service, budget) {
 		f.budgetEmpty = true
 		return ticket{}, false
 	}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,6 +114,17 @@
 	shared   map[string]*poolState
 	alone    map[string]*poolState
 	suspects map[string]time.Time
+	deciders map[string]Decider
+}
+
+// Decider tells who decided last on the requests of a service that entered here.
+type Decider struct {
+	// Name is the deciding host, "alone" if this host decided without the others.
+	Name string
+	// Self tells that this host decides, for itself or for the region.
+	Self bool
+	// Since is when the decider changed last.
+	Since time.Time
 }
 
 type poolState struct {
@@ -129,7 +141,7 @@
 func NewDesk(self fleet.Host, limits dispatch.Limits, caller Caller, keeper Keeper, log logrus.FieldLogger) *Desk {
 	return &Desk{
 		self: self, limits: limits, caller: caller, keeper: keeper, log: log, started: time.Now(),
-		viewed: make(chan struct{}), shared: map[string]*poolState{}, alone: map[string]*poolState{}, suspects: map[string]time.Time{},
+		viewed: make(chan struct{}), shared: map[string]*poolState{}, alone: map[string]*poolState{}, suspects: map[string]time.Time{}, deciders: map[string]Decider{},
 	}
 }
 
@@ -213,6 +225,38 @@
 // Acquire decides on a request. It never waits for longer than the dispatchers
 // may take to answer: without one, this host decides alone.
 func (d *Desk) Acquire(ctx context.Context, p AcquireParams) ticket {
+	t := d.acquire(ctx, p)
+	d.noteDecider(p.Service, t)
+	return t
+}
+
+// noteDecider logs and remembers a change of the host that decides.
+func (d *Desk) noteDecider(service string, t ticket) {
+	if t.by == "none" {
+		return
+	}
+	d.mu.Lock()
+	before := d.deciders[service]
+	changed := before.Name != t.by
+	if changed {
+		d.deciders[service] = Decider{Name: t.by, Self: t.host == nil, Since: time.Now()}
+	}
+	d.mu.Unlock()
+	if changed {
+		d.log.WithFields(logrus.Fields{
+			"service": service, "dispatcher": t.by, "before": before.Name, "view_revision": d.view.Load().Revision,
+		}).Info("dispatcher changed")
+	}
+}
+
+// Deciders returns who decided last, by service.
+func (d *Desk) Deciders() map[string]Decider {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.deciders)
+}
+
+func (d *Desk) acquire(ctx context.Context, p AcquireParams) ticket {
 	s := d.view.Load()
 	asked := 0
 	for _, h := range s.Dispatchers(d.self.Region, p.Service) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,9 @@
 	closing  atomic.Bool
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
+	// configuredAt is when the configuration in force took effect, on the desk's
+	// clock.
+	configuredAt atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -101,6 +104,9 @@
 	if old != nil && old.Table != nil && (s.Table == nil || s.Table.Version < old.Table.Version) {
 		s = s.WithTable(old.Table)
 	}
+	if s.Table != nil && (old == nil || old.Table != s.Table) {
+		g.configuredAt.Store(int64(g.desk.Now()))
+	}
 	g.desk.SetView(s)
 	g.view.Store(s)
 	if s.Table != nil && (old == nil || old.Table == nil) {
@@ -240,8 +246,10 @@
 	return b
 }
 
-func (g *Gateway) takeBudget(b *retry.Budget) bool {
+func (g *Gateway) takeBudget(service string, b *retry.Budget) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return b.Take()
+	taken := b.Take()
+	g.mu.Unlock()
+	g.cfg.Metrics.retry(service, taken)
+	return taken
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -29,7 +29,7 @@
 	if f.route != nil {
 		route = f.route.Name
 	}
-	g.cfg.Metrics.request(route, reason, took)
+	g.cfg.Metrics.request(f, reason, took)
 	log := g.cfg.Log
 	answered := reason == "served" && a.Status < 500
 	if answered {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -54,6 +54,9 @@
 // Left tells whether Take would succeed. It counts nothing.
 func (b *Budget) Left() bool { return b.tokens >= 1 }
 
+// Tokens returns the further attempts that are allowed now.
+func (b *Budget) Tokens() float64 { return b.tokens }
+
 // Stats returns the present counts.
 func (b *Budget) Stats() Stats { return b.stats }
 
