--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -297,8 +297,17 @@
 	if unknown {
 		return failure(http.StatusBadGateway, "backend server broke off"), "broken"
 	}
-	return refusal(max(t.RetryAfter, retryShed), "no backend server took the request"), "shed"
+	pause := retryShed
+	if a.reply.result == dispatch.Shed && a.ticket.Wait == 0 {
+		pause = retryShedFree
+	}
+	return refusal(max(t.RetryAfter, pause), "no backend server took the request"), "shed"
 }
 
-// retryShed is when to come back after backend servers refused a request.
-const retryShed = 100 * time.Millisecond
+const (
+	// retryShed is when to come back after backend servers refused a request.
+	retryShed = 100 * time.Millisecond
+	// retryShedFree is the same after a server refused although it had a free slot:
+	// waiting does not help, and another one may take the request in time.
+	retryShedFree = 20 * time.Millisecond
+)
