mirror: pack changes between hosts once for all that ask

TestStartOfLargeDeployment: 3,000 entries take less than a fifth of their JSON and are packed once for 20 hosts.

--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -120,6 +120,9 @@
 	confirmed time.Time // when the store confirmed the revision
 	holdUntil time.Time
 	news      chan struct{} // closed at the next change
+	// answers holds the answers that were prepared since the last batch, by the
+	// revision that they begin after.
+	answers map[uint64]*prepared
 
 	failing  time.Time // start of the store's present failure
 	suspects map[string]time.Time
@@ -132,7 +135,7 @@
 func NewSyncer(store Store, peer Peer, m *Mirror, t Times, log logrus.FieldLogger) *Syncer {
 	return &Syncer{
 		store: store, peer: peer, mirror: m, times: t, log: log, started: time.Now(),
-		news: make(chan struct{}), suspects: map[string]time.Time{},
+		news: make(chan struct{}), answers: map[uint64]*prepared{}, suspects: map[string]time.Time{},
 	}
 }
 
@@ -223,28 +226,30 @@
 func (s *Syncer) fetchPeer(ctx context.Context, src Source) error {
 	cctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var b Batch
-	p := FetchParams{After: s.revision(), Wait: peerWait.Milliseconds()}
-	if err := s.peer.Call(cctx, src.Address, MethodFetch, p, &b); err != nil {
-		return err
-	}
-	if !b.Direct || b.Age > s.times.MaxAge {
-		return errStale
+	b, err := s.ask(cctx, src, FetchParams{After: s.revision(), Wait: peerWait.Milliseconds()})
+	if err == nil && !s.complete(b) {
+		b, err = s.ask(cctx, src, FetchParams{})
 	}
-	if !s.complete(b) {
-		p = FetchParams{}
-		b = Batch{}
-		if err := s.peer.Call(cctx, src.Address, MethodFetch, p, &b); err != nil {
-			return err
-		}
-		if !b.Direct || b.Age > s.times.MaxAge {
-			return errStale
-		}
+	if err != nil {
+		return err
 	}
 	s.take(b, time.Now().Add(-b.Age), src.Name)
 	return nil
 }
 
+// ask fetches a batch from a host. It returns errStale if the host does not read
+// the store or has not heard from it for too long.
+func (s *Syncer) ask(ctx context.Context, src Source, p FetchParams) (Batch, error) {
+	var a Answer
+	if err := s.peer.Call(ctx, src.Address, MethodFetch, p, &a); err != nil {
+		return Batch{}, err
+	}
+	if !a.Direct || a.Age > s.times.MaxAge {
+		return Batch{}, errStale
+	}
+	return a.unpack()
+}
+
 // fetchStore asks the store and tells whether it answered.
 func (s *Syncer) fetchStore(ctx context.Context) bool {
 	b, err := s.store.Fetch(ctx, s.revision(), s.times.StoreWait)
@@ -304,11 +309,15 @@
 			s.holdUntil = until
 		}
 	}
+	clear(s.answers)
 	s.finish(s.mirror.Apply(time.Since(s.started), b))
 }
 
 func (s *Syncer) expire() {
 	s.mu.Lock()
+	if s.mirror.Held() > 0 {
+		clear(s.answers)
+	}
 	s.finish(s.mirror.Expire(time.Since(s.started)))
 }
 
@@ -326,14 +335,17 @@
 }
 
 // HandleFetch serves MethodFetch: it waits for a change after the revision.
-func (s *Syncer) HandleFetch(ctx context.Context, p FetchParams) (Batch, error) {
+func (s *Syncer) HandleFetch(ctx context.Context, p FetchParams) (Answer, error) {
 	wait := min(time.Duration(p.Wait)*time.Millisecond, catchUpTimeout)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for expired := false; ; {
-		b, news := s.newsAfter(p.After)
-		if expired || !b.Direct || (len(b.Items) > 0 || b.Kept != nil) && b.Revision > p.After {
-			return b, nil
+		from, meta, news := s.newsAfter(p.After)
+		b := from.batch
+		if expired || !meta.Direct || (len(b.Items) > 0 || b.Kept != nil) && b.Revision > p.After {
+			a, err := from.answer()
+			a.Age, a.Hold, a.Direct = meta.Age, meta.Hold, meta.Direct
+			return a, err
 		}
 		select {
 		case <-news:
@@ -341,21 +353,24 @@
 			// The age must be that of the answer, not of the question.
 			expired = true
 		case <-ctx.Done():
-			return b, ctx.Err()
+			return Answer{}, ctx.Err()
 		}
 	}
 }
 
-// newsAfter returns the changes after a revision and a channel that is closed at
-// the next one.
-func (s *Syncer) newsAfter(after uint64) (Batch, <-chan struct{}) {
+// newsAfter returns the changes after a revision, how fresh they are, and a
+// channel that is closed at the next change.
+func (s *Syncer) newsAfter(after uint64) (*prepared, Batch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.mirror.Since(after)
-	b.Age = unconfirmedAge
+	p := s.answers[after]
+	if p == nil {
+		p = &prepared{batch: s.mirror.Since(after)}
+		s.answers[after] = p
+	}
+	meta := Batch{Age: unconfirmedAge, Hold: max(time.Until(s.holdUntil), 0), Direct: s.direct}
 	if !s.confirmed.IsZero() {
-		b.Age = time.Since(s.confirmed)
+		meta.Age = time.Since(s.confirmed)
 	}
-	b.Hold, b.Direct = max(time.Until(s.holdUntil), 0), s.direct
-	return b, s.news
+	return p, meta, s.news
 }
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -39,8 +41,8 @@
 	}
 	p := params.(FetchParams)
 	p.Wait = 1
-	b, err := s.HandleFetch(ctx, p)
-	*result.(*Batch) = b
+	a, err := s.HandleFetch(ctx, p)
+	*result.(*Answer) = a
 	return err
 }
 
@@ -243,3 +245,46 @@
 	g.Expect(b.from).To(Equal("a"))
 	g.Expect(keys(b.mirror)).To(Equal([]string{"servers/b", "servers/c"}))
 }
+
+// TestStartOfLargeDeployment guards against bytes and processor time that a
+// reader spends on each host of its region while the backend servers of a large
+// deployment register: the hosts share one packed answer, a fraction of the items.
+func TestStartOfLargeDeployment(t *testing.T) {
+	g := NewWithT(t)
+	const servers, followers = 3000, 20
+	var list []Item
+	for i := range servers {
+		value := fmt.Sprintf(`{"address":"10.1.%d.%d:80","info":{"service":"s","zone":"a","slots":4},"status":{"state":"ready","seq":1}}`, i/250, i%250)
+		list = append(list, Item{Key: fmt.Sprintf("servers/i-%08x", i*7919), Value: []byte(value), Revision: uint64(i + 1)})
+	}
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: servers, Items: list}}
+	reader := newHost(n, "a", store, "a")
+	reader.step(context.Background())
+	plain, err := json.Marshal(list)
+	g.Expect(err).NotTo(HaveOccurred())
+	var first Answer
+	for i := range followers {
+		a, err := reader.HandleFetch(context.Background(), FetchParams{})
+		g.Expect(err).NotTo(HaveOccurred())
+		if i == 0 {
+			first = a
+		}
+		g.Expect(&a.Packed[0]).To(BeIdenticalTo(&first.Packed[0]), "packed once")
+	}
+	g.Expect(len(first.Packed)).To(BeNumerically("<", len(plain)/5))
+	follower := newHost(n, "b", store, "a", "b")
+	follower.step(context.Background())
+	g.Expect(follower.from).To(Equal("a"))
+	g.Expect(follower.mirror.Items()).To(Equal(reader.mirror.Items()))
+}
+
+// TestDamagedAnswer guards against a host that takes over an answer which cannot
+// be unpacked.
+func TestDamagedAnswer(t *testing.T) {
+	for _, packed := range [][]byte{{0xff, 0x00, 0x13}, {}} {
+		a := Answer{Batch: Batch{Revision: 9, Full: true}, Packed: packed}
+		_, err := a.unpack()
+		NewWithT(t).Expect(err).To(HaveOccurred())
+	}
+}
