mirror: fewer calls to a store that is down or refuses

Cause: while the store is away every host asks it every 400 ms and tries its registration every 500 ms; the calls grow with the fleet, are priced, and meet a store that comes back.

Change: the first three hosts of a region ask as before, the others every 1.6 s and those three meanwhile; registrations back off to 1.5 s.

The new test counts 200 calls in five rounds of 40 hosts without the change, at most 55 with it.

--- a/internal/mirror/presence.go
+++ b/internal/mirror/presence.go
@@ -22,8 +22,10 @@
 	// presenceRenewPart is the time between two renewals as a part of the TTL: a
 	// lease outlives a renewal that fails.
 	presenceRenewPart = 0.4
-	// presenceRetry is the time before a failed registration is tried again.
-	presenceRetry = 500 * time.Millisecond
+	// presenceRetry is the time before a failed registration is tried again. It
+	// doubles up to maxPresenceRetry, so that a host is back within two seconds of
+	// the store's return.
+	presenceRetry, maxPresenceRetry = 500 * time.Millisecond, 1500 * time.Millisecond
 	// presenceTimeout bounds a call.
 	presenceTimeout = time.Second
 )
@@ -60,6 +62,7 @@
 	Listed func() bool
 	lease  int64
 	since  time.Time
+	retry  time.Duration // before the next try, 0 after a success
 }
 
 // NewPresence returns the registration of an item that is not written yet.
@@ -90,6 +93,11 @@
 	return nil
 }
 
+func (p *Presence) backOff() time.Duration {
+	p.retry = min(max(2*p.retry, presenceRetry), maxPresenceRetry)
+	return p.retry
+}
+
 func (p *Presence) step(ctx context.Context) time.Duration {
 	cctx, cancel := context.WithTimeout(ctx, presenceTimeout)
 	defer cancel()
@@ -103,11 +111,12 @@
 			p.lease = 0
 		case err != nil:
 			p.log.WithError(err).Warn("registration not renewed")
-			return presenceRetry
+			return p.backOff()
 		case time.Since(p.since) > p.ttl && !p.Listed():
 			// The store took the item away although its lease lives.
 			p.lease = 0
 		default:
+			p.retry = 0
 			return p.renewal()
 		}
 	}
@@ -117,9 +126,9 @@
 	}
 	if err != nil {
 		p.log.WithError(err).Warn("host not registered")
-		return presenceRetry
+		return p.backOff()
 	}
-	p.lease, p.since = lease, time.Now()
+	p.lease, p.since, p.retry = lease, time.Now(), 0
 	p.log.WithField("lease", lease).Info("host registered")
 	return p.renewal()
 }
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,11 @@
 	storeWaitPart, maxAgePart = 0.6, 0.88
 	// storePause is the time between two reads of the store by one host.
 	storePause = 250 * time.Millisecond
-	// storeRetry is the time before the store is asked again after a failure.
-	storeRetry = 400 * time.Millisecond
+	// storeRetry is the time before the store is asked again after a failure by one
+	// of the first maxPeers hosts of a region, restRetry the same for the others.
+	// They ask those hosts meanwhile, so that the calls to a store that is down do
+	// not grow with the fleet; the store may answer them alone, so they ask too.
+	storeRetry, restRetry = 400 * time.Millisecond, 1600 * time.Millisecond
 	// peerWait is how long a fetch from another host waits for a change.
 	peerWait = 500 * time.Millisecond
 	// peerTimeout bounds a fetch from another host in the same region.
@@ -125,6 +129,7 @@
 	answers map[uint64]*prepared
 
 	failing  time.Time // start of the store's present failure
+	retryAt  time.Time // when the store may be asked again
 	suspects map[string]time.Time
 	from     string
 	// direct tells that the last news came from the store itself.
@@ -165,12 +170,17 @@
 // step asks sources until one answers and returns the time until the next step.
 func (s *Syncer) step(ctx context.Context) time.Duration {
 	asked, stored := 0, false
-	for _, src := range s.Sources() {
+	sources := s.Sources()
+	retry := storeRetry
+	if slices.IndexFunc(sources, func(src Source) bool { return src.Self }) >= maxPeers {
+		retry = restRetry
+	}
+	for _, src := range sources {
 		if ctx.Err() != nil || asked >= maxPeers {
 			break
 		}
 		if src.Self {
-			if stored = true; s.fetchStore(ctx) {
+			if stored = true; s.tryStore(ctx, retry) {
 				return storePause
 			}
 			continue
@@ -189,13 +199,26 @@
 			s.log.WithError(err).WithField("peer", src.Name).Warn("host has no fresh copy of the store")
 		}
 	}
-	if !stored && s.fetchStore(ctx) {
+	if !stored && s.tryStore(ctx, retry) {
 		return storePause
 	}
 	s.setDirect(false)
 	return storeRetry
 }
 
+// tryStore asks the store unless it failed a short time ago.
+func (s *Syncer) tryStore(ctx context.Context, retry time.Duration) bool {
+	if time.Now().Before(s.retryAt) {
+		return false
+	}
+	if s.fetchStore(ctx) {
+		return true
+	}
+	// The pause between two steps is part of the time.
+	s.retryAt = time.Now().Add(retry - storeRetry)
+	return false
+}
+
 func (s *Syncer) suspect(name string, err error) {
 	pause := peerSuspect
 	if errors.Is(err, errStale) {
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -288,3 +288,61 @@
 		NewWithT(t).Expect(err).To(HaveOccurred())
 	}
 }
+
+// TestOutageCallsDoNotGrowWithTheFleet guards against a store that is down or
+// comes back and gets a call from every host each time.
+func TestOutageCallsDoNotGrowWithTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	const hosts, rounds = 40, 5
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 3, Full: true, Items: []Item{put("op/config", 3)}}}
+	var order []string
+	for i := range hosts {
+		order = append(order, fmt.Sprintf("h%02d", i))
+	}
+	var all []*Syncer
+	for _, name := range order {
+		all = append(all, newHost(n, name, store, order...))
+	}
+	step := func() {
+		for _, s := range all {
+			clear(s.suspects) // as after staleSuspect
+			s.step(context.Background())
+		}
+	}
+	step()
+	store.err, store.calls = errAway, 0
+	for range rounds {
+		step()
+	}
+	g.Expect(store.calls).To(BeNumerically("<=", maxPeers*rounds+hosts))
+	g.Expect(store.calls).To(BeNumerically(">=", hosts), "each host asks: the store may answer it alone")
+
+	store.err, store.calls = nil, 0
+	store.batch = Batch{Revision: 4, Items: []Item{put("op/config", 4)}}
+	step()
+	step()
+	g.Expect(store.calls).To(BeNumerically("<=", maxPeers*2))
+	for _, s := range all {
+		g.Expect(s.revision()).To(Equal(uint64(4)))
+	}
+}
+
+// TestRegistrationBacksOff guards against registrations that all hosts try twice
+// a second while the store is down, and against a host that is still missing two
+// seconds after its return.
+func TestRegistrationBacksOff(t *testing.T) {
+	g := NewWithT(t)
+	r := &scriptedRegistrar{grantErr: errAway}
+	p := NewPresence(r, "hosts/a", nil, PresenceTTL(0), quietLog())
+	var pauses []time.Duration
+	for range 4 {
+		pauses = append(pauses, p.step(context.Background()))
+	}
+	g.Expect(pauses).To(Equal([]time.Duration{presenceRetry, 2 * presenceRetry, maxPresenceRetry, maxPresenceRetry}))
+	g.Expect(maxPresenceRetry).To(BeNumerically("<", 2*time.Second))
+	r.grantErr = nil
+	p.step(context.Background())
+	r.renewErr = errAway
+	g.Expect(p.step(context.Background())).To(Equal(presenceRetry))
+}
