--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -40,10 +40,10 @@
 		passes = 1
 	}
 	for pass := 0; pass < passes && best == nil; pass++ {
-		// The first pass keeps the bound on shifts between regions; the second
-		// serves a request that has no other place.
+		// The first pass keeps the bound on shifts between regions and weighs a few
+		// servers of others; the second serves a request that has no other place.
 		for _, s := range p.list {
-			if pass == 0 && (s.region != p.opts.Region && s.rank >= maxForeign || !p.open(now, open, s.region)) || !p.usable(now, r, s, from) {
+			if pass == 0 && !p.weighed(now, open, s) || !p.usable(now, r, s, from) {
 				continue
 			}
 			o := p.option(now, r, c, s, key, hash)
@@ -55,6 +55,11 @@
 	return best, choice
 }
 
+// weighed tells whether the first pass considers a server.
+func (p *Pool) weighed(now time.Duration, open map[string]bool, s *server) bool {
+	return s.region == p.opts.Region || s.rank < maxForeign && p.open(now, open, s.region)
+}
+
 // open tells whether the region takes a further request. known holds the answers
 // for the present request.
 func (p *Pool) open(now time.Duration, known map[string]bool, region string) bool {
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -44,4 +44,6 @@
 	return max(min(whole, whole+l.ColdSlack-coldMargin-bursts), 0) / coldPools
 }
 
+// shiftStep returns the largest growth of one region's part of the requests from
+// one window to the next.
 func (l Limits) shiftStep() float64 { return shiftPart * l.MaxShift }
--- /dev/null
+++ b/internal/gateway/attempts_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestRetryAfterShed guards against callers that wait for slots of servers which
+// refuse requests although they are not full: the wait makes the answer late.
+func TestRetryAfterShed(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		running int // requests that take the server's slots
+		least   float64
+		most    float64
+	}{
+		{"servers with free slots", 0, 0, 0.05},
+		{"full servers", 8, 0.1, 1},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			started, end := make(chan struct{}, 8), make(chan struct{})
+			busy := startServer(t, func(_ *server, conn net.Conn, r *http.Request, _ string) bool {
+				if r.URL.Path == "/post/busy" {
+					started <- struct{}{}
+					<-end
+				}
+				return send(conn, r, 503, "", "X-Not-Run: 1")
+			})
+			f := start(t, busy, busy) // two servers of four slots
+			for i := range c.running {
+				c, _ := f.dial(t)
+				_, err := io.WriteString(c, rawRequest("POST", "/post/busy", fmt.Sprint("busy", i), "x"))
+				g.Expect(err).NotTo(HaveOccurred())
+				<-started
+			}
+			status, _, header := f.do(t, "POST", "/post/a", "one", "x")
+			close(end)
+			g.Expect(status).To(Equal(503))
+			after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(after).To(BeNumerically(">=", c.least))
+			g.Expect(after).To(BeNumerically("<=", c.most))
+		})
+	}
+}
