--- a/internal/mirror/presence.go
+++ b/internal/mirror/presence.go
@@ -93,7 +93,11 @@
 	return nil
 }
 
-func (p *Presence) backOff() time.Duration {
+// backOff returns the time until the next try and logs the first failure.
+func (p *Presence) backOff(message string, err error) time.Duration {
+	if p.retry == 0 {
+		p.log.WithError(err).Warn(message)
+	}
 	p.retry = min(max(2*p.retry, presenceRetry), maxPresenceRetry)
 	return p.retry
 }
@@ -110,8 +114,7 @@
 			p.log.Warn("registration lapsed; registering again")
 			p.lease = 0
 		case err != nil:
-			p.log.WithError(err).Warn("registration not renewed")
-			return p.backOff()
+			return p.backOff("registration not renewed", err)
 		case time.Since(p.since) > p.ttl && !p.Listed():
 			// The store took the item away although its lease lives.
 			p.lease = 0
@@ -125,8 +128,7 @@
 		err = p.store.Put(cctx, p.key, p.value, lease)
 	}
 	if err != nil {
-		p.log.WithError(err).Warn("host not registered")
-		return p.backOff()
+		return p.backOff("host not registered", err)
 	}
 	p.lease, p.since, p.retry = lease, time.Now(), 0
 	p.log.WithField("lease", lease).Info("host registered")
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -128,8 +128,11 @@
 	// revision that they begin after.
 	answers map[uint64]*prepared
 
-	failing  time.Time // start of the store's present failure
-	retryAt  time.Time // when the store may be asked again
+	failing time.Time // start of the store's present failure
+	retryAt time.Time // when the store may be asked again
+	// lost tells that no host had a fresh copy in the last step, so that this is
+	// logged once.
+	lost     bool
 	suspects map[string]time.Time
 	from     string
 	// direct tells that the last news came from the store itself.
@@ -191,17 +194,22 @@
 		asked++
 		err := s.fetchPeer(ctx, src)
 		if err == nil {
+			s.lost = false
 			s.setDirect(false)
 			return peerPause
 		}
-		if ctx.Err() == nil {
-			s.suspect(src.Name, err)
+		if ctx.Err() != nil {
+			break
+		}
+		s.suspect(src.Name, err)
+		if !s.lost {
 			s.log.WithError(err).WithField("peer", src.Name).Warn("host has no fresh copy of the store")
 		}
 	}
 	if !stored && s.tryStore(ctx, retry) {
 		return storePause
 	}
+	s.lost = true
 	s.setDirect(false)
 	return storeRetry
 }
@@ -212,6 +220,7 @@
 		return false
 	}
 	if s.fetchStore(ctx) {
+		s.lost = false
 		return true
 	}
 	// The pause between two steps is part of the time.
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 )
 
 var errAway = errors.New("store is away")
@@ -346,3 +347,44 @@
 	r.renewErr = errAway
 	g.Expect(p.step(context.Background())).To(Equal(presenceRetry))
 }
+
+// TestOutageIsLoggedOnce guards against an outage of the store whose lines, many
+// a second from each host, push the lines of failed requests out of the log.
+func TestOutageIsLoggedOnce(t *testing.T) {
+	g := NewWithT(t)
+	log, hook := logtest.NewNullLogger()
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 1}}
+	order := []string{"a", "b", "c", "d", "e"}
+	var all []*Syncer
+	for _, name := range order {
+		all = append(all, newHost(n, name, store, order...))
+	}
+	all[4].log = log
+	steps := func(count int) int {
+		hook.Reset()
+		for range count {
+			for _, s := range all {
+				clear(s.suspects)
+				s.step(context.Background())
+			}
+		}
+		return len(hook.AllEntries())
+	}
+	steps(1)
+	store.err = errAway
+	g.Expect(steps(1)).To(BeNumerically("<=", maxPeers+1))
+	g.Expect(steps(20)).To(BeZero())
+	store.err = nil
+	steps(2)
+	store.err = errAway
+	g.Expect(steps(1)).To(BeNumerically(">=", 1), "the next outage is logged again")
+
+	r := &scriptedRegistrar{grantErr: errAway}
+	p := NewPresence(r, "hosts/a", nil, PresenceTTL(0), log)
+	hook.Reset()
+	for range 5 {
+		p.step(context.Background())
+	}
+	g.Expect(hook.AllEntries()).To(HaveLen(1))
+}
