backend: free the slot of an abandoned request when its server noticed

Cause: the losing attempt of a hedged request, and one whose caller has disconnected, released its slot as soon as this host had cancelled it.

Change: an abandoned request's connection is first closed in the sending direction only. The slot is released when the server reacts, or after 500 ms. The caller's answer does not wait for that.

Tests: TestAbandonedRequestEndsWithTheServer and TestAbandonedRequestEndsWithoutReaction fail with an immediate close.

--- a/internal/adapter/backend/client.go
+++ b/internal/adapter/backend/client.go
@@ -66,6 +66,10 @@
 	// Draining reports whether the server announced that it is draining: it takes
 	// no new requests.
 	Draining bool
+	// Ended is closed when the server has noticed that a request was abandoned, which
+	// may still hold a slot until then, or after 500 ms. It is nil if the request does
+	// not run any more.
+	Ended <-chan struct{}
 }
 
 // Client holds connections to backend servers. It is safe for concurrent use.
@@ -112,7 +116,7 @@
 		maxConns = defaultMaxConns
 	}
 	t = &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout, LocalAddr: c.local}).DialContext,
+		DialContext:            dialServer(&net.Dialer{Timeout: dialTimeout, LocalAddr: c.local}),
 		MaxConnsPerHost:        maxConns,
 		MaxIdleConnsPerHost:    maxConns,
 		IdleConnTimeout:        idleTimeout,
@@ -134,7 +138,14 @@
 // answer's body.
 func (c *Client) Do(ctx context.Context, r Request) Answer {
 	var sent atomic.Bool
+	var conn atomic.Pointer[serverConn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*serverConn); ok {
+				c.inFlight.Store(true)
+				conn.Store(c)
+			}
+		},
 		WroteHeaderField: func(string, []string) { sent.Store(true) },
 	})
 	req, err := c.newRequest(ctx, r)
@@ -143,7 +154,11 @@
 	}
 	resp, err := c.transport(r.Address, r.MaxConns).RoundTrip(req)
 	if err != nil {
-		return Answer{Outcome: outcomeWithoutAnswer(ctx, err, sent.Load())}
+		a := Answer{Outcome: outcomeWithoutAnswer(ctx, err, sent.Load())}
+		if c := conn.Load(); c != nil && sent.Load() && c.inFlight.Load() {
+			a.Ended = c.ended
+		}
+		return a
 	}
 	return classifyAnswer(resp, r.RequestID)
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -157,9 +157,22 @@
 	got := e.send(ctx, r, reply.Server, reply.Address)
 	release := func(status peer.ReleaseStatus) {
 		cancel()
-		e.removeHeldSlot(key)
-		e.slots.Release(peer.Release{Service: r.service.Name, Key: key, Grant: reply.Grant, Status: status,
-			ServiceMicros: time.Since(started).Microseconds(), Draining: got.Draining})
+		elapsed := time.Since(started)
+		free := func() {
+			e.removeHeldSlot(key)
+			e.slots.Release(peer.Release{Service: r.service.Name, Key: key, Grant: reply.Grant, Status: status,
+				ServiceMicros: elapsed.Microseconds(), Draining: got.Draining})
+		}
+		if got.Ended == nil {
+			free()
+			return
+		}
+		// The server still holds the slot until it notices that nobody waits for the
+		// answer; a grant in between would exceed its slots.
+		go func() {
+			<-got.Ended
+			free()
+		}()
 	}
 	if got.Response == nil {
 		release(statusWithoutAnswer(r, got))
