gateway: bound what a server sends, decide in one place whom it answers

Cause: a server's header, interim answers and skipped bodies had no bound; a line without end grew the heap to 1,323 MB in 2 s. An answer without the request's id and with a status of 400 or above was taken for the request's own: a refusal sent once more on a kept connection made a request that must run at most once run at a second server. The header with which a server says that it leaves and the Retry-After of its 503 were not read.

Change: - Heads: 32 KiB, 256 lines, 8 interim answers. Bodies that are not passed on: 64 KiB, 250 ms. Beyond a bound the connection is closed at once, the attempt may have run, one log line names server and bound. All buffered bodies beyond 64 KiB each share 8 MiB. - Package attribution decides on an answer by status, identity, marks and connection. Without the own identity nothing proves that a request has not run; 503, 429, 408 of a server that does not say so become 502 for requests that must not repeat. - Package serverhold holds servers that leave or asked for a pause: no request, hedge or repeat; the first request after a pause goes alone. Dispatchers learn of leaving servers by reports and digests. - A caller's upload that breaks off no longer counts against the server; one above the limit gets 413 instead of being forwarded cut off.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -95,7 +95,7 @@
 // refused a request lately is usable only with anyServer. The other conditions always
 // hold.
 func (p *Pool) usable(now time.Duration, r Request, s *server, filter serverFilter) bool {
-	if s.draining || s.replaced || p.evacuatedDomains[s.failureDomain] || slices.Contains(r.Exclude, s.id) {
+	if s.draining || s.replaced || s.leaving(now) || p.evacuatedDomains[s.failureDomain] || slices.Contains(r.Exclude, s.id) {
 		return false
 	}
 	if len(r.Allowed) > 0 && !slices.Contains(r.Allowed, s.region) {
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/galenabeam/galenabeam/internal/serverhold"
 )
 
 // Digest tells the other pools of a service which requests are in flight and which
@@ -17,18 +19,34 @@
 	// RequestedObjects lists the objects requested since the last digest from servers
 	// that were not assumed to hold them.
 	RequestedObjects []RequestedObject `json:"warmed,omitempty"`
+	// Leaving lists the servers whose answers to this pool's requests said that they
+	// leave. It is repeated in each digest, as digests may be lost.
+	Leaving []LeavingServer `json:"leaving,omitempty"`
+}
+
+// LeavingServer is one incarnation of a server that said it leaves. Entry hosts send it
+// as JSON under its tags.
+type LeavingServer struct {
+	Server          string `json:"server"`
+	StartedAtMillis int64  `json:"born"`
+	// LeftMillis is the time for which the mark is still valid.
+	LeftMillis int64 `json:"left_ms"`
 }
 
-// Digest returns the requests now in flight and the objects newly requested since
-// the last call. It does not set Service.
-func (p *Pool) Digest() Digest {
+// Digest returns the requests now in flight, the objects newly requested since the last
+// call and the servers that leave. It does not set Service.
+func (p *Pool) Digest(now time.Duration) Digest {
 	d := Digest{Region: p.opts.Region, InFlight: map[string]int{}, RequestedObjects: p.requestedObjects}
 	p.requestedObjects = nil
 	for id, s := range p.servers {
 		if s.inflight > 0 {
 			d.InFlight[id] = s.inflight
 		}
+		if s.leavingReported && s.leaving(now) {
+			d.Leaving = append(d.Leaving, LeavingServer{Server: id, StartedAtMillis: s.startedAtMillis, LeftMillis: (s.leavingUntil - now).Milliseconds()})
+		}
 	}
+	sort.Slice(d.Leaving, func(i, j int) bool { return d.Leaving[i].Server < d.Leaving[j].Server })
 	sort.Slice(d.RequestedObjects, func(i, j int) bool {
 		if d.RequestedObjects[i].Server != d.RequestedObjects[j].Server {
 			return d.RequestedObjects[i].Server < d.RequestedObjects[j].Server
@@ -38,14 +56,20 @@
 	return d
 }
 
-// Merge applies the digest of another pool. Of one from the pool's own region it uses
-// only the objects: there, a pool counts only the requests that it has granted itself.
+// Merge applies the digest of another pool. Of one from the pool's own region it does
+// not use the counts: there, a pool counts only the requests that it has granted itself.
 func (p *Pool) Merge(now time.Duration, d Digest) {
 	for _, o := range d.RequestedObjects {
 		if s := p.servers[o.Server]; s != nil {
 			s.recordUse(o.Key, now, int(p.objectCapacity))
 		}
 	}
+	for _, l := range d.Leaving {
+		left := time.Duration(min(max(l.LeftMillis, 0), serverhold.LeavingTime.Milliseconds())) * time.Millisecond
+		if s := p.servers[l.Server]; s != nil && s.startedAtMillis == l.StartedAtMillis {
+			s.markLeaving(now+left, false)
+		}
+	}
 	if d.Region == p.opts.Region {
 		return
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,8 +10,8 @@
 // of the answer plus terms for slot time, utilization, failures, distance and whether
 // the server holds the object.
 //
-// A request is never sent to a server that is draining, evacuated, excluded, outside
-// the allowed regions or cold with its rate used up, and never granted if the best
+// A request is never sent to a server that is draining, leaving, evacuated, excluded,
+// outside the allowed regions or cold with its rate used up, and never granted if the best
 // server is not expected to answer before the deadline. When no other server is
 // usable, the limit on shifts between regions and then the exclusion of servers marked
 // down are ignored; see Limits.
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/serverhold"
 )
 
 // Reason is why a request was refused.
@@ -141,6 +142,10 @@
 	// Bytes is the size of the answer, or of its buffered part if it is large; 0 if
 	// there is none.
 	Bytes int64
+	// Leaving is set if the server said that it leaves. StartedAtMillis is the start of
+	// the incarnation that said so.
+	Leaving         bool  `json:",omitempty"`
+	StartedAtMillis int64 `json:",omitempty"`
 }
 
 // Options are the settings of a pool that do not change.
@@ -378,7 +383,7 @@
 func (p *Pool) currentOccupancy(now time.Duration) float64 {
 	load, slots := 0.0, 0.0
 	for _, s := range p.list {
-		if !s.draining && !s.replaced && !p.evacuatedDomains[s.failureDomain] && s.available(now) {
+		if !s.draining && !s.replaced && !s.leaving(now) && !p.evacuatedDomains[s.failureDomain] && s.available(now) {
 			load += min(s.load(now), float64(s.slots))
 			slots += float64(s.slots)
 		}
@@ -399,6 +404,9 @@
 	delete(p.grants, id)
 	s := g.server
 	s.removeGrant(now, g)
+	if r.Leaving && r.StartedAtMillis == s.startedAtMillis {
+		s.markLeaving(now+serverhold.LeavingTime, true)
+	}
 	if r.Connect > 0 {
 		p.observeConnectTime(s.region, r.Connect)
 	}
--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -5,7 +5,8 @@
 // ServerState is a pool's state of one backend server, for the state dump. InFlight
 // is the number of the pool's grants that have not ended; Load estimates all requests
 // that the server runs or queues. Down is set while the server is not expected to
-// answer or has just refused a request. Slowness is the service time relative to the
+// answer or has just refused a request, Leaving while it is marked as leaving by its
+// answers. Slowness is the service time relative to the
 // usual one of the class, Failures the failure rate from 0 to 1, and Objects the
 // number of objects assumed held.
 type ServerState struct {
@@ -16,6 +17,7 @@
 	Cold     bool    `json:"cold"`
 	Down     bool    `json:"down"`
 	Draining bool    `json:"draining"`
+	Leaving  bool    `json:"leaving"`
 	Slowness float64 `json:"slowness"`
 	Failures float64 `json:"failure_rate"`
 	Objects  int     `json:"objects"`
@@ -27,7 +29,7 @@
 	for id, s := range p.servers {
 		state[id] = ServerState{
 			Region: s.region, Slots: s.slots, InFlight: s.inflight, Load: s.load(now), Cold: s.cold(now),
-			Down: !s.available(now), Draining: s.draining, Slowness: s.slowness,
+			Down: !s.available(now), Draining: s.draining, Leaving: s.leaving(now), Slowness: s.slowness,
 			Failures: s.failureRate(now), Objects: len(s.objects),
 		}
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -53,7 +53,9 @@
 	id, address, failureDomain, region string
 	startedAtMillis                    int64
 	slots                              int
-	draining, replaced                 bool // replaced: from a Misdirected request until Update brings a new incarnation or address
+	leavingUntil                       time.Duration // 0 unless an answer said that the server leaves
+	leavingReported                    bool          // a request of this pool learned it
+	draining, replaced                 bool          // replaced: from a Misdirected request until Update brings a new incarnation or address
 
 	position          int                      // in its region, in an order that depends on the pool's region
 	lastRequestByHost map[string]time.Duration // by entry host, if the server is in another region
@@ -163,6 +165,17 @@
 	return current + (s.lastUtilization-current)*decay(now-s.lastUtilizationAt, utilizationTimeConstant)
 }
 
+// leaving reports whether the server said that it leaves. The mark ends with the
+// incarnation, or with its time if the server has said so by mistake.
+func (s *server) leaving(now time.Duration) bool { return now < s.leavingUntil }
+
+// markLeaving records that the server said that it leaves. reported is set if a request
+// of this pool learned it, which other pools are then told.
+func (s *server) markLeaving(until time.Duration, reported bool) {
+	s.leavingUntil = max(s.leavingUntil, until)
+	s.leavingReported = s.leavingReported || reported
+}
+
 // cold reports whether the server has started recently, or may have, and so takes
 // only a limited rate of requests. It says nothing about objects.
 func (s *server) cold(now time.Duration) bool { return now < s.coldUntil }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -25,6 +26,9 @@
 		if ex.answer.Done != nil {
 			ex.answer.Done(complete)
 		}
+		if ex.request != nil {
+			c.front.bodies.give(ex.request.reserved)
+		}
 		c.completeAnswer(ended)
 		close(ex.written)
 		if ended && !connEnded {
@@ -74,7 +78,7 @@
 		_, err := bw.Write(a.Body)
 		return err
 	}
-	body := io.MultiReader(newBytesReader(a.Body), a.Rest)
+	body := io.MultiReader(bytes.NewReader(a.Body), a.Rest)
 	if !chunked {
 		n, err := io.Copy(deadlineWriter{c, bw}, body)
 		if err == nil && n != a.Length {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/retry"
@@ -16,12 +18,19 @@
 // are set at its end.
 type attempt struct {
 	decision  decision
+	backend   *fleet.Backend // nil if the snapshot does not list the server
 	reply     reply
 	startTime time.Time
 	elapsed   time.Duration
 	cancel    context.CancelFunc
 }
 
+// end frees the resources of an attempt whose answer is not used.
+func (a *attempt) end() {
+	a.reply.answer.drop()
+	a.cancel()
+}
+
 // runAttempts tries backend servers until one answers or no further attempt is
 // allowed. The returned outcome is a stable identifier for logs and metrics.
 func (g *Gateway) runAttempts(ctx context.Context, pr *pendingRequest, budget *retry.Budget) (*Answer, string) {
@@ -70,8 +79,10 @@
 			if a.reply.answer != nil && !g.isReplaceable(pr, a, budget) {
 				return a.reply.answer, "served"
 			}
-			a.cancel()
 			anyMayHaveRun = anyMayHaveRun || a.reply.mayHaveRun
+			if running > 0 || ctx.Err() != nil {
+				a.end()
+			}
 			if running > 0 {
 				continue
 			}
@@ -80,6 +91,7 @@
 			}
 			dec, ok := g.acquireRetry(ctx, pr, a, budget)
 			if ok {
+				a.end()
 				startAttempt(dec)
 				continue
 			}
@@ -99,9 +111,7 @@
 		for ; running > 0; running-- {
 			a := <-results
 			g.releaseGrant(a)
-			if a.reply.answer != nil && a.reply.answer.Done != nil {
-				a.reply.answer.Done(false)
-			}
+			a.reply.answer.drop()
 		}
 	}()
 }
@@ -109,14 +119,18 @@
 // acquire selects a backend server for the next attempt of a request.
 func (g *Gateway) acquire(ctx context.Context, pr *pendingRequest) decision {
 	for range maxUnsentAttempts { // here a bound on decisions; nothing is sent
+		held := g.holds.held()
 		dec := g.selector.Acquire(ctx, AcquireParams{
 			Service: pr.service, Class: pr.route.Name, Key: g.requestAffinity(pr),
 			Host: g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
 			Rank: pr.route.Rank, Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
 			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(time.Until(pr.deadline)),
-			Exclude: pr.exclude, Allowed: pr.route.Regions,
+			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.route.Regions,
 		})
 		if dec.Refused != "" {
+			if len(held) > 0 {
+				g.setHeldRetryAfter(pr, &dec)
+			}
 			return dec
 		}
 		// In this host's snapshot, which may differ from the dispatcher's, the server may
@@ -124,7 +138,10 @@
 		snapshot := g.snapshot.Load()
 		b := snapshot.Backends[dec.Server]
 		if b != nil && !b.Draining && !snapshot.Evacuated[b.FailureDomain] && b.Service == pr.service && pr.route.AllowsRegion(b.Region) {
-			return dec
+			var allowed bool
+			if allowed, dec.trial = g.holds.begin(b); allowed {
+				return dec
+			}
 		}
 		g.selector.Release(dec, dispatch.Report{Result: dispatch.Abandoned})
 		pr.exclude = append(pr.exclude, dec.Server)
@@ -133,6 +150,29 @@
 	return decision{Decision: dispatch.Decision{Refused: dispatch.NoServer, RetryAfter: retryAfterUnconfigured}, decidedBy: "self"}
 }
 
+// setHeldRetryAfter sets the Retry-After of a refusal to when the first server may get
+// requests again, if all servers that the request may be sent to asked for a pause.
+func (g *Gateway) setHeldRetryAfter(pr *pendingRequest, dec *decision) {
+	s := g.snapshot.Load()
+	var usable []*fleet.Backend
+	for _, b := range s.BackendsByService[pr.service] {
+		if !b.Draining && !s.Evacuated[b.FailureDomain] && pr.route.AllowsRegion(b.Region) && !slices.Contains(pr.exclude, b.ID) {
+			usable = append(usable, b)
+		}
+	}
+	if wait, all := g.holds.wait(usable); all && wait > 0 {
+		dec.RetryAfter = wait
+	}
+}
+
+// releaseUnused gives back the grant of a decision for which nothing is sent.
+func (g *Gateway) releaseUnused(dec decision) {
+	g.selector.Release(dec, dispatch.Report{Result: dispatch.Abandoned})
+	if b := g.snapshot.Load().Backends[dec.Server]; b != nil && dec.trial {
+		g.holds.endTrial(b)
+	}
+}
+
 // requestAffinity returns a request's affinity key, or "" if its route uses none.
 func (g *Gateway) requestAffinity(pr *pendingRequest) string {
 	if !pr.route.Affinity {
@@ -147,9 +187,9 @@
 // results at its end.
 func (g *Gateway) startAttempt(ctx context.Context, pr *pendingRequest, dec decision, results chan<- *attempt) *attempt {
 	actx, cancel := context.WithCancel(ctx)
-	a := &attempt{decision: dec, cancel: cancel, startTime: time.Now()}
 	snapshot := g.snapshot.Load()
 	b := snapshot.Backends[dec.Server]
+	a := &attempt{decision: dec, backend: b, cancel: cancel, startTime: time.Now()}
 	pr.exclude = append(pr.exclude, dec.Server)
 	header := pr.request.HTTP.Header.Clone()
 	stripHopByHop(header)
@@ -209,17 +249,43 @@
 	g.releaseGrant(a)
 }
 
-// releaseGrant releases the grant of an attempt and reports how the attempt ended.
+// releaseGrant releases the grant of an attempt, reports how the attempt ended, and
+// records what its server said about itself.
 func (g *Gateway) releaseGrant(a *attempt) {
+	startedAt := int64(0)
+	if b := a.backend; b != nil {
+		startedAt = b.StartedAtMillis
+		g.holds.observe(b, a.reply.signals)
+		if a.decision.trial {
+			g.holds.endTrial(b)
+		}
+		if a.reply.signals.leaving {
+			g.upstream.closeIdle(b.ID)
+		}
+	}
+	g.recordBound(a)
 	bytes := int64(0)
 	if a.reply.answer != nil {
 		bytes = int64(len(a.reply.answer.Body))
 	}
 	g.selector.Release(a.decision, dispatch.Report{
 		Bytes: bytes, Result: a.reply.result, Elapsed: a.elapsed - a.reply.connectTime, Connect: a.reply.connectTime, Load: a.reply.load,
+		Leaving: a.reply.signals.leaving, StartedAtMillis: startedAt,
 	})
 }
 
+// recordBound logs and counts an answer that exceeded a bound.
+func (g *Gateway) recordBound(a *attempt) {
+	var exceeded *boundError
+	if a.backend == nil || !errors.As(a.reply.err, &exceeded) {
+		return
+	}
+	g.cfg.Metrics.exceeded(exceeded.bound)
+	g.cfg.Log.WithFields(logrus.Fields{
+		"server": a.backend.ID, "address": a.backend.Address, "service": a.backend.Service, "bound": exceeded.bound,
+	}).Warn("answer of a backend server exceeds a bound; connection closed")
+}
+
 // hedgeDelay returns the time from the first attempt to the hedge, which is after the
 // deadline if the request must not be hedged.
 func (g *Gateway) hedgeDelay(pr *pendingRequest, dec decision) time.Duration {
@@ -246,7 +312,7 @@
 		remaining = time.Until(pr.deadline)
 	}
 	if dec.expectedTime() > remaining || late && dec.Busy > lateHedgeMaxOccupancy || !g.takeBudget(pr.service, budget) {
-		g.selector.Release(dec, dispatch.Report{Result: dispatch.Abandoned})
+		g.releaseUnused(dec)
 		return dec, false
 	}
 	return dec, true
@@ -303,12 +369,19 @@
 }
 
 // answerFailed answers a request after its last attempt failed: with the error
-// answer of that attempt, if there is one; with 502, if an attempt may have run it;
-// and otherwise with a refusal.
+// answer of that attempt, if there is one; with 413, if the body is too large, or the end
+// of the connection, if it broke off; with 502, if an attempt may have run it; and
+// otherwise with a refusal.
 func (g *Gateway) answerFailed(pr *pendingRequest, a *attempt, mayHaveRun bool, dec decision) (*Answer, string) {
 	if a.reply.answer != nil {
 		return a.reply.answer, "served"
 	}
+	if pr.request.Rest != nil && errors.Is(pr.request.Rest.failure(), errBodyTooLarge) {
+		return closeAfter(failure(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())), "too_large"
+	}
+	if errors.Is(a.reply.err, errBody) {
+		return &Answer{Abort: true}, "body_broken"
+	}
 	if mayHaveRun {
 		return failure(http.StatusBadGateway, "backend server broke off"), "broken"
 	}
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -61,8 +61,8 @@
 		if now-ps.lastDigest < ps.minDigestInterval {
 			continue
 		}
-		g := ps.pool.Digest()
-		if len(g.InFlight) == 0 && len(g.RequestedObjects) == 0 && now-ps.lastDigest < idleDigestPeriod {
+		g := ps.pool.Digest(now)
+		if len(g.InFlight) == 0 && len(g.RequestedObjects) == 0 && len(g.Leaving) == 0 && now-ps.lastDigest < idleDigestPeriod {
 			continue
 		}
 		ps.lastDigest = now
@@ -83,6 +83,9 @@
 	for _, o := range g.RequestedObjects {
 		size += len(o.Server) + len(o.Key) + objectOverheadBytes
 	}
+	for _, l := range g.Leaving {
+		size += len(l.Server) + leavingOverheadBytes
+	}
 	return min(time.Duration(size)*time.Second/digestRate, maxDigestPeriod)
 }
 
@@ -92,6 +95,8 @@
 	// objectOverheadBytes is the size of the JSON around an entry of
 	// Digest.RequestedObjects.
 	objectOverheadBytes = 24
+	// leavingOverheadBytes is the size of the JSON around an entry of Digest.Leaving.
+	leavingOverheadBytes = 52
 )
 
 // digestReceivers returns the peer addresses of each region's first dispatcher or, if
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -24,7 +24,7 @@
 
 var testHeaders = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Affinity: "X-Key", ExpectInstance: "X-Expect",
-	Load: "X-Load", NotRun: "X-Not-Run", Signature: "X-Signature",
+	Load: "X-Load", NotRun: "X-Not-Run", Signature: "X-Signature", Leaving: "X-Leaving",
 }
 
 // testBackend is a backend server whose answers are defined by the test.
@@ -35,8 +35,12 @@
 	mu           sync.Mutex
 	received     []string // request lines with bodies
 	disconnected chan struct{}
+	open         atomic.Int32 // connections
 }
 
+// disconnectedOrDone reports whether no connection is open.
+func (s *testBackend) disconnectedOrDone() bool { return s.open.Load() == 0 }
+
 // startBackend starts a backend server that calls answer for each request. answer
 // returns false to close the connection.
 func startBackend(t *testing.T, answer func(s *testBackend, c net.Conn, r *http.Request, body string) bool) *testBackend {
@@ -60,7 +64,8 @@
 }
 
 func (s *testBackend) serve(c net.Conn, answer func(*testBackend, net.Conn, *http.Request, string) bool) {
-	defer func() { _ = c.Close() }()
+	s.open.Add(1)
+	defer func() { _ = c.Close(); s.open.Add(-1) }()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -55,7 +55,9 @@
 	closingIdle atomic.Bool // set by CloseIdle
 	mu          sync.Mutex
 	conns       map[*frontConn]struct{}
-	inFlight    atomic.Int64 // the result of InFlight
+	// bodies is the budget of all buffered bodies.
+	bodies   memoryBudget
+	inFlight atomic.Int64 // the result of InFlight
 }
 
 // NewFront returns a Front that passes requests to h.
@@ -266,7 +268,7 @@
 		}
 		if ex.request.Rest != nil {
 			<-ex.written
-			if !ex.request.Rest.reachedEOF.Load() {
+			if !ex.request.Rest.reachedEnd() {
 				// The goroutine that forwards the body may still read it, so the
 				// connection ends with this answer.
 				return
@@ -322,7 +324,7 @@
 		return nil, closeAfter(failure(http.StatusBadRequest, "missing Host header"))
 	}
 	if hr.ContentLength > limits.BodyBytes {
-		return nil, closeAfter(failure(http.StatusRequestEntityTooLarge, "body exceeds the limit of the configuration"))
+		return nil, closeAfter(failure(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error()))
 	}
 	if errorAnswer, ok := c.readBody(r, limits); !ok || errorAnswer != nil {
 		return nil, errorAnswer
@@ -348,10 +350,9 @@
 	return closeAfter(failure(http.StatusBadRequest, "malformed request"))
 }
 
-// readBody reads up to maxBufferedBody bytes of a body and leaves the rest of a larger
-// one in r.Rest. A body of unknown length is cut off one byte above limits.BodyBytes,
-// or at maxBufferedBody if that is more, without an error from r.Rest. It returns
-// false if the request cannot be served, with no answer if the caller disconnected.
+// readBody reads up to maxBufferedBody bytes of a body, less if the memory for bodies is
+// used up, and leaves the rest of a larger one in r.Rest. It returns false if the request
+// cannot be served, with no answer if the caller disconnected.
 func (c *frontConn) readBody(r *Request, limits routetable.Limits) (*Answer, bool) {
 	if r.HTTP.ContentLength == 0 {
 		return nil, true
@@ -360,23 +361,22 @@
 		c.sendContinue()
 	}
 	body := &timedReader{conn: c.nc, r: r.HTTP.Body}
-	size := int64(maxBufferedBody)
-	if r.HTTP.ContentLength > 0 {
-		size = min(size, r.HTTP.ContentLength)
-	}
+	var ended bool
 	var err error
-	r.Body, err = io.ReadAll(io.LimitReader(body, size))
+	r.Body, ended, r.reserved, err = c.front.bodies.readUpTo(body, r.HTTP.ContentLength, maxBufferedBody)
 	if err != nil {
+		c.front.bodies.give(r.reserved)
 		return c.bodyErrorAnswer(err), false
 	}
-	if r.HTTP.ContentLength > 0 && int64(len(r.Body)) == r.HTTP.ContentLength {
-		return nil, true
+	if int64(len(r.Body)) > limits.BodyBytes {
+		c.front.bodies.give(r.reserved)
+		return closeAfter(failure(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())), false
 	}
-	if int64(len(r.Body)) < maxBufferedBody {
+	if ended {
 		r.Length = int64(len(r.Body))
 		return nil, true
 	}
-	r.Rest = &restReader{r: io.LimitReader(body, limits.BodyBytes-int64(len(r.Body))+1)}
+	r.Rest = &restReader{r: body, left: limits.BodyBytes - int64(len(r.Body))}
 	return nil, true
 }
 
@@ -419,17 +419,39 @@
 	return t.r.Read(p)
 }
 
+// errBodyTooLarge ends a body of unknown length that exceeds the limit.
+var errBodyTooLarge = errors.New("body exceeds the limit of the configuration")
+
 // restReader reads the part of a large body that is not buffered. Only one goroutine
-// may read; any goroutine may check reachedEOF.
+// may read; any goroutine may call reachedEnd and failure.
 type restReader struct {
-	r          io.Reader
-	reachedEOF atomic.Bool // set at the end of the body or where readBody cuts it off
+	r    io.Reader
+	left int64 // bytes that the limit of the configuration leaves
+	// end is the error that ended the body, io.EOF at its proper end.
+	end atomic.Pointer[error]
+}
+
+// reachedEnd reports whether the body was read to its proper end.
+func (b *restReader) reachedEnd() bool {
+	err := b.end.Load()
+	return err != nil && errors.Is(*err, io.EOF)
+}
+
+// failure returns the error that cut off the body, nil if there is none.
+func (b *restReader) failure() error {
+	if err := b.end.Load(); err != nil && !errors.Is(*err, io.EOF) {
+		return *err
+	}
+	return nil
 }
 
 func (b *restReader) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.reachedEOF.Store(true)
+	if b.left -= int64(n); b.left < 0 {
+		n, err = 0, errBodyTooLarge
+	}
+	if err != nil {
+		b.end.CompareAndSwap(nil, &err)
 	}
 	return n, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,7 @@
 	cfg      Config
 	selector *Selector
 	upstream *upstream
+	holds    *serverHolds
 	snapshot atomic.Pointer[fleet.Snapshot]
 	refusing atomic.Bool
 	// configured is closed when the first configuration takes effect.
@@ -99,8 +100,9 @@
 // New returns a gateway without a snapshot. Until it has one with a configuration,
 // requests wait up to 400 ms and are then refused.
 func New(cfg Config) *Gateway {
+	selector := NewSelector(cfg.Self, cfg.FleetLimits, cfg.PeerClient, cfg.PersistentStore, cfg.Log)
 	return &Gateway{
-		cfg: cfg, selector: NewSelector(cfg.Self, cfg.FleetLimits, cfg.PeerClient, cfg.PersistentStore, cfg.Log), upstream: newUpstream(cfg.Headers),
+		cfg: cfg, selector: selector, upstream: newUpstream(cfg.Headers), holds: newServerHolds(selector.Now, cfg.Log),
 		budgets: map[string]*retry.Budget{}, configured: make(chan struct{}),
 	}
 }
@@ -127,6 +129,7 @@
 		close(g.configured)
 	}
 	g.upstream.prune(s.Backends)
+	g.holds.prune(s.Backends)
 }
 
 // Refuse makes the gateway refuse further requests because the process shuts down.
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -30,6 +30,8 @@
 	// Signature is set by backend servers to mark an answer as their own. An answer
 	// with a status below 300 that lacks it is not used; its value is not checked.
 	Signature string
+	// Leaving is set by backend servers that will end soon, in all their answers.
+	Leaving string
 }
 
 // Request is one request of a caller, read from a connection.
@@ -43,6 +45,8 @@
 	Length int64
 	// Received is the time at which the header was complete.
 	Received time.Time
+	// reserved is the memory of Body in bytes that is taken from Front.bodies.
+	reserved int64
 }
 
 // Answer is the answer to a Request.
@@ -62,6 +66,13 @@
 	Close bool
 }
 
+// drop ends the use of an answer that is not written. a may be nil.
+func (a *Answer) drop() {
+	if a != nil && a.Done != nil {
+		a.Done(false)
+	}
+}
+
 // refusal returns a 503 answer with the text as its body. It means that the request
 // has not run, unlike a 503 passed on from a backend server. Retry-After has seconds
 // with three decimals, where RFC 9110 has whole seconds.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -48,6 +49,14 @@
 	m.histogram("attempt_ms;service=" + service + ";region=" + region).Update(took.Milliseconds())
 }
 
+// exceeded counts an answer of a backend server that exceeded a bound.
+func (m *Metrics) exceeded(bound string) {
+	if m == nil {
+		return
+	}
+	m.increment("answer_bounds_exceeded;bound=" + strings.ReplaceAll(bound, " ", "_"))
+}
+
 // retry counts a requested extra attempt by whether the retry budget allowed it.
 func (m *Metrics) retry(service string, allowed bool) {
 	if m == nil {
--- /dev/null
+++ b/internal/gateway/race_on_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package gateway
+
+// raceDetector reports whether the race detector is on.
+const raceDetector = true
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -244,6 +244,8 @@
 	// shared or fallback pool of this host, or "none" if no pool decided. It is also
 	// "self" if this host's snapshot allowed none of the servers that a host chose.
 	decidedBy string
+	// trial is set if the request is the first one to its server after a pause.
+	trial bool
 }
 
 // expectedTime returns the expected time in the server's queue and of service,
@@ -302,9 +304,8 @@
 			return dec
 		}
 		if ctx.Err() != nil {
-			// The deadline has passed or the caller has disconnected. RetryAfter is 0, as
-			// no pool decided; a 503 for a request without attempts carries it.
-			return decision{Decision: dispatch.Decision{Refused: dispatch.Late}, decidedBy: "none"}
+			// The deadline has passed or the caller has disconnected.
+			return decision{Decision: dispatch.Decision{Refused: dispatch.Late, RetryAfter: retryAfterShed}, decidedBy: "none"}
 		}
 		sel.markSuspected(h.Name, err)
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -15,8 +15,10 @@
 	"syscall"
 	"time"
 
+	"github.com/galenabeam/galenabeam/internal/attribution"
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/serverhold"
 )
 
 // Limits of the connections to backend servers.
@@ -36,16 +38,23 @@
 	// maxBufferedAnswer is the size in bytes up to which an answer is read before it
 	// is passed on, so that an incomplete one can be replaced.
 	maxBufferedAnswer = 1 << 20
-	// maxStaleAnswers is the number of answers to earlier requests that are skipped
-	// before the connection is given up.
-	maxStaleAnswers = 2
 	// maxIdleConnsPerServer bounds the idle connections of this host to one server.
 	maxIdleConnsPerServer = 8
 )
 
-// errWrongRequest is returned after more than maxStaleAnswers answers that lack the id
-// of the request, or after one that cannot be skipped; see readResponse.
-var errWrongRequest = errors.New("answer belongs to another request")
+// Errors of answers that are not passed on. The request may have run.
+var (
+	// errWrongRequest is returned after more than maxStaleAnswers answers to other
+	// requests, or after one that cannot be skipped; see readResponse.
+	errWrongRequest = errors.New("answer belongs to another request")
+	// errUnusable is returned for an answer that attribution.Decide calls Unusable.
+	errUnusable = errors.New("answer proves nothing about the request")
+	// errBody is returned if the caller's body could not be forwarded completely, which
+	// is no failure of the server.
+	errBody = errors.New("body of the request did not arrive")
+	// errUnwritten is returned if nothing of the request could be written.
+	errUnwritten = errors.New("connection was closed before the request was sent")
+)
 
 // upstreamCall describes one attempt to send a request to a backend server.
 type upstreamCall struct {
@@ -69,15 +78,27 @@
 	answer      *Answer
 	load        *dispatch.Load
 	connectTime time.Duration
+	signals     serverSignals
 	err         error
 }
 
+// serverSignals is what a server said about itself besides its answer.
+type serverSignals struct {
+	// leaving is set if the server said that it leaves.
+	leaving bool
+	// pause is the time for which a server that refused the request wants no further
+	// requests from this host, 0 if it named none.
+	pause time.Duration
+}
+
 // upstream sends requests to backend servers and keeps idle connections to them, by
 // server.
 type upstream struct {
 	headers Headers
-	mu      sync.Mutex
-	idle    map[string][]*upstreamConn
+	// bodies is the budget of all buffered answers.
+	bodies memoryBudget
+	mu     sync.Mutex
+	idle   map[string][]*upstreamConn
 }
 
 // upstreamConn is a connection to a backend server. It may be reused while it has
@@ -85,10 +106,17 @@
 type upstreamConn struct {
 	net.Conn
 	br          *bufio.Reader
-	idleSince   time.Time // when the latest answer was read
+	head        *headReader // below br
+	kept        bool        // an earlier request was sent on the connection
+	idleSince   time.Time   // when the latest answer was read
 	idleTimeout time.Duration
 }
 
+func newUpstreamConn(nc net.Conn) *upstreamConn {
+	head := &headReader{r: nc}
+	return &upstreamConn{Conn: nc, br: bufio.NewReaderSize(head, readBuffer), head: head, idleTimeout: defaultIdleTimeout}
+}
+
 func newUpstream(h Headers) *upstream {
 	return &upstream{headers: h, idle: map[string][]*upstreamConn{}}
 }
@@ -104,22 +132,37 @@
 		return reply{result: dispatch.Unreachable, err: err}
 	}
 	r := u.roundTrip(ctx, conn, c)
+	if errors.Is(r.err, errUnwritten) && conn.kept && ctx.Err() == nil {
+		// The server has closed the kept connection.
+		if conn, connectTime, err = u.dial(ctx, c); err != nil {
+			return reply{result: dispatch.Unreachable, err: err}
+		}
+		r = u.roundTrip(ctx, conn, c)
+	}
 	r.connectTime = connectTime
 	return r
 }
 
 // conn returns an idle connection, or a new one and the time to connect.
 func (u *upstream) conn(ctx context.Context, c *upstreamCall) (*upstreamConn, time.Duration, error) {
-	if conn := u.takeIdle(c); conn != nil {
-		return conn, 0, nil
+	// Only its identity distinguishes an answer from those of earlier requests.
+	if c.id != "" {
+		if conn := u.takeIdle(c); conn != nil {
+			return conn, 0, nil
+		}
 	}
+	return u.dial(ctx, c)
+}
+
+// dial returns a new connection and the time to connect.
+func (u *upstream) dial(ctx context.Context, c *upstreamCall) (*upstreamConn, time.Duration, error) {
 	start := time.Now()
 	dialer := net.Dialer{Timeout: connectTimeout}
 	nc, err := dialer.DialContext(ctx, "tcp", c.backend.Address)
 	if err != nil {
 		return nil, 0, err
 	}
-	return &upstreamConn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idleTimeout: defaultIdleTimeout}, time.Since(start), nil
+	return newUpstreamConn(nc), time.Since(start), nil
 }
 
 // takeIdle returns an idle connection that may carry the request, or nil, and closes
@@ -174,7 +217,7 @@
 // limit connections are stored.
 func (u *upstream) putIdle(id string, conn *upstreamConn, limit int) {
 	_ = conn.SetDeadline(time.Time{})
-	conn.idleSince = time.Now()
+	conn.idleSince, conn.kept = time.Now(), true
 	u.mu.Lock()
 	if len(u.idle[id]) < limit {
 		u.idle[id] = append(u.idle[id], conn)
@@ -208,6 +251,16 @@
 	}
 }
 
+// closeIdle closes the idle connections to a server.
+func (u *upstream) closeIdle(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.idle[id] {
+		_ = c.Close()
+	}
+	delete(u.idle, id)
+}
+
 // roundTrip sends the request on the connection and reads its answer. It stores or
 // closes the connection, at the latest when the answer is done.
 func (u *upstream) roundTrip(ctx context.Context, conn *upstreamConn, c *upstreamCall) reply {
@@ -220,30 +273,47 @@
 		return reply{result: dispatch.Abandoned, err: err}
 	}
 	if len(c.request.Body)+len(requestHead) <= readBuffer && c.request.Rest == nil {
-		writeResult <- writeRequest(conn, requestHead, c.request)
+		n, err := writeRequest(conn, requestHead, c.request)
+		if err != nil && n == 0 {
+			stop()
+			_ = conn.Close()
+			return reply{result: dispatch.Abandoned, err: errUnwritten}
+		}
+		writeResult <- err
 	} else {
 		// In the background, as a server may answer before it has read a long body.
-		go func() { writeResult <- writeRequest(conn, requestHead, c.request) }()
+		go func() {
+			_, err := writeRequest(conn, requestHead, c.request)
+			writeResult <- err
+		}()
 	}
-	resp, err := u.readResponse(conn, c)
+	var signals serverSignals
+	resp, verdict, err := u.readResponse(conn, c, &signals)
 	if err != nil {
 		stop()
 		_ = conn.Close()
-		return failedReply(ctx, err)
+		r := c.failedReply(ctx, err)
+		r.signals = signals
+		return r
 	}
-	return u.readAnswer(ctx, conn, c, resp, writeResult, stop)
+	r := u.readAnswer(ctx, conn, c, resp, verdict, writeResult, stop)
+	r.signals = signals
+	return r
 }
 
 // failedReply returns the reply to a request for which there was a connection but no
-// complete answer; it may not have been sent. The state of ctx decides whether it
-// failed, timed out or was abandoned.
-func failedReply(ctx context.Context, err error) reply {
+// usable answer; it may not have been sent. The state of ctx and of the caller's body
+// decides whether it failed, timed out or was abandoned.
+func (c *upstreamCall) failedReply(ctx context.Context, err error) reply {
 	r := reply{result: dispatch.Failed, mayHaveRun: true, err: err}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() == nil && c.request.Rest != nil && c.request.Rest.failure() != nil:
+		r.result, r.err = dispatch.Abandoned, errBody
+	case ctx.Err() != nil && !time.Now().Before(c.deadline):
+		// ctx may have been canceled because of the deadline before it expired itself.
+		r.result = dispatch.TimedOut
+	case ctx.Err() != nil:
 		r.result = dispatch.Abandoned
-		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-			r.result = dispatch.TimedOut
-		}
 	}
 	return r
 }
@@ -281,37 +351,37 @@
 	return r.URL.RequestURI()
 }
 
-// writeRequest writes the request. It closes the connection if a streamed body cannot
-// be forwarded completely, also when the caller broke off. An error alone does not end
-// the attempt: the server may have answered already.
-func writeRequest(conn net.Conn, head []byte, r *Request) error {
+// writeRequest writes the request and returns the number of bytes written of a request
+// without Rest. It closes the connection if a streamed body cannot be forwarded
+// completely, also when the caller broke off. An error alone does not end the attempt:
+// the server may have answered already.
+func writeRequest(conn net.Conn, head []byte, r *Request) (int64, error) {
 	buffers := net.Buffers{head}
 	if r.Rest == nil {
 		if len(r.Body) > 0 {
 			buffers = append(buffers, r.Body)
 		}
-		_, err := buffers.WriteTo(conn)
-		return err
+		return buffers.WriteTo(conn)
 	}
 	if _, err := conn.Write(head); err != nil {
-		return err
+		return 0, err
 	}
-	body := io.MultiReader(newBytesReader(r.Body), r.Rest)
-	if r.Length >= 0 {
-		n, err := io.Copy(conn, body)
-		if err == nil && n != r.Length {
-			err = io.ErrUnexpectedEOF
-		}
+	body := io.MultiReader(bytes.NewReader(r.Body), r.Rest)
+	if r.Length < 0 {
+		err := writeChunks(conn, body)
 		if err != nil {
 			_ = conn.Close()
 		}
-		return err
+		return 0, err
 	}
-	if err := writeChunks(conn, body); err != nil {
+	n, err := io.Copy(conn, body)
+	if err == nil && n != r.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		_ = conn.Close()
-		return err
 	}
-	return nil
+	return 0, err
 }
 
 func writeChunks(conn net.Conn, body io.Reader) error {
@@ -335,61 +405,120 @@
 	}
 }
 
-func newBytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
-
-// readResponse reads the header of the answer to the request. It skips interim
-// answers and up to maxStaleAnswers answers to earlier requests on the connection. An
-// answer without an id counts as one of these unless its status is 400 or above.
-func (u *upstream) readResponse(conn *upstreamConn, c *upstreamCall) (*http.Response, error) {
-	for stale := 0; ; {
-		resp, err := http.ReadResponse(conn.br, c.request.HTTP)
+// readResponse reads the head of the answer to the request and decides on its use, which
+// is PassOn, Refused or Misdirected. It skips up to maxStaleAnswers answers to other
+// requests.
+func (u *upstream) readResponse(conn *upstreamConn, c *upstreamCall, signals *serverSignals) (*http.Response, attribution.Verdict, error) {
+	for range maxStaleAnswers + 1 {
+		resp, err := conn.readHead(c.request.HTTP)
 		if err != nil {
-			return nil, err
+			return nil, attribution.Unusable, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
+		a := u.answerOf(conn, c, resp)
+		verdict := attribution.Decide(a)
+		u.readSignals(resp, a.Identity, signals)
+		if verdict == attribution.Unusable {
+			return nil, verdict, errUnusable
 		}
-		if id := resp.Header.Get(u.headers.RequestID); id == c.id || id == "" && resp.StatusCode >= 400 {
-			return resp, nil
+		if verdict != attribution.Skip {
+			return resp, verdict, nil
 		}
-		if stale++; stale > maxStaleAnswers {
-			return nil, errWrongRequest
+		if err := conn.discardBody(resp); err != nil {
+			return nil, verdict, err
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-			return nil, errWrongRequest
+		if resp.Close || endsWithConnection(resp) {
+			break
 		}
 	}
+	return nil, attribution.Unusable, errWrongRequest
 }
 
-// readAnswer reads the body of an answer, up to maxBufferedAnswer bytes, and
-// classifies the answer. Answers with a status below 300 must carry a signature. An
-// answer that ends with the connection counts as complete.
-func (u *upstream) readAnswer(ctx context.Context, conn *upstreamConn, c *upstreamCall, resp *http.Response, writeResult chan error, stop func() bool) reply {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
-	if err != nil {
-		stop()
-		_ = conn.Close()
-		return failedReply(ctx, err)
+// answerOf returns what decides on the use of an answer to the request.
+func (u *upstream) answerOf(conn *upstreamConn, c *upstreamCall, resp *http.Response) attribution.Answer {
+	a := attribution.Answer{
+		Status: resp.StatusCode, NotRun: resp.Header.Get(u.headers.NotRun) != "", Signed: resp.Header.Get(u.headers.Signature) != "",
+		Kept: conn.kept, Repeatable: c.repeatable, Identity: attribution.Other,
+	}
+	switch id := resp.Header.Get(u.headers.RequestID); {
+	case id == "":
+		a.Identity = attribution.Missing
+	case id == c.id:
+		a.Identity = attribution.Own
+	}
+	return a
+}
+
+// readSignals adds what an answer says about its server. Another server may have sent
+// an answer with status 421. A pause counts only from the request's own answer, as an
+// earlier one that is sent once more says nothing new.
+func (u *upstream) readSignals(resp *http.Response, identity attribution.Identity, signals *serverSignals) {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return
 	}
-	r := u.classify(resp)
-	if r.result == dispatch.Served && resp.StatusCode < 300 && resp.Header.Get(u.headers.Signature) == "" {
-		stop()
-		_ = conn.Close()
-		return reply{result: dispatch.Failed, mayHaveRun: true, err: errors.New("answer without signature")}
+	if v := resp.Header.Get(u.headers.Leaving); v != "" && v != "0" {
+		signals.leaving = true
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && identity == attribution.Own {
+		signals.pause = parseRetryAfter(resp.Header.Get("Retry-After"))
 	}
-	if !r.mayHaveRun {
+}
+
+// parseRetryAfter returns the time of a Retry-After header in seconds, at most
+// serverhold.MaxRetryAfter, or 0 if it is malformed.
+func parseRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, serverhold.MaxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// endsWithConnection reports whether only the end of the connection ends the body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// readAnswer reads the body of an answer, up to maxBufferedAnswer bytes, and classifies
+// the answer. A refusal counts only if it is complete. An answer that ends with the
+// connection is complete unless the connection is reset.
+func (u *upstream) readAnswer(ctx context.Context, conn *upstreamConn, c *upstreamCall, resp *http.Response, verdict attribution.Verdict, writeResult chan error, stop func() bool) reply {
+	r := reply{result: dispatch.Served, mayHaveRun: true, load: parseLoad(resp.Header.Get(u.headers.Load))}
+	if verdict == attribution.Refused || verdict == attribution.Misdirected {
+		if err := conn.discardBody(resp); err != nil {
+			stop()
+			_ = conn.Close()
+			return c.failedReply(ctx, err)
+		}
+		r.result, r.mayHaveRun = dispatch.Shed, false
+		if verdict == attribution.Misdirected {
+			r.result = dispatch.Misdirected
+		}
 		u.releaseConn(conn, c, resp, writeResult, stop)
 		return r
 	}
+	body, ended, reserved, err := u.bodies.readUpTo(resp.Body, resp.ContentLength, maxBufferedAnswer)
+	if err != nil {
+		u.bodies.give(reserved)
+		stop()
+		_ = conn.Close()
+		return c.failedReply(ctx, err)
+	}
+	if resp.StatusCode >= 500 {
+		r.result = dispatch.Failed
+	}
 	header := resp.Header
 	stripHopByHop(header)
 	r.answer = &Answer{Status: resp.StatusCode, Header: header, Body: body}
-	if len(body) < maxBufferedAnswer || resp.ContentLength == int64(len(body)) {
+	if ended {
 		u.releaseConn(conn, c, resp, writeResult, stop)
+		if reserved > 0 {
+			r.answer.Done = func(bool) { u.bodies.give(reserved) }
+		}
 		return r
 	}
 	r.answer.Rest, r.answer.Length = resp.Body, resp.ContentLength
 	r.answer.Done = func(complete bool) {
+		u.bodies.give(reserved)
 		if complete {
 			u.releaseConn(conn, c, resp, writeResult, stop)
 			return
@@ -400,20 +529,6 @@
 	return r
 }
 
-// classify derives from an answer whether and how the request ran.
-func (u *upstream) classify(resp *http.Response) reply {
-	r := reply{result: dispatch.Served, mayHaveRun: true, load: parseLoad(resp.Header.Get(u.headers.Load))}
-	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
-		r.result, r.mayHaveRun = dispatch.Misdirected, false
-	case resp.Header.Get(u.headers.NotRun) != "":
-		r.result, r.mayHaveRun = dispatch.Shed, false
-	case resp.StatusCode >= 500:
-		r.result = dispatch.Failed
-	}
-	return r
-}
-
 // releaseConn stores the connection for reuse if the request was written completely
 // and the server keeps the connection open, and otherwise closes it.
 func (u *upstream) releaseConn(conn *upstreamConn, c *upstreamCall, resp *http.Response, writeResult chan error, stop func() bool) {
@@ -423,7 +538,7 @@
 		bodySent = err == nil
 	default:
 	}
-	if !stop() || !bodySent || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || conn.br.Buffered() > 0 {
+	if !stop() || !bodySent || resp.Close || endsWithConnection(resp) || conn.br.Buffered() > 0 {
 		_ = conn.Close()
 		return
 	}
