--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/serverhold"
 )
 
 const (
@@ -452,3 +453,43 @@
 	g.Expect(d.Refused).To(BeEmpty())
 	g.Expect(used).NotTo(HaveKey(d.Server))
 }
+
+// TestLeavingServerGetsNoGrant guards against grants for a server whose answer said that
+// it leaves, by the pool that learned it and by those that it tells, and against a mark
+// that outlives the incarnation or empties a pool for good.
+func TestLeavingServerGetsNoGrant(t *testing.T) {
+	g := NewWithT(t)
+	backends := func(startedAt int64) []*fleet.Backend {
+		return []*fleet.Backend{{ID: "s", Service: "x", Address: "a", FailureDomain: "d", Region: "r", Slots: 4, StartedAtMillis: startedAt}}
+	}
+	pool := func(region string) *Pool {
+		p := New(Options{Region: region, Shared: true, Limits: DefaultLimits})
+		p.Update(0, backends(1), nil, 5, time.Second)
+		return p
+	}
+	request := func(now time.Duration) Request {
+		return Request{Class: "c", Host: "h", FailureDomain: "d", Objective: now + time.Second, Deadline: now + 2*time.Second}
+	}
+	home, successor, remote := pool("r"), pool("r"), pool("q")
+	d := home.Acquire(time.Second, request(time.Second))
+	g.Expect(d.Refused).To(BeEmpty())
+	home.Release(time.Second, d.Grant, Report{Result: Served, Elapsed: 10 * time.Millisecond, Leaving: true, StartedAtMillis: 1})
+	digest := home.Digest(2 * time.Second)
+	g.Expect(digest.Leaving).To(HaveLen(1))
+	successor.Merge(2*time.Second, digest)
+	remote.Merge(2*time.Second, digest)
+	for desc, p := range map[string]*Pool{"home": home, "successor": successor, "other region": remote} {
+		g.Expect(p.Acquire(3*time.Second, request(3*time.Second)).Refused).To(Equal(NoServer), desc)
+		g.Expect(p.Dump(3 * time.Second)["s"].Leaving).To(BeTrue(), desc)
+		end := time.Second + serverhold.LeavingTime
+		g.Expect(p.Acquire(end-time.Second, request(end-time.Second)).Refused).To(Equal(NoServer), desc)
+		g.Expect(p.Acquire(end, request(end)).Refused).To(BeEmpty(), desc)
+	}
+	g.Expect(successor.Digest(3*time.Second).Leaving).To(BeEmpty(), "marks are not passed on further")
+	home.Update(4*time.Second, backends(2), nil, 5, time.Second)
+	g.Expect(home.Acquire(5*time.Second, request(5*time.Second)).Refused).To(BeEmpty(), "another incarnation")
+	late := pool("r")
+	d = late.Acquire(time.Second, request(time.Second))
+	late.Release(time.Second, d.Grant, Report{Result: Served, Leaving: true, StartedAtMillis: 9})
+	g.Expect(late.Acquire(2*time.Second, request(2*time.Second)).Refused).To(BeEmpty(), "said by another incarnation")
+}
