mirror: start from seeds instead of the store; read less often at size

Cause: calls to the platform's store were the largest price at 295 hosts. Each host read the whole store at its start, before it knew any other.

For 3 s after its start a host fetches from a seed that reads the store; it waits 0.8 s for seeds that do not answer, and not at all for one that follows another host. Seeds read the store. In regions of more than 50 hosts the reader pauses up to 500 ms between two reads instead of 250 ms.

--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -26,8 +26,14 @@
 	// peer whose store call hangs still reports that it reads the store; beyond this
 	// age hosts fetch elsewhere, so that changes take effect in time.
 	maxAgeFraction = 0.88
-	// storePause is the pause between two reads of the store by one host.
+	// storePause is the pause between two reads of the store by one host, in a region of
+	// at most pauseHosts hosts.
 	storePause = 250 * time.Millisecond
+	// maxStorePause bounds the longer pause in larger regions, where all hosts apply each
+	// batch of changes and more servers write.
+	maxStorePause = 500 * time.Millisecond
+	// pauseHosts is the number of hosts from which the pause grows in proportion.
+	pauseHosts = 50
 	// storeRetryDelay is the delay before one of the first maxPeers hosts of a region,
 	// or a host that is not listed, retries a failed store call. It is also the pause
 	// after a step that found no source. If a peer has answered in the step of the
@@ -51,6 +57,13 @@
 	stalePeerSuspectTime = 300 * time.Millisecond
 	// maxPeerAge bounds the age of a peer's copy that is accepted.
 	maxPeerAge = 2200 * time.Millisecond
+	// seedTime is how long after its start a host prefers the seeds to the store. Until
+	// then, the first host of a region has found itself and reads the store.
+	seedTime = 3 * time.Second
+	// seedWait is how long after its start a host waits for seeds that do not answer or
+	// have no copy yet. The hosts of a fleet start within some 0.3 s of each other, and a
+	// seed needs a few round trips to read the store.
+	seedWait = 800 * time.Millisecond
 	// maxPeers bounds the peers that one step tries. Suspected ones do not count.
 	maxPeers = 3
 	// minOutageLength is the length above which an outage of the store defers the
@@ -124,6 +137,10 @@
 	// Sources returns the hosts to fetch from, in order of preference. The entry of
 	// this host stands for the store; without one, the store comes last.
 	Sources func() []Source
+	// Seeds are hosts to fetch from while the sources have no fresh copy shortly after the
+	// start of this process, so that a fleet that starts does not read the store once for
+	// each host. A host among them reads the store.
+	Seeds []Source
 	// Changed is called with the mirror's revision and items after each change, from
 	// the goroutine of Run.
 	Changed func(revision uint64, items []Item)
@@ -200,7 +217,7 @@
 		}
 		if src.Self {
 			if triedStore = true; s.tryStore(ctx, retry) {
-				return storePause
+				return pauseAfterRead(len(sources))
 			}
 			continue
 		}
@@ -223,6 +240,15 @@
 			s.log.WithError(err).WithField("peer", src.Name).Warn("host has no fresh copy of the store")
 		}
 	}
+	if !triedStore && s.mayUseSeeds() {
+		fetched, wait := s.fetchSeeds(ctx)
+		if fetched {
+			s.setDirect(false)
+		}
+		if fetched || wait {
+			return peerPause
+		}
+	}
 	if !triedStore && s.tryStore(ctx, retry) {
 		return storePause
 	}
@@ -231,6 +257,48 @@
 	return storeRetryDelay
 }
 
+// pauseAfterRead returns the pause after a read of the store by the host that reads it
+// for a region.
+func pauseAfterRead(hosts int) time.Duration {
+	return min(max(storePause, storePause*time.Duration(hosts)/pauseHosts), maxStorePause)
+}
+
+// mayUseSeeds reports whether this process has started within seedTime and other hosts
+// are seeds.
+func (s *Syncer) mayUseSeeds() bool {
+	isSelf := func(src Source) bool { return src.Self }
+	return len(s.Seeds) > 0 && time.Since(s.started) < seedTime && !slices.ContainsFunc(s.Seeds, isSelf)
+}
+
+// fetchSeeds fetches from the first seed that reads the store. If there is none, wait
+// reports whether one may do so soon.
+func (s *Syncer) fetchSeeds(ctx context.Context) (fetched, wait bool) {
+	waitEnd := s.started.Add(seedWait)
+	wait = time.Now().Before(waitEnd)
+	seedCtx, cancel := context.WithDeadline(ctx, s.started.Add(seedTime))
+	if wait {
+		cancel()
+		seedCtx, cancel = context.WithDeadline(ctx, waitEnd)
+	}
+	defer cancel()
+	for _, seed := range s.Seeds {
+		if time.Now().Before(s.suspects[seed.Name]) {
+			continue
+		}
+		err := s.fetchPeer(seedCtx, seed)
+		if err == nil {
+			return true, false
+		}
+		if errors.Is(err, errStale) {
+			wait = false // it follows another host
+		}
+		if time.Now().After(waitEnd) {
+			s.suspect(seed.Name, err)
+		}
+	}
+	return false, wait
+}
+
 // tryStore calls the store, except before retryAt, and reports whether that succeeded.
 func (s *Syncer) tryStore(ctx context.Context, retry time.Duration) bool {
 	if time.Now().Before(s.retryAt) {
@@ -249,7 +317,7 @@
 // suspect skips a peer for a time that depends on err.
 func (s *Syncer) suspect(name string, err error) {
 	pause := peerSuspectTime
-	if errors.Is(err, errStale) {
+	if errors.Is(err, errStale) || errors.Is(err, errNoCopy) {
 		pause = stalePeerSuspectTime
 	}
 	s.suspects[name] = time.Now().Add(pause)
@@ -270,6 +338,9 @@
 	}
 }
 
+// errNoCopy reports a peer that has started and has no copy of the store yet.
+var errNoCopy = errors.New("peer has no copy of the store yet")
+
 // errStale reports a peer that does not read the store, or whose copy is older
 // than Timing.MaxAge.
 var errStale = errors.New("peer does not read the store or its copy is too old")
@@ -290,12 +361,15 @@
 	return nil
 }
 
-// fetchFrom fetches a batch from a peer. It may return errStale.
+// fetchFrom fetches a batch from a peer. It may return errStale or errNoCopy.
 func (s *Syncer) fetchFrom(ctx context.Context, src Source, p FetchParams) (Batch, error) {
 	var a Answer
 	if err := s.peerClient.Call(ctx, src.Address, MethodFetch, p, &a); err != nil {
 		return Batch{}, err
 	}
+	if a.Age >= neverConfirmedAge {
+		return Batch{}, errNoCopy
+	}
 	if !a.Direct || a.Age > s.timing.MaxAge {
 		return Batch{}, errStale
 	}
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -392,3 +392,76 @@
 	}
 	g.Expect(hook.AllEntries()).To(HaveLen(1))
 }
+
+// TestStartingFleetReadsStoreOnce guards against a fleet that starts and reads the whole
+// store once for each host, while the hosts do not know each other yet.
+func TestStartingFleetReadsStoreOnce(t *testing.T) {
+	g := NewWithT(t)
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 3, Full: true, Items: []Item{put("op/config", 3)}}}
+	seeds := []string{"seed1", "seed2"}
+	start := func(name string) *Syncer {
+		s := newHost(n, name, store) // no sources
+		for _, seed := range seeds {
+			s.Seeds = append(s.Seeds, Source{Name: seed, Address: seed, Self: seed == name})
+		}
+		return s
+	}
+	var followers []*Syncer
+	for i := range 20 {
+		s := start(fmt.Sprint("host", i))
+		followers = append(followers, s)
+		s.step(context.Background()) // no seed runs yet
+		g.Expect(store.calls).To(BeZero())
+	}
+	for _, seed := range seeds {
+		start(seed).step(context.Background())
+	}
+	for _, s := range followers {
+		s.step(context.Background())
+		g.Expect(s.revision()).To(Equal(uint64(3)))
+	}
+	g.Expect(store.calls).To(Equal(len(seeds)))
+}
+
+// TestSeedsDelayNoStart guards against a host that starts late because its seeds do not
+// answer, or that waits for seeds which follow other hosts.
+func TestSeedsDelayNoStart(t *testing.T) {
+	for _, c := range []struct {
+		desc  string
+		seed  bool
+		after time.Duration // since the start
+		calls int
+	}{
+		{"no seed answers", false, 0, 0},
+		{"no seed has answered for a time", false, seedWait, 1},
+		{"the seed follows another host", true, 0, 1},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			n := network{}
+			store := &scriptedStore{batch: Batch{Revision: 3}}
+			if c.seed {
+				seed := newHost(n, "seed", &scriptedStore{batch: Batch{Revision: 3}})
+				seed.step(context.Background())
+				seed.setDirect(false)
+			}
+			s := newHost(n, "host", store)
+			s.Seeds = []Source{{Name: "seed", Address: "seed"}}
+			s.started = time.Now().Add(-c.after)
+			s.step(context.Background())
+			NewWithT(t).Expect(store.calls).To(Equal(c.calls))
+		})
+	}
+}
+
+// TestPauseGrowsWithRegion guards against a large region, whose many servers write all
+// the time, that reads the store and lets all its hosts apply changes as often as a small
+// one could, and against a pause that delays changes too long.
+func TestPauseGrowsWithRegion(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		want  time.Duration
+	}{{1, storePause}, {50, storePause}, {75, storePause * 3 / 2}, {100, maxStorePause}, {3000, maxStorePause}} {
+		NewWithT(t).Expect(pauseAfterRead(c.hosts)).To(Equal(c.want), "%d hosts", c.hosts)
+	}
+}
