backend: a refusal without the request's identity proves nothing

Change: such an answer is unknown, wrong-request. Backend servers have to return the identity with a refusal; the stand-in does.

--- a/internal/adapter/backend/client.go
+++ b/internal/adapter/backend/client.go
@@ -202,15 +202,18 @@
 }
 
 // classifyAnswer checks that the answer belongs to the request and determines the
-// outcome. If the backend server returns a request identity, it must be id.
+// outcome. If the backend server returns a request identity, it must be id. A refusal
+// without one may be that of an earlier request on the connection, sent once more, and
+// proves nothing.
 func classifyAnswer(resp *http.Response, id string) Answer {
 	a := Answer{Draining: resp.Header.Get(httpapi.HeaderDraining) != ""}
-	if returned := resp.Header.Get(httpapi.HeaderRequestID); returned != "" && returned != id {
+	refused := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(httpapi.HeaderNotStarted) != ""
+	if returned := resp.Header.Get(httpapi.HeaderRequestID); returned != id && (returned != "" || refused) {
 		_ = resp.Body.Close()
 		a.Outcome = outcome.Uncertain(outcome.ReasonWrongRequest)
 		return a
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(httpapi.HeaderNotStarted) != "" {
+	if refused {
 		_ = resp.Body.Close()
 		a.Shed = true
 		a.Outcome = outcome.Refuse(outcome.ReasonShed, 0)
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -220,6 +220,7 @@
 	}
 	if !ok {
 		w.Header().Set(httpapi.HeaderNotStarted, "1")
+		w.Header().Set(httpapi.HeaderRequestID, id)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
