--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,10 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,39 +69,142 @@
 	// Domains maps each failure domain to its region.
 	Domains map[string]string
 
-	// hostOrders caches the results of hostOrder by purpose and region.
-	hostOrders sync.Map
+	index *hostIndex
+}
+
+// hostIndex holds what is derived from the entry hosts alone. Snapshots with the same
+// hosts share it.
+type hostIndex struct {
+	regions []string // that have entry hosts, sorted
+	// orders caches the results of hostOrder by purpose and region.
+	orders sync.Map
 	// steerAnswers caches the results of Steer by failure domain.
 	steerAnswers sync.Map
 }
 
+func newHostIndex(hosts map[string]*Host) *hostIndex {
+	regions := map[string]bool{}
+	for _, h := range hosts {
+		regions[h.Region] = true
+	}
+	return &hostIndex{regions: slices.Sorted(maps.Keys(regions))}
+}
+
 // New returns a snapshot with its indexes. domains maps each failure domain to its
 // region.
 func New(revision uint64, table *routetable.Table, backends []*Backend, hosts []*Host, evacuated map[string]bool, domains map[string]string) *Snapshot {
-	s := &Snapshot{
-		Revision: revision, Table: table, Evacuated: evacuated, Domains: domains,
-		Backends:          make(map[string]*Backend, len(backends)),
-		BackendsByService: map[string][]*Backend{}, Hosts: make(map[string]*Host, len(hosts)),
-	}
+	empty := &Snapshot{Evacuated: evacuated, Domains: domains, index: newHostIndex(nil)}
+	c := Changes{Table: table, Backends: map[string]*Backend{}, Hosts: map[string]*Host{}}
 	for _, b := range backends {
-		s.Backends[b.ID] = b
-		s.BackendsByService[b.Service] = append(s.BackendsByService[b.Service], b)
-	}
-	for _, list := range s.BackendsByService {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+		c.Backends[b.ID] = b
 	}
 	for _, h := range hosts {
-		s.Hosts[h.Name] = h
+		c.Hosts[h.Name] = h
+	}
+	return empty.Apply(revision, c)
+}
+
+// Changes are the differences between two snapshots.
+type Changes struct {
+	// Table is the configuration, which replaces that of the snapshot.
+	Table *routetable.Table
+	// Backends and Hosts are the new values by ID or name; nil removes one.
+	Backends map[string]*Backend
+	Hosts    map[string]*Host
+	// Evacuated says of failure domains whether they are evacuated from now on.
+	Evacuated map[string]bool
+}
+
+// Apply returns the snapshot after the changes. The two share what did not change: the
+// lists of services without a changed backend server are the same slices, and the orders
+// of hosts are not computed again unless a host changed.
+func (s *Snapshot) Apply(revision uint64, c Changes) *Snapshot {
+	n := &Snapshot{
+		Revision: revision, Table: c.Table, Backends: s.Backends, BackendsByService: s.BackendsByService,
+		Hosts: s.Hosts, Evacuated: s.Evacuated, Domains: s.Domains, index: s.index,
+	}
+	if len(c.Backends) > 0 || s.Backends == nil {
+		n.setBackends(s, c.Backends)
+	}
+	if len(c.Hosts) > 0 || s.Hosts == nil {
+		n.Hosts = cloneMap(s.Hosts)
+		for name, h := range c.Hosts {
+			if h == nil {
+				delete(n.Hosts, name)
+				continue
+			}
+			n.Hosts[name] = h
+		}
+		n.index = newHostIndex(n.Hosts)
+	}
+	if len(c.Evacuated) > 0 {
+		n.Evacuated = cloneMap(s.Evacuated)
+		for domain, evacuated := range c.Evacuated {
+			if !evacuated {
+				delete(n.Evacuated, domain)
+				continue
+			}
+			n.Evacuated[domain] = true
+		}
+	}
+	return n
+}
+
+// cloneMap is maps.Clone, but never returns nil.
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
 	}
-	return s
+	return maps.Clone(m)
+}
+
+// setBackends sets the backend servers to those of old with the changes.
+func (s *Snapshot) setBackends(old *Snapshot, changes map[string]*Backend) {
+	s.Backends, s.BackendsByService = cloneMap(old.Backends), cloneMap(old.BackendsByService)
+	copied := map[string]bool{} // services whose lists are copies
+	list := func(service string) []*Backend {
+		if !copied[service] {
+			copied[service] = true
+			return slices.Clone(s.BackendsByService[service])
+		}
+		return s.BackendsByService[service]
+	}
+	for id, b := range changes {
+		before := old.Backends[id]
+		if before != nil && (b == nil || b.Service != before.Service) {
+			l := list(before.Service)
+			at, _ := findBackend(l, id)
+			s.BackendsByService[before.Service] = slices.Delete(l, at, at+1)
+		}
+		if b == nil {
+			delete(s.Backends, id)
+			continue
+		}
+		s.Backends[id] = b
+		l := list(b.Service)
+		if at, found := findBackend(l, id); found {
+			l[at] = b
+		} else {
+			l = slices.Insert(l, at, b)
+		}
+		s.BackendsByService[b.Service] = l
+	}
+	for service := range copied {
+		if len(s.BackendsByService[service]) == 0 {
+			delete(s.BackendsByService, service)
+		}
+	}
+}
+
+// findBackend returns the index of a backend server in a list sorted by ID, or its
+// insertion point and false.
+func findBackend(list []*Backend, id string) (int, bool) {
+	return slices.BinarySearchFunc(list, id, func(b *Backend, id string) int { return strings.Compare(b.ID, id) })
 }
 
 // WithTable returns a copy of the snapshot with another configuration.
 func (s *Snapshot) WithTable(t *routetable.Table) *Snapshot {
-	return &Snapshot{
-		Revision: s.Revision, Table: t, Backends: s.Backends, BackendsByService: s.BackendsByService, Hosts: s.Hosts,
-		Evacuated: s.Evacuated, Domains: s.Domains,
-	}
+	return s.Apply(s.Revision, Changes{Table: t})
 }
 
 // Dispatchers returns the hosts of a region in the order in which they are asked to
@@ -114,25 +220,15 @@
 	return s.hostOrder("read/", region)
 }
 
-// Regions returns the regions that have entry hosts, sorted by name.
-func (s *Snapshot) Regions() []string {
-	seen := map[string]bool{}
-	var list []string
-	for _, h := range s.Hosts {
-		if !seen[h.Region] {
-			seen[h.Region] = true
-			list = append(list, h.Region)
-		}
-	}
-	sort.Strings(list)
-	return list
-}
+// Regions returns the regions that have entry hosts, sorted by name. The result must not
+// be changed.
+func (s *Snapshot) Regions() []string { return s.index.regions }
 
 // hostOrder returns the hosts of a region, or all for "", in descending order of
 // their cores, then of the hash of the purpose and the host's name.
 func (s *Snapshot) hostOrder(purpose, region string) []*Host {
 	key := purpose + "@" + region
-	if cached, ok := s.hostOrders.Load(key); ok {
+	if cached, ok := s.index.orders.Load(key); ok {
 		return cached.([]*Host)
 	}
 	type scored struct {
@@ -155,7 +251,7 @@
 	for i, e := range scores {
 		hosts[i] = e.host
 	}
-	s.hostOrders.Store(key, hosts)
+	s.index.orders.Store(key, hosts)
 	return hosts
 }
 
@@ -182,11 +278,11 @@
 		// Not cached: callers may send any name, and the cache must not grow with them.
 		return s.frontAddresses(region, domain)
 	}
-	if known, ok := s.steerAnswers.Load(domain); ok {
+	if known, ok := s.index.steerAnswers.Load(domain); ok {
 		return known.([]string)
 	}
 	list := s.frontAddresses(region, domain)
-	s.steerAnswers.Store(domain, list)
+	s.index.steerAnswers.Store(domain, list)
 	return list
 }
 
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -145,7 +145,9 @@
 // poolState is the pool of a service with the times of its last uses. Times are on
 // the selector's clock.
 type poolState struct {
-	pool       *dispatch.Pool
+	pool *dispatch.Pool
+	// snapshot is the one that the pool was last updated with.
+	snapshot   *fleet.Snapshot
 	lastUsed   time.Duration
 	lastDigest time.Duration
 	// minDigestInterval is the shortest time until the next digest; it grows with the
@@ -178,6 +180,16 @@
 	}
 }
 
+// changesPool reports whether a snapshot differs, for the pool of a service, from the one
+// that the pool was last updated with.
+func changesPool(service string, old, s *fleet.Snapshot) bool {
+	if old == nil || old.Table != s.Table || !maps.Equal(old.Evacuated, s.Evacuated) {
+		return true
+	}
+	a, b := old.BackendsByService[service], s.BackendsByService[service]
+	return len(a) != len(b) || len(a) > 0 && &a[0] != &b[0]
+}
+
 func (sel *Selector) now() time.Duration { return time.Since(sel.startTime) }
 
 // Now returns the time on the selector's clock, which starts at zero in
@@ -221,6 +233,10 @@
 
 // updatePool applies a snapshot to the pool of a service. The caller holds sel.mu.
 func (sel *Selector) updatePool(service string, ps *poolState, s *fleet.Snapshot) {
+	if !changesPool(service, ps.snapshot, s) {
+		return
+	}
+	ps.snapshot = s
 	var rate float64
 	var restartColdTime time.Duration
 	if s.Table != nil {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -72,6 +72,7 @@
 	history        []Item                     // in the order of arrival
 	historyStart   uint64                     // revision after which the history is complete
 	deferred       map[string]deferredRemoval // by key
+	untaken        map[string]struct{}        // keys that changed since the last TakeChanges
 }
 
 type deferredRemoval struct {
@@ -82,17 +83,31 @@
 // New returns an empty mirror. Items whose key has one of the prefixes are
 // leased.
 func New(leasedPrefixes ...string) *Mirror {
-	return &Mirror{leasedPrefixes: leasedPrefixes, items: map[string]Item{}, deferred: map[string]deferredRemoval{}}
+	return &Mirror{leasedPrefixes: leasedPrefixes, items: map[string]Item{}, deferred: map[string]deferredRemoval{}, untaken: map[string]struct{}{}}
 }
 
 // Revision returns the store revision up to which the mirror is complete.
 func (m *Mirror) Revision() uint64 { return m.revision }
 
-// Items returns a copy of all items, sorted by key.
-func (m *Mirror) Items() []Item { return append([]Item{}, m.sorted...) }
+// TakeChanges returns the items that changed since the last call, sorted by key. Removed
+// ones are tombstones.
+func (m *Mirror) TakeChanges() []Item {
+	changes := make([]Item, 0, len(m.untaken))
+	for key := range m.untaken {
+		i, present := m.items[key]
+		if !present {
+			i = Item{Key: key, Revision: m.revision, Deleted: true}
+		}
+		changes = append(changes, i)
+	}
+	clear(m.untaken)
+	slices.SortFunc(changes, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return changes
+}
 
 func (m *Mirror) set(i Item) {
 	m.items[i.Key] = i
+	m.untaken[i.Key] = struct{}{}
 	at, known := m.find(i.Key)
 	if known {
 		m.sorted[at] = i
@@ -103,6 +118,7 @@
 
 func (m *Mirror) unset(key string) {
 	delete(m.items, key)
+	m.untaken[key] = struct{}{}
 	if at, known := m.find(key); known {
 		m.sorted = slices.Delete(m.sorted, at, at+1)
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -10,6 +10,9 @@
 	"pgregory.net/rapid"
 )
 
+// Items returns a copy of all items, sorted by key.
+func (m *Mirror) Items() []Item { return append([]Item{}, m.sorted...) }
+
 // put returns an item and del the tombstone of a key.
 func put(key string, rev uint64) Item { return Item{Key: key, Value: []byte(key), Revision: rev} }
 func del(key string, rev uint64) Item { return Item{Key: key, Revision: rev, Deleted: true} }
@@ -186,3 +189,37 @@
 	g.Expect(m.ChangesSince(changes - minHistoryLength).Unchanged).To(BeNil())
 	g.Expect(m.ChangesSince(1).Unchanged).NotTo(BeNil())
 }
+
+// TestTakeChanges guards against receivers whose state differs from the mirror because a
+// change or a removal, deferred or not, is missing from what they are told.
+func TestTakeChanges(t *testing.T) {
+	g := NewWithT(t)
+	m := New("leased/")
+	told := map[string]uint64{}
+	take := func() {
+		for _, i := range m.TakeChanges() {
+			if told[i.Key] = i.Revision; i.Deleted {
+				delete(told, i.Key)
+			}
+		}
+		held := map[string]uint64{}
+		for _, i := range m.Items() {
+			held[i.Key] = i.Revision
+		}
+		g.Expect(told).To(Equal(held))
+	}
+	m.Apply(0, Batch{Revision: 3, Full: true, Items: []Item{put("a", 1), put("leased/b", 2), put("c", 3)}})
+	take()
+	m.Apply(0, Batch{Revision: 5, Items: []Item{put("a", 4), {Key: "c", Revision: 5, Deleted: true}}})
+	take()
+	m.Apply(0, Batch{Revision: 6, Items: []Item{put("c", 6)}, DeferRemovals: time.Second})
+	m.Apply(0, Batch{Revision: 7, Items: []Item{{Key: "leased/b", Revision: 7, Deleted: true}}, DeferRemovals: time.Second})
+	take()
+	g.Expect(told).To(HaveKey("leased/b"))
+	m.ApplyDeferred(2 * time.Second)
+	take()
+	g.Expect(told).NotTo(HaveKey("leased/b"))
+	m.Apply(0, Batch{Revision: 9, Full: true, Items: []Item{put("d", 9)}})
+	take()
+	g.Expect(m.TakeChanges()).To(BeEmpty())
+}
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -141,9 +141,9 @@
 	// start of this process, so that a fleet that starts does not read the store once for
 	// each host. A host among them reads the store.
 	Seeds []Source
-	// Changed is called with the mirror's revision and items after each change, from
-	// the goroutine of Run.
-	Changed func(revision uint64, items []Item)
+	// Changed is called after each change, from the goroutine of Run, with the mirror's
+	// revision and the items that changed since the last call; see Mirror.TakeChanges.
+	Changed func(revision uint64, changes []Item)
 
 	started time.Time
 
@@ -458,9 +458,9 @@
 	}
 	close(s.updated)
 	s.updated = make(chan struct{})
-	revision, items := s.mirror.Revision(), s.mirror.Items()
+	revision, changes := s.mirror.Revision(), s.mirror.TakeChanges()
 	s.mu.Unlock()
-	s.Changed(revision, items)
+	s.Changed(revision, changes)
 }
 
 // HandleFetch serves MethodFetch. It waits for a change after the revision, for
