control: clean up after the verdict of a submission

Cause: Submit ended at the verdict, so that nothing removed a submission from the list of pending ones. The 65th failed for good.

Change: the submission goes on in the background until it makes no further store calls. "member changed" has the member's id in "member" instead of overwriting the field "host".

TestManySubmissions submits 70 revisions: before, "64 submissions are in progress or not yet cleaned up, which is the maximum".

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -189,18 +189,38 @@
 const submitTick = 20 * time.Millisecond
 
 // Submit submits a configuration text, which must have passed config.Check, and
-// returns as soon as the verdict is known; keys that the submission no longer needs
-// may remain in the store. If ctx ends before, the verdict is confsync.Uncertain and the
-// error is that of ctx; otherwise the error is nil, whatever the verdict.
+// returns as soon as the verdict is known. Keys that the submission no longer needs are
+// then deleted in the background. If ctx ends before, the verdict is confsync.Uncertain
+// and the error is that of ctx; otherwise the error is nil, whatever the verdict.
 func (c *Control) Submit(ctx context.Context, r confsync.Request) (confsync.Submitted, error) {
 	s := confsync.NewSubmission(r, newRand(c.Seed+int64(c.Now())))
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	cancelWithCaller := context.AfterFunc(ctx, cancel)
+	verdicts := make(chan confsync.Submitted, 1)
+	go func() {
+		defer cancel()
+		c.runSubmission(runCtx, s, verdicts)
+	}()
+	select {
+	case v := <-verdicts:
+		cancelWithCaller()
+		c.applyAccepted(v, r.Text)
+		return v, nil
+	case <-ctx.Done():
+		return confsync.Submitted{Verdict: confsync.Uncertain, Err: confsync.ErrUncertain}, trace.Wrap(ctx.Err())
+	case <-c.done:
+		return confsync.Submitted{Verdict: confsync.Uncertain, Err: confsync.ErrUncertain}, nil
+	}
+}
+
+// runSubmission runs a submission until it makes no further store calls, ctx ends or the
+// control goroutine has ended, and sends its verdict. Without the calls that follow the verdict, the list of pending
+// submissions would fill up and no further one be accepted.
+func (c *Control) runSubmission(ctx context.Context, s *confsync.Submission, verdicts chan<- confsync.Submitted) {
 	results := make(chan confsync.StoreResult)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	ticker := time.NewTicker(submitTick)
 	defer ticker.Stop()
 	var ev confsync.Event = confsync.Tick{}
-	var verdict *confsync.Submitted
 	for {
 		for _, a := range s.Step(c.Now(), ev, nil) {
 			switch a := a.(type) {
@@ -212,16 +232,17 @@
 					}
 				}()
 			case confsync.Submitted:
-				verdict = &a
+				verdicts <- a // the only one
 			}
 		}
-		if verdict != nil {
-			c.applyAccepted(*verdict, r.Text)
-			return *verdict, nil
+		if s.Finished() {
+			return
 		}
 		select {
 		case <-ctx.Done():
-			return confsync.Submitted{Verdict: confsync.Uncertain, Err: confsync.ErrUncertain}, trace.Wrap(ctx.Err())
+			return
+		case <-c.done:
+			return
 		case <-ticker.C:
 			ev = confsync.Tick{}
 		case r := <-results:
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -40,7 +40,7 @@
 			if a.Before == a.Member.Status {
 				continue
 			}
-			c.Log.WithFields(logrus.Fields{"host": a.Member.ID, "incarnation": a.Member.Incarnation, "before": a.Before,
+			c.Log.WithFields(logrus.Fields{"member": a.Member.ID, "incarnation": a.Member.Incarnation, "before": a.Before,
 				"status": a.Member.Status}).Info("member changed")
 		case member.PeerExtra:
 			c.handleExtra(now, a)
