control, mirror: log outages of the host list, and no false ones

An outage of the host list left no line in the log; its first failure and its end do now. A host whose call to the store failed once and that then followed another host reported an outage of the whole time until its next call, and deferred removals after it; a batch from another host ends what it counts as an outage.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -108,6 +108,8 @@
 	lastCall         uint64
 	listedHosts      []member.Listed
 	listedBackends   []member.Listed
+	listFailing      bool                       // the latest read of the host list failed
+	listFailingSince time.Duration              // the first failure since the latest success
 	draining         map[string]map[string]bool // by backend server and source
 	lastLoadPoll     time.Duration
 	config           *config.Config
@@ -275,6 +277,7 @@
 		hosts, err := c.HostList.Hosts(callCtx)
 		cancel()
 		c.post(func(now time.Duration) {
+			c.logHostList(now, err)
 			if err != nil {
 				c.count("host_list.failures")
 				c.stepMember(now, member.ListFailed{})
@@ -291,6 +294,19 @@
 	}
 }
 
+// logHostList logs the first failure of the host list after a success, and the first
+// success after a failure.
+func (c *Control) logHostList(now time.Duration, err error) {
+	switch {
+	case err != nil && !c.listFailing:
+		c.listFailing, c.listFailingSince = true, now
+		c.Log.WithError(err).Warn("host list does not answer; the last known hosts stay")
+	case err == nil && c.listFailing:
+		c.listFailing = false
+		c.Log.WithField("away_ms", (now - c.listFailingSince).Milliseconds()).Info("host list answers again")
+	}
+}
+
 // setHostList stores an answer of the host list.
 func (c *Control) setHostList(hosts []member.Listed) {
 	c.listedHosts, c.listedBackends = nil, nil
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -156,8 +156,8 @@
 	// they start.
 	answers map[uint64]*sharedAnswer
 
-	// failingSince is the first failure of this host's store calls since the last
-	// success, zero if none. The store may have answered other hosts since.
+	// failingSince is the first failure of this host's store calls since the last success
+	// or the last batch from another host, zero if none.
 	failingSince time.Time
 	retryAt      time.Time // earliest next call of the store
 	// noFreshSource reports whether the last step found no fresh source. Failed peers
@@ -357,6 +357,9 @@
 	if err != nil {
 		return err
 	}
+	// The store answers others. A later failure of this host's calls, which it does not
+	// make meanwhile, is another outage.
+	s.failingSince = time.Time{}
 	s.applyBatch(b, time.Now().Add(-b.Age), src.Name)
 	return nil
 }
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -465,3 +465,21 @@
 		NewWithT(t).Expect(pauseAfterRead(c.hosts)).To(Equal(c.want), "%d hosts", c.hosts)
 	}
 }
+
+// TestFollowerHasNoOutage guards against a host that reports an outage of the store, and
+// defers removals after it, that lasted from a failed call until its next call much
+// later, although it followed a host that read the store all the time.
+func TestFollowerHasNoOutage(t *testing.T) {
+	g := NewWithT(t)
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 3}, err: errUnavailable}
+	reader := newHost(n, "reader", &scriptedStore{batch: Batch{Revision: 3}}, "reader")
+	s := newHost(n, "host", store) // knows no host yet
+	s.step(context.Background())
+	g.Expect(s.failingSince).NotTo(BeZero())
+	reader.step(context.Background())
+	s.Sources = func() []Source { return []Source{{Name: "reader", Address: "reader"}} }
+	s.step(context.Background())
+	g.Expect(s.source).To(Equal("reader"))
+	g.Expect(s.failingSince).To(BeZero())
+}
