--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -277,7 +277,9 @@
 		if err != nil && n == 0 {
 			stop()
 			_ = conn.Close()
-			return reply{result: dispatch.Abandoned, err: errUnwritten}
+			r := c.failedReply(ctx, errUnwritten)
+			r.mayHaveRun = false
+			return r
 		}
 		writeResult <- err
 	} else {
