--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -47,14 +47,6 @@
 	receivedAt time.Duration
 }
 
-// place is a pool's state of one region.
-type place struct {
-	foreign bool // another region than the pool's
-	// roundTrip is a default until one is measured.
-	roundTrip time.Duration
-	measured  bool
-}
-
 // server is a pool's state of one incarnation of a backend server.
 type server struct {
 	hash                               uint64 // of id
--- /dev/null
+++ b/internal/gateway/upstream_request.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/dispatch"
+)
+
+// roundTrip sends the request on the connection and reads its answer. It stores or
+// closes the connection, at the latest when the answer is done.
+func (u *upstream) roundTrip(ctx context.Context, conn *upstreamConn, c *upstreamCall) reply {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	writeResult := make(chan error, 1)
+	requestHead, err := u.requestHead(c)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return reply{result: dispatch.Abandoned, err: err}
+	}
+	if len(c.request.Body)+len(requestHead) <= readBuffer && c.request.Rest == nil {
+		n, err := writeRequest(conn, requestHead, c.request)
+		if err != nil && n == 0 {
+			stop()
+			_ = conn.Close()
+			r := c.failedReply(ctx, errUnwritten)
+			r.mayHaveRun = false
+			return r
+		}
+		writeResult <- err
+	} else {
+		// In the background, as a server may answer before it has read a long body.
+		go func() {
+			_, err := writeRequest(conn, requestHead, c.request)
+			writeResult <- err
+		}()
+	}
+	var signals serverSignals
+	resp, verdict, err := u.readResponse(conn, c, &signals)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		r := c.failedReply(ctx, err)
+		r.signals = signals
+		return r
+	}
+	r := u.readAnswer(ctx, conn, c, resp, verdict, writeResult, stop)
+	r.signals = signals
+	return r
+}
+
+// failedReply returns the reply to a request for which there was a connection but no
+// usable answer; it may not have been sent. The state of ctx and of the caller's body
+// decides whether it failed, timed out or was abandoned.
+func (c *upstreamCall) failedReply(ctx context.Context, err error) reply {
+	r := reply{result: dispatch.Failed, mayHaveRun: true, err: err}
+	switch {
+	case ctx.Err() == nil && c.request.Rest != nil && c.request.Rest.failure() != nil:
+		r.result, r.err = dispatch.Abandoned, errBody
+	case ctx.Err() != nil && !time.Now().Before(c.deadline):
+		// ctx may have been canceled because of the deadline before it expired itself.
+		r.result = dispatch.TimedOut
+	case ctx.Err() != nil:
+		r.result = dispatch.Abandoned
+	}
+	return r
+}
+
+// requestHead formats the request line and header. It returns
+// context.DeadlineExceeded if less than a millisecond is left.
+func (u *upstream) requestHead(c *upstreamCall) ([]byte, error) {
+	var b bytes.Buffer
+	r := c.request.HTTP
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, requestURI(r), r.Host)
+	remaining := time.Until(c.deadline).Milliseconds()
+	if remaining <= 0 {
+		return nil, context.DeadlineExceeded
+	}
+	c.header.Set(u.headers.Deadline, strconv.FormatInt(remaining, 10))
+	c.header.Set(u.headers.ExpectInstance, c.backend.ID)
+	switch {
+	case c.request.Rest != nil && c.request.Length < 0:
+		c.header.Set("Transfer-Encoding", "chunked")
+	case c.request.Length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		c.header.Set("Content-Length", strconv.FormatInt(max(c.request.Length, 0), 10))
+	}
+	if err := c.header.Write(&b); err != nil {
+		return nil, err
+	}
+	b.WriteString("\r\n")
+	return b.Bytes(), nil
+}
+
+// requestURI returns the path and query as the caller sent them.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// writeRequest writes the request and returns the number of bytes written of a request
+// without Rest. It closes the connection if a streamed body cannot be forwarded
+// completely, also when the caller broke off. An error alone does not end the attempt:
+// the server may have answered already.
+func writeRequest(conn net.Conn, head []byte, r *Request) (int64, error) {
+	buffers := net.Buffers{head}
+	if r.Rest == nil {
+		if len(r.Body) > 0 {
+			buffers = append(buffers, r.Body)
+		}
+		return buffers.WriteTo(conn)
+	}
+	if _, err := conn.Write(head); err != nil {
+		return 0, err
+	}
+	body := io.MultiReader(bytes.NewReader(r.Body), r.Rest)
+	if r.Length < 0 {
+		err := writeChunks(conn, body)
+		if err != nil {
+			_ = conn.Close()
+		}
+		return 0, err
+	}
+	n, err := io.Copy(conn, body)
+	if err == nil && n != r.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		_ = conn.Close()
+	}
+	return 0, err
+}
+
+func writeChunks(conn net.Conn, body io.Reader) error {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			frame := fmt.Appendf(nil, "%x\r\n", n)
+			frame = append(append(frame, buf[:n]...), '\r', '\n')
+			if _, werr := conn.Write(frame); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			_, werr := io.WriteString(conn, "0\r\n\r\n")
+			return werr
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -57,13 +57,6 @@
 	stalePeerSuspectTime = 300 * time.Millisecond
 	// maxPeerAge bounds the age of a peer's copy that is accepted.
 	maxPeerAge = 2200 * time.Millisecond
-	// seedTime is how long after its start a host prefers the seeds to the store. Until
-	// then, the first host of a region has found itself and reads the store.
-	seedTime = 3 * time.Second
-	// seedWait is how long after its start a host waits for seeds that do not answer or
-	// have no copy yet. The hosts of a fleet start within some 0.3 s of each other, and a
-	// seed needs a few round trips to read the store.
-	seedWait = 800 * time.Millisecond
 	// maxPeers bounds the peers that one step tries. Suspected ones do not count.
 	maxPeers = 3
 	// minOutageLength is the length above which an outage of the store defers the
@@ -263,42 +256,6 @@
 	return min(max(storePause, storePause*time.Duration(hosts)/pauseHosts), maxStorePause)
 }
 
-// mayUseSeeds reports whether this process has started within seedTime and other hosts
-// are seeds.
-func (s *Syncer) mayUseSeeds() bool {
-	isSelf := func(src Source) bool { return src.Self }
-	return len(s.Seeds) > 0 && time.Since(s.started) < seedTime && !slices.ContainsFunc(s.Seeds, isSelf)
-}
-
-// fetchSeeds fetches from the first seed that reads the store. If there is none, wait
-// reports whether one may do so soon.
-func (s *Syncer) fetchSeeds(ctx context.Context) (fetched, wait bool) {
-	waitEnd := s.started.Add(seedWait)
-	wait = time.Now().Before(waitEnd)
-	seedCtx, cancel := context.WithDeadline(ctx, s.started.Add(seedTime))
-	if wait {
-		cancel()
-		seedCtx, cancel = context.WithDeadline(ctx, waitEnd)
-	}
-	defer cancel()
-	for _, seed := range s.Seeds {
-		if time.Now().Before(s.suspects[seed.Name]) {
-			continue
-		}
-		err := s.fetchPeer(seedCtx, seed)
-		if err == nil {
-			return true, false
-		}
-		if errors.Is(err, errStale) {
-			wait = false // it follows another host
-		}
-		if time.Now().After(waitEnd) {
-			s.suspect(seed.Name, err)
-		}
-	}
-	return false, wait
-}
-
 // tryStore calls the store, except before retryAt, and reports whether that succeeded.
 func (s *Syncer) tryStore(ctx context.Context, retry time.Duration) bool {
 	if time.Now().Before(s.retryAt) {
