--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -253,4 +253,3 @@
 	}
 	delete(u.idle, id)
 }
-
--- a/internal/gateway/upstream_request.go
+++ b/internal/gateway/upstream_request.go
@@ -159,4 +159,3 @@
 		}
 	}
 }
-
