serverhold, dispatch: keep the marks of leaving servers without entries

Cause: a mark was dropped when the server's entry left the store. An entry that had lapsed during an outage of the store comes back within two seconds, and a server that leaves would then have got requests.

Change: both the set of a host and the pools keep a mark until its time is over or another incarnation has the id. Tests for both; the pool's failed before.

--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -112,6 +112,7 @@
 	}
 	p.markStalledServers(now)
 	p.expireGrants(now)
+	p.expireLeavingMarks(now)
 }
 
 // A request without an answer is overdue after stallFactor times its expected
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -42,8 +42,10 @@
 		if s.inflight > 0 {
 			d.InFlight[id] = s.inflight
 		}
-		if s.leavingReported && s.leaving(now) {
-			d.Leaving = append(d.Leaving, LeavingServer{Server: id, StartedAtMillis: s.startedAtMillis, LeftMillis: (s.leavingUntil - now).Milliseconds()})
+	}
+	for id, m := range p.leavingMarks {
+		if s := p.servers[id]; m.reported && s != nil && s.leaving(now) {
+			d.Leaving = append(d.Leaving, LeavingServer{Server: id, StartedAtMillis: m.startedAtMillis, LeftMillis: (m.until - now).Milliseconds()})
 		}
 	}
 	sort.Slice(d.Leaving, func(i, j int) bool { return d.Leaving[i].Server < d.Leaving[j].Server })
@@ -66,9 +68,7 @@
 	}
 	for _, l := range d.Leaving {
 		left := time.Duration(min(max(l.LeftMillis, 0), serverhold.LeavingTime.Milliseconds())) * time.Millisecond
-		if s := p.servers[l.Server]; s != nil && s.startedAtMillis == l.StartedAtMillis {
-			s.markLeaving(now+left, false)
-		}
+		p.markLeaving(l.Server, leavingMark{startedAtMillis: l.StartedAtMillis, until: now + left})
 	}
 	if d.Region == p.opts.Region {
 		return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -177,6 +177,7 @@
 	places      map[string]*place // by region
 	// firstChoice are the servers of list that the first pass of choose considers.
 	firstChoice      []*server
+	leavingMarks     map[string]leavingMark // by ID
 	shiftLimiter     shiftLimiter
 	requestedObjects []RequestedObject // since the last digest
 	// objectCapacity is the number of objects that a server is assumed to hold.
@@ -215,7 +216,7 @@
 func New(o Options) *Pool {
 	return &Pool{
 		opts: o, servers: map[string]*server{}, grants: map[uint64]*grant{},
-		classes: map[string]*class{}, places: map[string]*place{},
+		classes: map[string]*class{}, places: map[string]*place{}, leavingMarks: map[string]leavingMark{},
 		shiftLimiter:   shiftLimiter{ownRegion: o.Region, maxGrowth: o.Limits.maxRegionGrowth()},
 		objectCapacity: initialObjectCapacity, lastRequestByRank: map[int]time.Duration{},
 	}
@@ -236,6 +237,7 @@
 		if s == nil || s.startedAtMillis != b.StartedAtMillis || s.address != b.Address {
 			s = newServer(now, b)
 			p.servers[b.ID] = s
+			p.applyLeavingMark(b.ID)
 		}
 		s.failureDomain, s.region, s.slots, s.draining = b.FailureDomain, b.Region, max(b.Slots, 1), b.Draining
 		s.evacuated, s.place = evacuated[b.FailureDomain], p.place(b.Region)
@@ -407,7 +409,7 @@
 	s := g.server
 	s.removeGrant(now, g)
 	if r.Leaving && r.StartedAtMillis == s.startedAtMillis {
-		s.markLeaving(now+serverhold.LeavingTime, true)
+		p.markLeaving(s.id, leavingMark{startedAtMillis: s.startedAtMillis, until: now + serverhold.LeavingTime, reported: true})
 	}
 	if r.Connect > 0 {
 		p.observeConnectTime(s.region, r.Connect)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -486,6 +486,9 @@
 		g.Expect(p.Acquire(end, request(end)).Refused).To(BeEmpty(), desc)
 	}
 	g.Expect(successor.Digest(3*time.Second).Leaving).To(BeEmpty(), "marks are not passed on further")
+	home.Update(4*time.Second, nil, nil, 5, time.Second) // the entry is away
+	home.Update(5*time.Second, backends(1), nil, 5, time.Second)
+	g.Expect(home.Acquire(6*time.Second, request(6*time.Second)).Refused).To(Equal(NoServer), "the mark outlives the entry")
 	home.Update(4*time.Second, backends(2), nil, 5, time.Second)
 	g.Expect(home.Acquire(5*time.Second, request(5*time.Second)).Refused).To(BeEmpty(), "another incarnation")
 	late := pool("r")
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -53,10 +53,9 @@
 	id, address, failureDomain, region string
 	startedAtMillis                    int64
 	slots                              int
-	leavingUntil                       time.Duration // 0 unless an answer said that the server leaves
-	leavingReported                    bool          // a request of this pool learned it
 	evacuated                          bool          // its failure domain gets no requests
 	place                              *place        // of its region
+	leavingUntil                       time.Duration // from the pool's leavingMark, 0 if there is none
 	draining, replaced                 bool          // replaced: from a Misdirected request until Update brings a new incarnation or address
 
 	position          int                      // in its region, in an order that depends on the pool's region
@@ -167,17 +166,6 @@
 	return current + (s.lastUtilization-current)*decay(now-s.lastUtilizationAt, utilizationTimeConstant)
 }
 
-// leaving reports whether the server said that it leaves. The mark ends with the
-// incarnation, or with its time if the server has said so by mistake.
-func (s *server) leaving(now time.Duration) bool { return now < s.leavingUntil }
-
-// markLeaving records that the server said that it leaves. reported is set if a request
-// of this pool learned it, which other pools are then told.
-func (s *server) markLeaving(until time.Duration, reported bool) {
-	s.leavingUntil = max(s.leavingUntil, until)
-	s.leavingReported = s.leavingReported || reported
-}
-
 // cold reports whether the server has started recently, or may have, and so takes
 // only a limited rate of requests. It says nothing about objects.
 func (s *server) cold(now time.Duration) bool { return now < s.coldUntil }
--- a/internal/gateway/holds.go
+++ b/internal/gateway/holds.go
@@ -86,7 +86,7 @@
 	entry.WithField("pause_ms", signals.pause.Milliseconds()).Info("backend server asked for a pause")
 }
 
-// prune forgets the servers that a snapshot does not list.
+// prune forgets what has ended, given the servers that a snapshot lists.
 func (h *serverHolds) prune(known map[string]*fleet.Backend) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/serverhold/serverhold.go
+++ b/internal/serverhold/serverhold.go
@@ -132,11 +132,15 @@
 	return wait, len(servers) > 0
 }
 
-// Prune drops what has ended and the servers that known does not contain.
-func (s *Set) Prune(now time.Duration, known func(Server) bool) {
+// Prune drops what has ended. It keeps what is in force although the server's entry is
+// gone: the entry may come back while the server still leaves. listed reports whether
+// there is an entry; a pause that is over ends with it.
+func (s *Set) Prune(now time.Duration, listed func(Server) bool) {
 	for id, h := range s.holds {
-		ended := !h.trial && h.pausedUntil == 0 && now >= h.leavingUntil
-		if ended || !known(h.server) {
+		if now < h.leavingUntil || now < h.pausedUntil {
+			continue
+		}
+		if h.pausedUntil == 0 || !listed(h.server) {
 			delete(s.holds, id)
 		}
 	}
--- a/internal/serverhold/serverhold_test.go
+++ b/internal/serverhold/serverhold_test.go
@@ -112,14 +112,23 @@
 	})
 }
 
-// TestPruneForgetsServers guards against a set that grows with the servers of the past.
+// TestPruneForgetsServers guards against a set that grows with the servers of the past,
+// and against a leaving server that gets requests again because its entry was away.
 func TestPruneForgetsServers(t *testing.T) {
 	g := NewWithT(t)
 	s := New()
+	none, all := func(Server) bool { return false }, func(Server) bool { return true }
+	paused := Server{ID: "o"}
 	s.Leaving(0, server)
-	s.Pause(0, Server{ID: "o"}, time.Second)
-	s.Prune(time.Second, func(v Server) bool { return v == server })
+	s.Pause(0, paused, time.Second)
+	s.Prune(time.Second-1, none)
+	g.Expect(begin(s, time.Second-1, server)).To(BeFalse())
+	g.Expect(begin(s, time.Second-1, paused)).To(BeFalse())
+	s.Prune(time.Second, all)
+	g.Expect(s.holds).To(HaveLen(2), "the request after the pause is still to be a trial")
+	s.Prune(time.Second, none)
 	g.Expect(s.holds).To(HaveLen(1))
-	s.Prune(LeavingTime, func(Server) bool { return true })
+	g.Expect(begin(s, LeavingTime-1, server)).To(BeFalse())
+	s.Prune(LeavingTime, all)
 	g.Expect(s.holds).To(BeEmpty())
 }
