--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -131,8 +131,8 @@
 	// this host stands for the store; without one, the store comes last.
 	Sources func() []Source
 	// Seeds are hosts to fetch from while the sources have no fresh copy shortly after the
-	// start of this process, so that a fleet that starts does not read the store once for
-	// each host. A host among them reads the store.
+	// start of this process, so that the hosts of a fleet that starts do not call the store
+	// again and again until they know who reads it. A host among them reads the store.
 	Seeds []Source
 	// Changed is called after each change, from the goroutine of Run, with the mirror's
 	// revision and the items that changed since the last call; see Mirror.TakeChanges.
@@ -233,14 +233,10 @@
 			s.log.WithError(err).WithField("peer", src.Name).Warn("host has no fresh copy of the store")
 		}
 	}
-	if !triedStore && s.mayUseSeeds() {
-		fetched, wait := s.fetchSeeds(ctx)
-		if fetched {
-			s.setDirect(false)
-		}
-		if fetched || wait {
-			return peerPause
-		}
+	if !triedStore && s.mayUseSeeds() && s.fetchSeeds(ctx) {
+		s.noFreshSource = false
+		s.setDirect(false)
+		return peerPause
 	}
 	if !triedStore && s.tryStore(ctx, retry) {
 		return storePause
@@ -274,7 +270,7 @@
 // suspect skips a peer for a time that depends on err.
 func (s *Syncer) suspect(name string, err error) {
 	pause := peerSuspectTime
-	if errors.Is(err, errStale) || errors.Is(err, errNoCopy) {
+	if errors.Is(err, errStale) {
 		pause = stalePeerSuspectTime
 	}
 	s.suspects[name] = time.Now().Add(pause)
@@ -295,9 +291,6 @@
 	}
 }
 
-// errNoCopy reports a peer that has started and has no copy of the store yet.
-var errNoCopy = errors.New("peer has no copy of the store yet")
-
 // errStale reports a peer that does not read the store, or whose copy is older
 // than Timing.MaxAge.
 var errStale = errors.New("peer does not read the store or its copy is too old")
@@ -321,15 +314,12 @@
 	return nil
 }
 
-// fetchFrom fetches a batch from a peer. It may return errStale or errNoCopy.
+// fetchFrom fetches a batch from a peer. It may return errStale.
 func (s *Syncer) fetchFrom(ctx context.Context, src Source, p FetchParams) (Batch, error) {
 	var a Answer
 	if err := s.peerClient.Call(ctx, src.Address, MethodFetch, p, &a); err != nil {
 		return Batch{}, err
 	}
-	if a.Age >= neverConfirmedAge {
-		return Batch{}, errNoCopy
-	}
 	if !a.Direct || a.Age > s.timing.MaxAge {
 		return Batch{}, errStale
 	}
