--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -42,6 +42,8 @@
 	Slots, Queue int
 	Work         time.Duration
 	BodyBytes    int
+	// LargeBodyBytes is the size of three in sixteen answers, if it is not 0.
+	LargeBodyBytes int
 }
 
 // Backend is a stand-in for a sound backend server.
@@ -132,7 +134,11 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	answer := answerBody(id, b.BodyBytes)
+	size := b.BodyBytes
+	if b.LargeBodyBytes > 0 && id[len(id)-1]%6 == 0 {
+		size = b.LargeBodyBytes
+	}
+	answer := answerBody(id, size)
 	h.Set("Galenabeam-Backend-Signature", signature(answer))
 	h.Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = w.Write(answer)
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -101,7 +101,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: nc, Address: address, br: bufio.NewReader(nc)}, nil
+	return newConn(nc, address), nil
+}
+
+func newConn(nc net.Conn, address string) *Conn {
+	return &Conn{Conn: nc, Address: address, br: bufio.NewReader(nc)}
 }
 
 // Response is an answer with its whole body.
