--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -8,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,17 +18,26 @@
 
 // Runs records which request ids the backend servers began to work on.
 type Runs struct {
-	mu sync.Mutex
-	n  map[string]int
+	mu     sync.Mutex
+	n      map[string]int
+	latest map[string]*Backend
 }
 
 // NewRuns returns an empty record.
-func NewRuns() *Runs { return &Runs{n: map[string]int{}} }
+func NewRuns() *Runs { return &Runs{n: map[string]int{}, latest: map[string]*Backend{}} }
 
-func (r *Runs) add(id string) {
+func (r *Runs) add(id string, b *Backend) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.n[id]++
+	r.latest[id] = b
+}
+
+// Server returns the server that ran a request last, nil if none has.
+func (r *Runs) Server(id string) *Backend {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latest[id]
 }
 
 // Of returns how often a request ran.
@@ -67,16 +78,36 @@
 	b.Address, b.record, b.runs, b.slots = l.Addr().String(), record, runs, make(chan struct{}, b.Slots)
 	server := &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
-	b.register(store)
+	born := time.Now().UnixMilli()
+	b.register(store, born, 1)
+	go func() {
+		for seq := 2; ; seq++ {
+			time.Sleep(heartbeat)
+			b.register(store, born, seq)
+		}
+	}()
 	return nil
 }
 
-func (b *Backend) register(store *Store) {
-	store.Put("servers/"+b.ID, map[string]any{
-		"address": b.Address, "born": time.Now().UnixMilli(),
+// heartbeat is the time between two writes of a server's entry.
+const heartbeat = 1500 * time.Millisecond
+
+// Key returns the key of the server's entry.
+func (b *Backend) Key() string { return "servers/" + b.ID }
+
+// register writes the entry if more than seq changes in it, as the page says.
+func (b *Backend) register(store *Store, born int64, seq int) {
+	store.PutUnless(b.Key(), map[string]any{
+		"address": b.Address, "born": born,
 		"info":   map[string]any{"service": b.Service, "version": "v1", "zone": b.Zone, "slots": b.Slots},
-		"status": map[string]any{"state": "ready", "seq": 1, "cold_remaining": "0ms"},
-	})
+		"status": map[string]any{"state": "ready", "seq": seq, "cold_remaining": "0ms"},
+	}, sameButSeq)
+}
+
+// sameButSeq reports whether two entries differ in seq alone.
+func sameButSeq(a, b []byte) bool {
+	seq := regexp.MustCompile(`"seq":[0-9]+`)
+	return bytes.Equal(seq.ReplaceAll(a, nil), seq.ReplaceAll(b, nil))
 }
 
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -121,7 +152,7 @@
 	defer func() { <-b.slots }()
 	b.running.Add(1)
 	defer b.running.Add(-1)
-	b.runs.add(id)
+	b.runs.add(id, b)
 	b.record.Linef("run id=%s server=%s %s %s body=%d", id, b.ID, r.Method, r.URL.RequestURI(), len(body))
 	select {
 	case <-time.After(b.Work):
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -24,6 +24,8 @@
 	Runs   *Runs
 	Store  *Store
 	Hosts  []*Host
+	// Backends are the backend servers.
+	Backends []*Backend
 	// Net is the start of the loopback addresses of this run.
 	Net    string
 	folder string
@@ -81,6 +83,7 @@
 		if err := b.Start(d.Net+".2", d.Store, d.Record, d.Runs); err != nil {
 			return err
 		}
+		d.Backends = append(d.Backends, b)
 	}
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,4 +39,5 @@
 var cases = map[string]func(folder string, trouble bool) (broken bool, err error){
 	"descriptors": runDescriptors,
 	"rollout":     runRollout,
+	"oddentry":    runOddEntry,
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -80,6 +80,22 @@
 	return s.revision
 }
 
+// PutUnless writes an item unless the present value is the same.
+func (s *Store) PutUnless(key string, value any, same func(a, b []byte) bool) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.items[key]; ok && same(old.Value, raw) {
+		return
+	}
+	s.revision++
+	s.put(key, raw, 0)
+	s.wake()
+}
+
 // Remove removes an item and returns the revision of the removal.
 func (s *Store) Remove(key string) uint64 {
 	s.mu.Lock()
