--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,4 +40,5 @@
 	"descriptors": runDescriptors,
 	"rollout":     runRollout,
 	"oddentry":    runOddEntry,
+	"encodedpath": runEncodedPath,
 }
