--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -21,6 +21,8 @@
 	removeAt          = 15 * time.Second
 	addAt             = 32 * time.Second
 	descriptorsLength = 45 * time.Second
+	// minDescriptors are those of this process, with the users and the servers.
+	minDescriptors = descriptorUsers + 1200
 )
 
 // userStats are what the users saw.
@@ -148,6 +150,10 @@
 		return false, err
 	}
 	defer d.Close()
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < minDescriptors {
+		return false, fmt.Errorf("this process needs %d descriptors and may have %d", minDescriptors, limit.Cur)
+	}
 	if err := d.AddBackends(22, BackendSpec{Service: "talnabrunnur", Slots: 4, Queue: 12, Work: 300 * time.Millisecond, BodyBytes: 5000}, "sandgerdi", "grindavik"); err != nil {
 		return false, err
 	}
