--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -26,6 +26,9 @@
 	Hosts  []*Host
 	// Backends are the backend servers.
 	Backends []*Backend
+	// StoreLink returns the address at which a host reaches the store, which is the
+	// store's own if StoreLink is nil.
+	StoreLink func(h *Host) (string, error)
 	// Net is the start of the loopback addresses of this run.
 	Net    string
 	folder string
@@ -95,6 +98,11 @@
 		if err != nil {
 			return err
 		}
+		if d.StoreLink != nil {
+			if h.store, err = d.StoreLink(h); err != nil {
+				return err
+			}
+		}
 		d.Hosts = append(d.Hosts, h)
 	}
 	for _, h := range d.Hosts {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,4 +41,5 @@
 	"rollout":     runRollout,
 	"oddentry":    runOddEntry,
 	"encodedpath": runEncodedPath,
+	"silence":     runSilence,
 }
