--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -29,6 +29,8 @@
 	// StoreLink returns the address at which a host reaches the store, which is the
 	// store's own if StoreLink is nil.
 	StoreLink func(h *Host) (string, error)
+	// Class has the figures of the machines.
+	Class Class
 	// Net is the start of the loopback addresses of this run.
 	Net    string
 	folder string
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Record: record, Runs: NewRuns(), folder: temp, Net: fmt.Sprintf("127.%d.%d", 10+mathrand.IntN(200), mathrand.IntN(250))}
+	d := &Deployment{Class: smallSite, Record: record, Runs: NewRuns(), folder: temp, Net: fmt.Sprintf("127.%d.%d", 10+mathrand.IntN(200), mathrand.IntN(250))}
 	if d.Store, err = NewStore(d.Net + ".1"); err != nil {
 		return nil, err
 	}
@@ -52,8 +54,8 @@
 	return d, nil
 }
 
-// Configure writes a configuration as the operator does.
-func (d *Deployment) Configure(version int, routes []Route) {
+// Configure writes a configuration as the operator does and returns its size in bytes.
+func (d *Deployment) Configure(version int, routes []Route) int {
 	var rules, clusters []any
 	known := map[string]bool{}
 	for _, r := range routes {
@@ -69,7 +71,7 @@
 			})
 		}
 	}
-	d.Store.Put("op/config", map[string]any{
+	return d.Store.Put("op/config", map[string]any{
 		"version":   fmt.Sprintf("r%d", version),
 		"limits":    map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"listeners": []any{map[string]any{"hostname": hostName, "rules": rules}},
@@ -98,6 +100,7 @@
 		if err != nil {
 			return err
 		}
+		h.Class = d.Class
 		if d.StoreLink != nil {
 			if h.store, err = d.StoreLink(h); err != nil {
 				return err
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -18,6 +18,8 @@
 	// Front, Ready, Directory, Control and Peer are its addresses.
 	Front, Ready, Directory, Control, Peer string
 
+	// Class has the figures of the machine.
+	Class  Class
 	folder string
 	store  string
 	seeds  []string
@@ -38,9 +40,23 @@
 // maxFDs is max_fds of the settings.
 const maxFDs = 2870
 
+// Class has figures of a machine and of its site.
+type Class struct {
+	CPUShare, MemoryMB, LinkMbps float64
+	// ConfigApply and Drain are bounds of the site.
+	ConfigApply, Drain string
+}
+
+// smallSite is the class of the site hagtal-komur, grownSmall the small class of
+// hagtal-komur-grown.
+var (
+	smallSite  = Class{CPUShare: 0.224, MemoryMB: 206, LinkMbps: 700, ConfigApply: "2500ms", Drain: "2500ms"}
+	grownSmall = Class{CPUShare: 0.112, MemoryMB: 136, LinkMbps: 10, ConfigApply: "4000ms", Drain: "4000ms"}
+)
+
 // NewHost chooses the addresses of a host on the loopback address ip.
 func NewHost(name, zone, ip, folder, store string, record *Record) (*Host, error) {
-	h := &Host{Name: name, Zone: zone, Region: zones[zone], IP: ip, folder: folder, store: store, record: record}
+	h := &Host{Name: name, Zone: zone, Region: zones[zone], IP: ip, folder: folder, store: store, record: record, Class: smallSite}
 	for _, a := range []*string{&h.Front, &h.Ready, &h.Directory, &h.Control, &h.Peer} {
 		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
@@ -84,11 +100,11 @@
 control = %q
 directory = %q
 [limits]
-cpu_share = 0.224
+cpu_share = %v
 cores = 1
-memory_mb = 206
+memory_mb = %v
 max_fds = %d
-link_mbps = 700.0
+link_mbps = %v
 disk_mb = 0
 [fault_tolerance]
 machines = 1
@@ -100,10 +116,10 @@
 contact = "4000ms"
 ack_timeout = "5000ms"
 catch_up = "4s"
-drain_timeout = "2500ms"
+drain_timeout = %q
 grace_period = "6s"
 loss_slack = "200ms"
-config_apply = "2500ms"
+config_apply = %q
 rollback_slack = "250ms"
 outer = "6000ms"
 retry_budget_ratio = 0.2
@@ -123,7 +139,7 @@
 history = "20s"
 max_value_bytes = 1048576
 min_ttl = "1000ms"
-`, h.Front, h.Ready, h.Control, h.Directory, maxFDs, h.store)
+`, h.Front, h.Ready, h.Control, h.Directory, h.Class.CPUShare, h.Class.MemoryMB, maxFDs, h.Class.LinkMbps, h.Class.Drain, h.Class.ConfigApply, h.store)
 }
 
 // Start starts the process with the descriptors that the settings allow.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,5 +41,5 @@
 	"rollout":     runRollout,
 	"oddentry":    runOddEntry,
 	"encodedpath": runEncodedPath,
-	"silence":     runSilence,
+	"recovery":    runRecovery,
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -66,8 +66,8 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-// Put writes an item as the operator or a backend server does, and returns its revision.
-func (s *Store) Put(key string, value any) uint64 {
+// Put writes an item as the operator does, and returns the size of its value in bytes.
+func (s *Store) Put(key string, value any) int {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -77,7 +77,7 @@
 	s.revision++
 	s.put(key, raw, 0)
 	s.wake()
-	return s.revision
+	return len(raw)
 }
 
 // PutUnless writes an item unless the present value is the same.
@@ -154,7 +154,7 @@
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
-	const page = 500
+	const page, pageBytes = 500, 1 << 20
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,10 +165,12 @@
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
-	more := len(items) > page
-	if more {
-		items = items[:page]
+	end, size := 0, 0
+	for ; end < len(items) && end < page && (end == 0 || size+len(items[end].Value) <= pageBytes); end++ {
+		size += len(items[end].Value)
 	}
+	more := end < len(items)
+	items = items[:end]
 	reply(w, 200, map[string]any{"items": items, "has_more": more, "at_rev": s.revision})
 }
 
