--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -4,7 +4,9 @@
 	"fmt"
 	mathrand "math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -51,9 +53,19 @@
 		return nil, err
 	}
 	d.Configure(1, routes)
+	go d.closeOnSignal()
 	return d, nil
 }
 
+// closeOnSignal ends all processes if this one is asked to end.
+func (d *Deployment) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	d.Close()
+	os.Exit(exitNotRun)
+}
+
 // Configure writes a configuration as the operator does and returns its size in bytes.
 func (d *Deployment) Configure(version int, routes []Route) int {
 	var rules, clusters []any
