--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -27,8 +27,6 @@
 	cmd    *exec.Cmd
 	// Ended is closed when the latest process has ended.
 	Ended chan struct{}
-	// Killed is set if the case itself ends the process.
-	Killed bool
 }
 
 // zones are those of the site hagtal-komur.
@@ -159,7 +157,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	h.cmd, h.Ended, h.Killed = cmd, make(chan struct{}), false
+	h.cmd, h.Ended = cmd, make(chan struct{})
 	h.record.Linef("start host=%s pid=%d", h.Name, cmd.Process.Pid)
 	ended := h.Ended
 	go func() {
@@ -173,9 +171,6 @@
 // Signal sends a signal to the process.
 func (h *Host) Signal(s syscall.Signal) {
 	h.record.Linef("signal host=%s %v", h.Name, s)
-	if s == syscall.SIGKILL || s == syscall.SIGTERM {
-		h.Killed = true
-	}
 	_ = h.cmd.Process.Signal(s)
 }
 
@@ -216,7 +211,6 @@
 	if h.cmd == nil {
 		return
 	}
-	h.Killed = true
 	_ = h.cmd.Process.Kill()
 	<-h.Ended
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -96,30 +96,6 @@
 	s.wake()
 }
 
-// Remove removes an item and returns the revision of the removal.
-func (s *Store) Remove(key string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.remove(key)
-	s.wake()
-	return s.revision
-}
-
-// Keys returns the keys with a prefix.
-func (s *Store) Keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) {
-			keys = append(keys, k)
-		}
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 func (s *Store) put(key string, value []byte, leaseID int64) {
 	i := item{Key: key, Value: value, Revision: s.revision, CreatedRev: s.revision, LeaseID: leaseID}
 	if old, ok := s.items[key]; ok {
