mirror: keep no values in the history of changes

Callers would have seen: a host that ends at its memory limit, or hosts whose fetches fail, while a large configuration changes often.

Cause: the history retained each version of an item with its value, up to 4,096 changes. A configuration of 1 MB that changes a hundred times took 100 MB on hosts of 136 MB. A host that lagged by several versions got all of them in one answer, against a bound of 4 MiB for a message between hosts.

Change: the history has keys and revisions only. An answer lists each changed item once, as it is now.

Tests: TestLargeItemChangesOften fails before (its 100 versions stay in memory). TestFullHistoryIsCheap expected 2,048 items of 500 keys in an answer, so it now checks the length of the history itself, and that the answer has each key once. TestFollowersConverge and TestGapInHistory, which compare mirrors after random changes, pass unchanged.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -6,6 +6,7 @@
 package mirror
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -69,12 +70,19 @@
 	items          map[string]Item
 	sorted         []Item // items by ascending key
 	revision       uint64
-	history        []Item                     // in the order of arrival
+	history        []change                   // in the order of arrival
 	historyStart   uint64                     // revision after which the history is complete
 	deferred       map[string]deferredRemoval // by key
 	untaken        map[string]struct{}        // keys that changed since the last TakeChanges
 }
 
+// change is a change of an item. It has no value: that of a replaced item is of no use, and
+// a large item that changes often would use up the memory.
+type change struct {
+	key      string
+	revision uint64
+}
+
 type deferredRemoval struct {
 	dueAt     time.Duration
 	tombstone Item
@@ -232,13 +240,13 @@
 
 // appendHistory records a change and trims the history to minHistoryLength.
 func (m *Mirror) appendHistory(i Item) {
-	m.history = append(m.history, i)
+	m.history = append(m.history, change{i.Key, i.Revision})
 	// Trimming at twice the length moves entries only once per minHistoryLength
 	// changes.
 	if len(m.history) >= 2*minHistoryLength {
 		dropped := len(m.history) - minHistoryLength
 		for _, old := range m.history[:dropped] {
-			m.historyStart = max(m.historyStart, old.Revision)
+			m.historyStart = max(m.historyStart, old.revision)
 		}
 		retained := copy(m.history, m.history[dropped:])
 		clear(m.history[retained:])
@@ -305,10 +313,26 @@
 		}
 		return b
 	}
-	for _, i := range m.history {
-		if i.Revision > after {
-			b.Items = append(b.Items, i)
+	// The latest position of each key: an item that changed several times is listed once.
+	latest := map[string]int{}
+	for n, c := range m.history {
+		if c.revision > after {
+			latest[c.key] = n
 		}
 	}
+	for _, n := range slices.Sorted(maps.Values(latest)) {
+		b.Items = append(b.Items, m.current(m.history[n]))
+	}
 	return b
 }
+
+// current returns the item that a change of the history led to, or its tombstone.
+func (m *Mirror) current(c change) Item {
+	if r, removed := m.deferred[c.key]; removed {
+		return r.tombstone
+	}
+	if i, present := m.items[c.key]; present {
+		return i
+	}
+	return Item{Key: c.key, Revision: c.revision, Deleted: true}
+}
