mirror: fetch large changes from other hosts over slow links

A fetch from another host was bounded to 0.75 s as a whole, with its wait of up to 0.5 s, and an answer with one item was not compressed however large it was. Its transfer of up to 1.3 MB was broken off and begun anew at the next host. The calls of the dispatcher on the same connection timed out behind it.

Change: answers are compressed from 16 KiB on. Fetches are bounded by the time without progress (0.75 s, and 4 s as a whole): transfer.Monitor travels in the call's context, and the RPC client reports arriving data to it. As transfers may take longer now, the age of a copy counts from the start of the answer, of the store or a host.

--- a/internal/adapter/rpc/client.go
+++ b/internal/adapter/rpc/client.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/transfer"
 )
 
 // dialTimeout bounds the setup of a connection. It exceeds three inter-region
@@ -33,8 +34,13 @@
 	ready chan struct{} // closed when conn or err is set
 	conn  *jsonrpc2.Conn
 	err   error
-	// unanswered is the number of consecutive calls that ended at their deadline.
+	// unanswered is the number of consecutive calls that ended at their deadline or at a
+	// limit of their monitor.
 	unanswered atomic.Int32
+
+	mu sync.Mutex
+	// monitors are those of the calls in progress that have one.
+	monitors map[*transfer.Monitor]struct{}
 }
 
 var _ peer.Client = (*Client)(nil)
@@ -50,26 +56,59 @@
 	return &Client{dial: dial, conns: map[string]*clientConn{}}
 }
 
-// Call implements peer.Client.
+// Call implements peer.Client. It reports progress to the transfer.Monitor of ctx, if
+// there is one, whenever data arrives on the connection, also that of other answers. A
+// client that makes such calls should make no others.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
 	conn, err := c.conn(ctx, address)
 	if err != nil {
 		return err
 	}
+	if m := transfer.FromContext(ctx); m != nil {
+		conn.addMonitor(m)
+		defer conn.removeMonitor(m)
+	}
 	err = conn.conn.Call(ctx, method, params, result)
+	if cause := transfer.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
 	conn.observe(err)
 	return classify(err, address, method)
 }
 
-// maxUnansweredCalls is the number of consecutive calls that end at their deadline
-// after which a connection is closed: the peer may be unreachable although the
+func (cc *clientConn) addMonitor(m *transfer.Monitor) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.monitors == nil {
+		cc.monitors = map[*transfer.Monitor]struct{}{}
+	}
+	cc.monitors[m] = struct{}{}
+}
+
+func (cc *clientConn) removeMonitor(m *transfer.Monitor) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	delete(cc.monitors, m)
+}
+
+// reportProgress is called when data has arrived.
+func (cc *clientConn) reportProgress() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	for m := range cc.monitors {
+		m.Progress()
+	}
+}
+
+// maxUnansweredCalls is the number of consecutive calls that end at their deadline or
+// at a limit of their monitor after which a connection is closed: the peer may be unreachable although the
 // connection was not reset.
 const maxUnansweredCalls = 2
 
 // observe counts consecutive unanswered calls and closes the connection at the
 // maximum.
 func (cc *clientConn) observe(err error) {
-	if !errors.Is(err, context.DeadlineExceeded) {
+	if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, transfer.ErrIdle) && !errors.Is(err, transfer.ErrTooSlow) {
 		cc.unanswered.Store(0)
 		return
 	}
@@ -132,7 +171,7 @@
 	select {
 	case <-cc.ready:
 	case <-ctx.Done():
-		return nil, fmt.Errorf("%w: connecting to %s: %v", peer.ErrUnreachable, address, ctx.Err())
+		return nil, fmt.Errorf("%w: connecting to %s: %v", peer.ErrUnreachable, address, context.Cause(ctx))
 	}
 	if cc.err != nil {
 		return nil, fmt.Errorf("%w: connecting to %s: %v", peer.ErrUnreachable, address, cc.err)
@@ -150,7 +189,7 @@
 		c.removeConn(address, cc)
 		return
 	}
-	cc.conn = jsonrpc2.NewConn(context.Background(), newStream(nc, 0), ignoreRequests{}, discardLog())
+	cc.conn = jsonrpc2.NewConn(context.Background(), newStream(nc, 0, cc.reportProgress), ignoreRequests{}, discardLog())
 	go func() {
 		<-cc.conn.DisconnectNotify()
 		c.removeConn(address, cc)
--- a/internal/adapter/rpc/rpc_test.go
+++ b/internal/adapter/rpc/rpc_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,6 +20,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/transfer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -249,3 +251,80 @@
 		}
 	})
 }
+
+// TestMonitoredCall guards against a call that ends although its large answer still
+// arrives over a slow connection, and against one that a silent peer holds; after two of
+// those the connection must be replaced.
+func TestMonitoredCall(t *testing.T) {
+	const packet, packetTime, packets = 16 << 10, 13 * time.Millisecond, 80
+	limits := transfer.Limits{First: 500 * time.Millisecond, Idle: 500 * time.Millisecond, Total: 5 * time.Second}
+	for _, c := range []struct {
+		desc    string
+		packets int // that the server sends before it falls silent
+		want    error
+	}{
+		{"whole answer", packets, nil},
+		{"silent", 0, transfer.ErrIdle},
+		{"silent within the answer", packets / 2, transfer.ErrIdle},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				dials := 0
+				client := NewClient(func(context.Context, string, string) (net.Conn, error) {
+					dials++
+					near, far := net.Pipe()
+					go serveSlowly(far, strings.Repeat("x", packet*packets), packet, packetTime, c.packets)
+					return near, nil
+				})
+				defer client.Close()
+				for range maxUnansweredCalls {
+					start := time.Now()
+					ctx, monitor := transfer.NewMonitor(context.Background(), limits)
+					var result echo
+					err := client.Call(ctx, "host:1", "echo", echo{}, &result)
+					monitor.Stop()
+					if c.want == nil {
+						g.Expect(err).NotTo(HaveOccurred())
+						g.Expect(result.Text).To(HaveLen(packet * packets))
+						g.Expect(time.Since(start)).To(BeNumerically(">", limits.First), "longer than a silent peer goes unnoticed")
+						continue
+					}
+					g.Expect(err).To(MatchError(peer.ErrUnreachable))
+					g.Expect(err).To(MatchError(ContainSubstring(c.want.Error())))
+					g.Expect(time.Since(start)).To(BeNumerically("<=", time.Duration(c.packets)*packetTime+limits.Idle))
+				}
+				synctest.Wait()
+				client.mu.Lock()
+				kept := len(client.conns)
+				client.mu.Unlock()
+				g.Expect(kept == 1).To(Equal(c.want == nil))
+				g.Expect(dials).To(Equal(1))
+			})
+		})
+	}
+}
+
+// serveSlowly answers each call on c with text, in packets at an interval, and falls
+// silent after some of them.
+func serveSlowly(c net.Conn, text string, packet int, interval time.Duration, packets int) {
+	in := bufio.NewReader(c)
+	for id := 0; ; id++ {
+		n, err := binary.ReadUvarint(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.CopyN(io.Discard, in, int64(n)); err != nil {
+			return
+		}
+		answer := frame(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"result":{"text":%q}}`, id, text))
+		for sent := 0; sent < packets || packets*packet >= len(text) && len(answer) > 0; sent++ {
+			time.Sleep(interval)
+			part := answer[:min(packet, len(answer))]
+			if _, err := c.Write(part); err != nil {
+				return
+			}
+			answer = answer[len(part):]
+		}
+	}
+}
--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -112,7 +112,7 @@
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	conn := jsonrpc2.NewConn(ctx, newStream(c, idleTimeout), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch)), discardLog())
+	conn := jsonrpc2.NewConn(ctx, newStream(c, idleTimeout, nil), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch)), discardLog())
 	<-conn.DisconnectNotify()
 }
 
--- a/internal/adapter/rpc/stream.go
+++ b/internal/adapter/rpc/stream.go
@@ -67,6 +67,8 @@
 type timedConn struct {
 	net.Conn
 	maxReadWait, maxWriteWait time.Duration
+	// received is called whenever data has arrived, unless it is nil.
+	received func()
 }
 
 // writeTimeout bounds one write to a peer.
@@ -78,7 +80,11 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.received != nil {
+		c.received()
+	}
+	return n, err
 }
 
 // Write closes the connection after an error: the peer could not decode anything
@@ -94,8 +100,8 @@
 	return n, err
 }
 
-func newStream(c net.Conn, maxReadWait time.Duration) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(timedConn{Conn: c, maxReadWait: maxReadWait, maxWriteWait: writeTimeout}, boundedCodec{})
+func newStream(c net.Conn, maxReadWait time.Duration, received func()) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(timedConn{Conn: c, maxReadWait: maxReadWait, maxWriteWait: writeTimeout, received: received}, boundedCodec{})
 }
 
 // discardLog keeps the library from writing to the standard logger: broken
--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// minPackedItems is the number of items from which an answer is compressed.
+	// minPackedItems is the number of items from which an answer is compressed, and
+	// minPackedBytes the size of their values.
 	minPackedItems = 16
+	minPackedBytes = 16 << 10
 	// maxUnpackedBytes bounds the uncompressed JSON of an answer's items.
 	maxUnpackedBytes = 64 << 20
 )
@@ -22,7 +24,8 @@
 var errTooLarge = errors.New("items exceed the limit of an answer")
 
 // Answer is the result of MethodFetch. Large batches are compressed: entries of
-// backend servers are similar to each other and every host fetches them.
+// backend servers, and routes of a configuration, are similar to each other and every
+// host fetches them.
 type Answer struct {
 	Batch
 	// Packed holds the items as JSON compressed by DEFLATE.
@@ -58,7 +61,7 @@
 }
 
 func (p *sharedAnswer) answer() (Answer, error) {
-	if len(p.batch.Items) < minPackedItems {
+	if !isLarge(p.batch.Items) {
 		return Answer{Batch: p.batch}, nil
 	}
 	p.once.Do(func() { p.bytes, p.err = pack(p.batch.Items) })
@@ -67,6 +70,15 @@
 	return a, p.err
 }
 
+// isLarge reports whether an answer with these items is compressed.
+func isLarge(list []Item) bool {
+	size := 0
+	for _, i := range list {
+		size += len(i.Value)
+	}
+	return len(list) >= minPackedItems || size >= minPackedBytes
+}
+
 func pack(list []Item) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/transfer"
 )
 
 // MethodFetch is the RPC method that fetches changes from another entry host. It
@@ -45,8 +47,12 @@
 	followerRetryDelay = 1600 * time.Millisecond
 	// peerWait is how long a fetch from another host waits for a change.
 	peerWait = 500 * time.Millisecond
-	// peerTimeout bounds a fetch from another host.
+	// peerTimeout bounds the time until the answer of another host begins, and the time
+	// without progress from then on.
 	peerTimeout = peerWait + 250*time.Millisecond
+	// maxPeerTransferTime bounds a whole fetch from another host. The largest message
+	// between hosts, 4 MiB, takes 3.4 s over a link of 10 Mbit/s.
+	maxPeerTransferTime = 4 * time.Second
 	// peerPause is the pause between two fetches from a peer. It batches changes that
 	// arrive together, as when hosts restart.
 	peerPause = 100 * time.Millisecond
@@ -81,7 +87,8 @@
 	Fetch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
-// PeerClient calls RPC methods of other entry hosts.
+// PeerClient calls RPC methods of other entry hosts. It reports the arrival of data to
+// the transfer.Monitor of ctx.
 type PeerClient interface {
 	Call(ctx context.Context, address, method string, params, result any) error
 }
@@ -298,11 +305,9 @@
 // fetchPeer fetches and applies the changes of a peer. It fetches all items if a
 // removal may be missing from the changes.
 func (s *Syncer) fetchPeer(ctx context.Context, src Source) error {
-	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	b, err := s.fetchFrom(callCtx, src, FetchParams{After: s.revision(), WaitMillis: peerWait.Milliseconds()})
+	b, confirmed, err := s.fetchFrom(ctx, src, FetchParams{After: s.revision(), WaitMillis: peerWait.Milliseconds()})
 	if err == nil && !s.complete(b) {
-		b, err = s.fetchFrom(callCtx, src, FetchParams{})
+		b, confirmed, err = s.fetchFrom(ctx, src, FetchParams{})
 	}
 	if err != nil {
 		return err
@@ -310,20 +315,24 @@
 	// The store answers others. A later failure of this host's calls, which it does not
 	// make meanwhile, is another outage.
 	s.failingSince = time.Time{}
-	s.applyBatch(b, time.Now().Add(-b.Age), src.Name)
+	s.applyBatch(b, confirmed, src.Name)
 	return nil
 }
 
-// fetchFrom fetches a batch from a peer. It may return errStale.
-func (s *Syncer) fetchFrom(ctx context.Context, src Source, p FetchParams) (Batch, error) {
+// fetchFrom fetches a batch from a peer, and returns when the store confirmed it. It may
+// return errStale.
+func (s *Syncer) fetchFrom(ctx context.Context, src Source, p FetchParams) (Batch, time.Time, error) {
+	callCtx, monitor := transfer.NewMonitor(ctx, transfer.Limits{First: peerTimeout, Idle: peerTimeout, Total: maxPeerTransferTime})
+	defer monitor.Stop()
 	var a Answer
-	if err := s.peerClient.Call(ctx, src.Address, MethodFetch, p, &a); err != nil {
-		return Batch{}, err
+	if err := s.peerClient.Call(callCtx, src.Address, MethodFetch, p, &a); err != nil {
+		return Batch{}, time.Time{}, err
 	}
 	if !a.Direct || a.Age > s.timing.MaxAge {
-		return Batch{}, errStale
+		return Batch{}, time.Time{}, errStale
 	}
-	return a.unpack()
+	b, err := a.unpack()
+	return b, monitor.Began().Add(-b.Age), err
 }
 
 // fetchStore fetches and applies the changes of the store and reports whether that
@@ -355,7 +364,7 @@
 	s.mu.Lock()
 	b.DeferRemovals = max(s.deferUntil.Sub(now), 0)
 	s.mu.Unlock()
-	s.applyBatch(b, now, "store")
+	s.applyBatch(b, now.Add(-b.Age), "store")
 	s.setDirect(true)
 	return true
 }
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -282,6 +283,37 @@
 	g.Expect(follower.mirror.Items()).To(Equal(reader.mirror.Items()))
 }
 
+// TestLargeConfigurationIsPacked guards against a configuration of many routes that takes
+// a slow link of an entry host for a second.
+func TestLargeConfigurationIsPacked(t *testing.T) {
+	g := NewWithT(t)
+	var routes []string
+	for i := range 4200 {
+		routes = append(routes, fmt.Sprintf(`{"name":"r-%08x","route_type":"idempotent","match":{"prefix":"/%08x/"},"action":{"service":"s","timeout":"2000ms","max_attempts":2}}`, i*7919, i*104729))
+	}
+	n := network{}
+	store := &scriptedStore{batch: Batch{Revision: 3, Items: []Item{{Key: "op/config", Value: []byte(strings.Join(routes, ",")), Revision: 3}}}}
+	reader := newHost(n, "a", store, "a")
+	reader.step(context.Background())
+	a, err := reader.HandleFetch(context.Background(), FetchParams{After: 2})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(a.Items).To(BeEmpty())
+	g.Expect(len(a.Packed)).To(And(BeNumerically(">", 0), BeNumerically("<", len(store.batch.Items[0].Value)/5)))
+	follower := newHost(n, "b", store, "a", "b")
+	follower.step(context.Background())
+	g.Expect(follower.source).To(Equal("a"))
+	g.Expect(follower.mirror.Items()).To(Equal(reader.mirror.Items()))
+}
+
+// TestCopyAgeIncludesTransfer guards against a copy that looks fresher than it is because
+// the store's answer took long to arrive.
+func TestCopyAgeIncludesTransfer(t *testing.T) {
+	g := NewWithT(t)
+	s := newHost(network{}, "a", &scriptedStore{batch: Batch{Revision: 1, Age: 5 * time.Second}}, "a")
+	s.step(context.Background())
+	g.Expect(s.Age()).To(BeNumerically(">=", 5*time.Second))
+}
+
 // TestDamagedAnswer guards against a host that applies an answer whose packed items
 // are corrupt or empty.
 func TestDamagedAnswer(t *testing.T) {
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Causes of the end of a call, from context.Cause of the context of a Monitor.
+// Causes of the end of a call; see Cause.
 var (
 	// ErrIdle reports that no data moved for Limits.First or Limits.Idle.
 	ErrIdle = errors.New("no data arrived in time")
@@ -36,28 +36,53 @@
 	limits  Limits
 	started time.Time
 	cancel  context.CancelCauseFunc
-	// progress is the time of the latest progress, in nanoseconds since started, 0 if
-	// there was none.
-	progress atomic.Int64
+	// first and latest are the times of the first and the latest progress, in
+	// nanoseconds since started, 0 if there was none.
+	first, latest atomic.Int64
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
 }
 
-// NewMonitor returns a context for a call that starts now, and its monitor. The caller
-// stops the monitor when the call has ended.
+// NewMonitor returns a context for a call that starts now, and its monitor, which
+// FromContext returns as well. The caller stops the monitor when the call has ended.
 func NewMonitor(ctx context.Context, limits Limits) (context.Context, *Monitor) {
 	callCtx, cancel := context.WithCancelCause(ctx)
 	m := &Monitor{limits: limits, started: time.Now(), cancel: cancel}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(min(limits.First, limits.Total), m.check)
-	return callCtx, m
+	return context.WithValue(callCtx, monitorKey{}, m), m
+}
+
+type monitorKey struct{}
+
+// FromContext returns the monitor of the call with this context, nil if it has none.
+func FromContext(ctx context.Context) *Monitor {
+	m, _ := ctx.Value(monitorKey{}).(*Monitor)
+	return m
+}
+
+// Cause returns the limit that ended the call with this context, ErrIdle or ErrTooSlow,
+// nil if none did.
+func Cause(ctx context.Context) error {
+	if cause := context.Cause(ctx); errors.Is(cause, ErrIdle) || errors.Is(cause, ErrTooSlow) {
+		return cause
+	}
+	return nil
 }
 
 // Progress reports that data has moved.
-func (m *Monitor) Progress() { m.progress.Store(max(int64(time.Since(m.started)), 1)) }
+func (m *Monitor) Progress() {
+	elapsed := max(int64(time.Since(m.started)), 1)
+	m.first.CompareAndSwap(0, elapsed)
+	m.latest.Store(elapsed)
+}
+
+// Began returns the time of the first progress, of the start of the call if there was
+// none.
+func (m *Monitor) Began() time.Time { return m.started.Add(time.Duration(m.first.Load())) }
 
 // Stop ends the context without a cause of its own.
 func (m *Monitor) Stop() {
@@ -77,7 +102,7 @@
 		return
 	}
 	elapsed, allowedUntil := time.Since(m.started), m.limits.First
-	if last := time.Duration(m.progress.Load()); last > 0 {
+	if last := time.Duration(m.latest.Load()); last > 0 {
 		allowedUntil = last + m.limits.Idle
 	}
 	switch {
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -40,8 +40,14 @@
 					}
 				}()
 				<-ctx.Done()
-				g.Expect(context.Cause(ctx)).To(Equal(c.want))
+				g.Expect(Cause(ctx)).To(Equal(c.want))
+				g.Expect(FromContext(ctx)).To(BeIdenticalTo(m))
 				g.Expect(time.Since(start)).To(Equal(c.wantEnd))
+				began := start
+				if len(c.progress) > 0 {
+					began = start.Add(time.Duration(c.progress[0]) * time.Millisecond)
+				}
+				g.Expect(m.Began()).To(BeTemporally("==", began))
 			})
 		})
 	}
@@ -63,7 +69,7 @@
 		_, err = r.Read(make([]byte, 1))
 		g.Expect(err).To(Equal(io.EOF))
 		time.Sleep(200 * time.Millisecond)
-		g.Expect(context.Cause(ctx)).To(Equal(ErrIdle))
+		g.Expect(Cause(ctx)).To(Equal(ErrIdle))
 	})
 }
 
@@ -76,10 +82,13 @@
 		ctx, m := NewMonitor(parent, Limits{First: time.Second, Idle: time.Second, Total: time.Minute})
 		m.Stop()
 		time.Sleep(time.Hour)
-		g.Expect(context.Cause(ctx)).To(Equal(context.Canceled))
+		g.Expect(ctx.Err()).To(Equal(context.Canceled))
+		g.Expect(Cause(ctx)).NotTo(HaveOccurred())
 		ctx, m = NewMonitor(parent, Limits{First: time.Second, Idle: time.Second, Total: time.Minute})
 		defer m.Stop()
 		cancel()
-		g.Expect(context.Cause(ctx)).To(Equal(context.Canceled))
+		g.Expect(ctx.Err()).To(Equal(context.Canceled))
+		g.Expect(Cause(ctx)).NotTo(HaveOccurred())
+		g.Expect(FromContext(parent)).To(BeNil())
 	})
 }
