platform, daemon: no failed accept ends the process

Callers saw: one of two hosts is removed and its users connect to the other one, whose process then has no free descriptor.

Cause: the accept loop of the port for other hosts returned every error, and an actor of the process that returns ends the process. The log has "entry host stopped" with 80 open requests, no "shutting down", and "accept4: too many open files" with that port's address. The listener for callers went on in the same situation, by a check of the error's text; with ENOBUFS, ENOMEM or an error of the connection itself it would have ended the process too. Related paths: the port for other hosts and the listeners for callers and operators in the mode without -platform.

Change: the new package adapter/listen retries after any error until the listener is closed, with pauses of 5 to 100 ms and one log line for a series. All listeners of the daemon use it, so it doesn't depend on the error.

Tests: TestNoFreeDescriptor starts a host, uses up the descriptors and connects to each port; it failed before.

--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -62,7 +62,8 @@
 	})
 }
 
-// Serve accepts connections until l is closed, and then returns nil.
+// Serve accepts connections until l is closed, and then returns nil. Another error of l
+// ends it; see package listen.
 func (s *Server) Serve(l net.Listener) error {
 	if s.tls != nil {
 		l = tls.NewListener(l, s.tls)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"github.com/galenabeam/galenabeam/internal/adapter/admin"
 	"github.com/galenabeam/galenabeam/internal/adapter/backend"
+	"github.com/galenabeam/galenabeam/internal/adapter/listen"
 	"github.com/galenabeam/galenabeam/internal/adapter/rpc"
 	"github.com/galenabeam/galenabeam/internal/control"
 	"github.com/galenabeam/galenabeam/internal/edge"
@@ -87,6 +88,10 @@
 			return nil, trace.Wrap(err, "listening for operators on %s", o.AdminAddress)
 		}
 	}
+	httpListener, rpcListener = listen.Retry(httpListener, o.Log), listen.Retry(rpcListener, o.Log)
+	if adminListener != nil {
+		adminListener = listen.Retry(adminListener, o.Log)
+	}
 	d := &Daemon{opts: o, httpListener: httpListener, rpcListener: rpcListener, adminListener: adminListener, metrics: o.Metrics, views: &view.Publisher{}}
 	d.self = host.Info{ID: o.ID, Incarnation: host.NewIncarnation(time.Now()), Region: o.Region, FailureDomain: o.FailureDomain,
 		RPCAddress: advertisedAddress(o.AdvertiseRPC, rpcListener), HTTPAddress: advertisedAddress(o.AdvertiseHTTP, httpListener)}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -63,7 +63,8 @@
 // NewFront returns a Front that passes requests to h.
 func NewFront(h Handler) *Front { return &Front{handler: h, conns: map[*frontConn]struct{}{}} }
 
-// Serve accepts connections until the listener is closed, and then returns nil.
+// Serve accepts connections until the listener is closed, and then returns nil. Another
+// error of the listener ends it; see package listen.
 func (f *Front) Serve(l net.Listener) error {
 	for {
 		c, err := l.Accept()
@@ -71,11 +72,6 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() || strings.Contains(err.Error(), "too many open files") {
-				time.Sleep(acceptPause)
-				continue
-			}
 			return err
 		}
 		fc := &frontConn{front: f, nc: c, headerLimit: &io.LimitedReader{R: c}, queue: make(chan *exchange, maxPipelined)}
@@ -87,10 +83,6 @@
 	}
 }
 
-// acceptPause is the pause after an accept that timed out or found no free file
-// descriptor.
-const acceptPause = 20 * time.Millisecond
-
 // Drain starts the shutdown: each connection is closed after its next answer, once all
 // requests read from it are answered. Idle and new connections still accept a request.
 func (f *Front) Drain() { f.draining.Store(true) }
