gateway: a host without descriptors blames no backend server

Cause: a connection that fails because this host has no descriptor, memory or local port was treated like a server that can't be reached.

Change: the host closes its idle connections to servers and tries once more. If that fails, the attempt counts as not sent and says nothing of the server.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -119,6 +119,13 @@
 // slots each. Requests below /get/ and /short/ are repeatable; those below /post/
 // must run at most once.
 func startGateway(t *testing.T, servers ...*testBackend) *fixture {
+	t.Helper()
+	return startGatewayWith(t, func(*fixture) {}, servers...)
+}
+
+// startGatewayWith is startGateway with a function that configures the parts before callers
+// connect.
+func startGatewayWith(t *testing.T, configure func(*fixture), servers ...*testBackend) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -144,6 +151,7 @@
 		t.Fatal(err)
 	}
 	f := &fixture{g: g, front: NewFront(g), address: listener.Addr().String()}
+	configure(f)
 	go func() { _ = f.front.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	return f
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -88,6 +88,8 @@
 // server.
 type upstream struct {
 	headers Headers
+	// dialContext connects to an address.
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// bodies is the budget of all buffered answers.
 	bodies memoryBudget
 	mu     sync.Mutex
@@ -111,7 +113,8 @@
 }
 
 func newUpstream(h Headers) *upstream {
-	return &upstream{headers: h, idle: map[string][]*upstreamConn{}}
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &upstream{headers: h, dialContext: dialer.DialContext, idle: map[string][]*upstreamConn{}}
 }
 
 // do sends a request and reads the answer. It returns when the answer is complete
@@ -122,13 +125,13 @@
 		if ctx.Err() != nil {
 			return reply{result: dispatch.Abandoned, err: err}
 		}
-		return reply{result: dispatch.Unreachable, err: err}
+		return unconnected(err)
 	}
 	r := u.roundTrip(ctx, conn, c)
 	if errors.Is(r.err, errUnwritten) && conn.kept && ctx.Err() == nil {
 		// The server has closed the kept connection.
 		if conn, connectTime, err = u.dial(ctx, c); err != nil {
-			return reply{result: dispatch.Unreachable, err: err}
+			return unconnected(err)
 		}
 		r = u.roundTrip(ctx, conn, c)
 	}
@@ -147,11 +150,34 @@
 	return u.dial(ctx, c)
 }
 
-// dial returns a new connection and the time to connect.
+// unconnected returns the reply to a call for which no connection could be made. A
+// server is not to blame if this host lacks the resources for it.
+func unconnected(err error) reply {
+	if isLocalShortage(err) {
+		return reply{result: dispatch.Abandoned, err: err}
+	}
+	return reply{result: dispatch.Unreachable, err: err}
+}
+
+// isLocalShortage reports whether a connection failed because this host has no free
+// descriptor, memory or local port.
+func isLocalShortage(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// dial returns a new connection and the time to connect. If this host has no resources
+// for one, it gives up the idle ones.
 func (u *upstream) dial(ctx context.Context, c *upstreamCall) (*upstreamConn, time.Duration, error) {
 	start := time.Now()
-	dialer := net.Dialer{Timeout: connectTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", c.backend.Address)
+	nc, err := u.dialContext(ctx, "tcp", c.backend.Address)
+	if err != nil && isLocalShortage(err) && u.closeAllIdle() {
+		nc, err = u.dialContext(ctx, "tcp", c.backend.Address)
+	}
 	if err != nil {
 		return nil, 0, err
 	}
@@ -253,3 +279,18 @@
 	}
 	delete(u.idle, id)
 }
+
+// closeAllIdle closes all idle connections and reports whether there were any.
+func (u *upstream) closeAllIdle() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	found := false
+	for _, list := range u.idle {
+		for _, c := range list {
+			_ = c.Close()
+			found = true
+		}
+	}
+	clear(u.idle)
+	return found
+}
