connlimit: keep descriptors free of callers' idle connections

Cause: nothing bounded callers' connections, most of which are idle, nor those to the directory, which stay open for 30 s.

At the bound a new connection takes the place of the one that has been idle the longest. One with a request that runs or arrives is never closed for another.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenabeam/galenabeam/internal/connlimit"
 	"github.com/galenabeam/galenabeam/internal/routetable"
 )
 
@@ -50,6 +51,8 @@
 // concurrently and answered in order.
 type Front struct {
 	handler Handler
+	// ConnLimit bounds the connections. It is set before Serve; nil sets no bound.
+	ConnLimit *connlimit.Limit
 
 	draining    atomic.Bool
 	closingIdle atomic.Bool // set by CloseIdle
@@ -76,6 +79,12 @@
 		}
 		fc := &frontConn{front: f, nc: c, headerLimit: &io.LimitedReader{R: c}, queue: make(chan *exchange, maxPipelined)}
 		fc.br = bufio.NewReaderSize(fc.headerLimit, readBuffer)
+		if !f.ConnLimit.Open(fc) {
+			// All connections have requests. The caller's is not read, so it may be sent
+			// to another host.
+			_ = c.Close()
+			continue
+		}
 		f.mu.Lock()
 		f.conns[fc] = struct{}{}
 		f.mu.Unlock()
@@ -121,6 +130,7 @@
 
 	mu         sync.Mutex
 	pending    int       // requests whose answers are not completed
+	reading    bool      // a request arrives
 	finished   bool      // no further request is accepted
 	lastAnswer time.Time // when the latest answer was completed
 }
@@ -142,6 +152,30 @@
 	}
 }
 
+// CloseIdle implements connlimit.Conn.
+func (c *frontConn) CloseIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 || c.reading {
+		return false
+	}
+	c.closeIfIdleLocked()
+	return true
+}
+
+// beginReading records that a request arrives, and reports whether the connection accepts
+// it.
+func (c *frontConn) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.finished {
+		return false
+	}
+	c.reading = true
+	c.front.ConnLimit.Busy(c)
+	return true
+}
+
 // expectRequest sets the read deadline for the first byte of the next request and
 // reports whether the connection accepts one.
 func (c *frontConn) expectRequest(limits routetable.Limits) bool {
@@ -150,6 +184,10 @@
 	if c.finished {
 		return false
 	}
+	c.reading = false
+	if c.pending == 0 {
+		c.front.ConnLimit.Idle(c)
+	}
 	idle := limits.IdleTimeout
 	if c.pending == 0 && !c.lastAnswer.IsZero() {
 		idle -= time.Since(c.lastAnswer)
@@ -182,6 +220,9 @@
 	if endsConn {
 		c.finished = true
 	}
+	if c.pending == 0 && !c.reading && !c.finished {
+		c.front.ConnLimit.Idle(c)
+	}
 	if c.front.closingIdle.Load() {
 		c.closeIfIdleLocked()
 	}
@@ -217,6 +258,7 @@
 	<-written
 	cancel()
 	_ = c.nc.Close()
+	c.front.ConnLimit.Close(c)
 	c.front.mu.Lock()
 	delete(c.front.conns, c)
 	c.front.mu.Unlock()
@@ -284,7 +326,7 @@
 		}
 		_, err := c.br.Peek(1)
 		if err == nil {
-			return true
+			return c.beginReading()
 		}
 		var ne net.Error
 		if !errors.As(err, &ne) || !ne.Timeout() {
