gateway: refuse requests that are expected to outlast the shutdown

Callers would have seen: a request that a stopping host takes up to 3 s after SIGTERM, though its service needs longer than the 2.7 s that are left, is passed on and cut without an answer at the end of the grace time.

Cause: the time left that the dispatcher is asked with was that of the request's deadline only.

Change: after SIGTERM it ends with the host. A request that can't be answered by then is refused at once with 503, and another host can run it.

Tests: TestShutdownRefusesLongRequests fails before (200 instead of 503, the server ran it). TestAnswerCutAnywhere covers another report, an answer cut in its head or body at any byte that arrives as whole: this does not happen here, and the test passed from the start.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -124,7 +124,7 @@
 			Service: pr.service, Class: pr.route.Name, Key: g.requestAffinity(pr),
 			Host: g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
 			Rank: pr.route.Rank, Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
-			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(time.Until(pr.deadline)),
+			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
 			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.route.Regions,
 		})
 		if dec.Refused != "" {
@@ -356,6 +356,9 @@
 		return &Answer{Abort: true}, "caller_left"
 	}
 	pr.attemptRecords = append(pr.attemptRecords, attemptRecord{DecidedBy: dec.decidedBy, Load: dec.Load, Busy: dec.Busy, Wait: toMillis(dec.Wait), Service: toMillis(dec.Service), Result: string(dec.Refused)})
+	if dec.Refused == dispatch.Late && g.endsBefore(pr.deadline) {
+		return refusalByShutdown()
+	}
 	return refusal(dec.RetryAfter, string(dec.Refused)), string(dec.Refused)
 }
 
--- a/internal/gateway/faulty_test.go
+++ b/internal/gateway/faulty_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/serverhold"
 )
 
@@ -314,3 +317,52 @@
 		g.Expect(parseRetryAfter(c.value)).To(Equal(c.want), c.value)
 	}
 }
+
+// TestAnswerCutAnywhere guards against an answer that a server breaks off, at any byte of its
+// head or body, and that reaches the caller as whole.
+func TestAnswerCutAnywhere(t *testing.T) {
+	for _, c := range []struct {
+		desc, head, body string
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: sig\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+		{"chunks", "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n", "6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n"},
+		{"end of the connection", "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: sig\r\nConnection: close\r\n\r\n", ""},
+		{"bare line feeds", "HTTP/1.1 200 OK\nX-Id: i\nX-Signature: sig\nContent-Length: 12\n\n", "twelve bytes"},
+		{"folded line", "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: sig\r\n \t\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+		{"interim answer", "HTTP/1.1 103 X\r\nX-Id: i\r\nX-Signature: sig\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: sig\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+		{"no content", "HTTP/1.1 204 X\r\nX-Id: i\r\nX-Signature: sig\r\n\r\n", ""},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			whole := c.head + c.body
+			for length := range len(whole) {
+				r := answerOfServer(t, whole[:length])
+				g.Expect(r.answer).To(BeNil(), "%q", whole[:length])
+				g.Expect(r.mayHaveRun).To(BeTrue())
+			}
+			g.Expect(answerOfServer(t, whole).answer).NotTo(BeNil())
+		})
+	}
+}
+
+// answerOfServer returns the reply to a request that a server answers with some bytes and the
+// end of the connection.
+func answerOfServer(t *testing.T, sent string) reply {
+	t.Helper()
+	u := newUpstream(testHeaders)
+	near, far := net.Pipe()
+	u.dialContext = func(context.Context, string, string) (net.Conn, error) { return near, nil }
+	go func() {
+		defer func() { _ = far.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+			_, _ = io.WriteString(far, sent)
+		}
+	}()
+	request, err := http.NewRequest("POST", "http://x/post/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return u.do(context.Background(), &upstreamCall{
+		backend: &fleet.Backend{ID: "b"}, request: &Request{HTTP: request}, header: http.Header{}, id: "i", deadline: time.Now().Add(time.Second),
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	holds    *serverHolds
 	snapshot atomic.Pointer[fleet.Snapshot]
 	refusing atomic.Bool
+	endsAt   atomic.Pointer[time.Time] // see EndBy, nil unless it was called
 	// configured is closed when the first configuration takes effect.
 	configured chan struct{}
 	// configuredAt is when the current configuration took effect, as a
@@ -135,6 +136,25 @@
 // Refuse makes the gateway refuse further requests because the process shuts down.
 func (g *Gateway) Refuse() { g.refusing.Store(true) }
 
+// EndBy sets the time at which this host cuts the requests that are still running. From now
+// on it refuses those that are expected to take longer; another host can serve them.
+func (g *Gateway) EndBy(t time.Time) { g.endsAt.Store(&t) }
+
+// endsBefore reports whether this host ends before t.
+func (g *Gateway) endsBefore(t time.Time) bool {
+	end := g.endsAt.Load()
+	return end != nil && end.Before(t)
+}
+
+// timeLeft returns the time in which a request must be answered: until its deadline, or
+// until this host ends.
+func (g *Gateway) timeLeft(pr *pendingRequest) time.Duration {
+	if g.endsBefore(pr.deadline) {
+		return time.Until(*g.endsAt.Load())
+	}
+	return time.Until(pr.deadline)
+}
+
 // Limits implements Handler. It returns the limits of callers' requests, with defaults
 // before the first configuration; Config.FleetLimits are other limits.
 func (g *Gateway) Limits() routetable.Limits {
@@ -194,7 +214,7 @@
 		return refusal(retryAfterUnconfigured, "no configuration is known yet"), "unconfigured"
 	}
 	if g.refusing.Load() {
-		return closeAfter(refusal(retryAfterShutdown, "host is shutting down")), "shutdown"
+		return refusalByShutdown()
 	}
 	pr.configVersion = s.Table.Version
 	pr.route = s.Table.Lookup(pr.request.HTTP.Host, pr.request.HTTP.URL.Path)
@@ -234,6 +254,12 @@
 // retryAfterShutdown is the Retry-After of refusals by a host that shuts down.
 const retryAfterShutdown = 50 * time.Millisecond
 
+// refusalByShutdown returns the answer to a request that this host refuses because it shuts
+// down, and its outcome.
+func refusalByShutdown() (*Answer, string) {
+	return closeAfter(refusal(retryAfterShutdown, "host is shutting down")), "shutdown"
+}
+
 // setDeadlines computes the deadline and the objective of a request from its
 // header and its route.
 func (g *Gateway) setDeadlines(pr *pendingRequest) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -383,6 +383,33 @@
 	g.Expect(err).To(MatchError(io.EOF))
 }
 
+// TestShutdownRefusesLongRequests guards against a request that a host takes shortly before
+// its end and then cuts: it must be refused at once, so that another host can run it, while
+// those that are expected to end in time are served.
+func TestShutdownRefusesLongRequests(t *testing.T) {
+	g := NewWithT(t)
+	const serviceTime = 200 * time.Millisecond
+	server := startBackend(t, func(s *testBackend, c net.Conn, r *http.Request, body string) bool {
+		time.Sleep(serviceTime)
+		return answerOK(s, c, r, body)
+	})
+	f := startGateway(t, server)
+	for i := range 5 { // the pool learns the service time
+		status, _, _ := f.sendRequest(t, "POST", "/post/1", fmt.Sprint("before", i), "x")
+		g.Expect(status).To(Equal(200))
+	}
+	f.g.EndBy(time.Now().Add(20 * serviceTime))
+	status, _, _ := f.sendRequest(t, "POST", "/post/1", "short", "x")
+	g.Expect(status).To(Equal(200))
+	runs := server.runs.Load()
+	f.g.EndBy(time.Now().Add(serviceTime / 2))
+	status, _, header := f.sendRequest(t, "POST", "/post/1", "long", "x")
+	g.Expect(status).To(Equal(503))
+	g.Expect(header.Get("Connection")).To(Equal("close"))
+	g.Expect(header.Get("Retry-After")).To(Equal("0.050"))
+	g.Expect(server.runs.Load()).To(Equal(runs))
+}
+
 // TestLeavingServer guards against requests to a server that this host knows to be
 // draining, but the dispatcher, whose snapshot is older, does not.
 func TestLeavingServer(t *testing.T) {
