routetable: find the route by the path as it was sent

Cause: the gateway looked the route up by the decoded path, in which %2F is a slash; the path is forwarded encoded.

Change: the look-up takes the path as it was sent and decodes only what means the same by RFC 3986 (section 6.2.2.2) and bytes beyond ASCII, in prefixes as well. Prefixes are indexed by a map, so that a request doesn't compare its path with thousands of routes.

Tests: TestEncodedSlash fails before (200 instead of 404).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,7 +217,7 @@
 		return refusalByShutdown()
 	}
 	pr.configVersion = s.Table.Version
-	pr.route = s.Table.Lookup(pr.request.HTTP.Host, pr.request.HTTP.URL.Path)
+	pr.route = s.Table.Lookup(pr.request.HTTP.Host, pr.request.HTTP.URL.EscapedPath())
 	if pr.route == nil {
 		return failure(http.StatusNotFound, "no route"), "no_route"
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -280,6 +280,22 @@
 	}
 }
 
+// TestEncodedSlash guards against a path with an encoded slash that selects the route of
+// another service: to the service, it is a different path.
+func TestEncodedSlash(t *testing.T) {
+	g := NewWithT(t)
+	server := startBackend(t, answerOK)
+	f := startGateway(t, server)
+	status, _, _ := f.sendRequest(t, "GET", "/get%2F1", "a", "")
+	g.Expect(status).To(Equal(404))
+	status, _, _ = f.sendRequest(t, "GET", "/get/1%2F2?x=%2F", "b", "")
+	g.Expect(status).To(Equal(200))
+	status, _, _ = f.sendRequest(t, "GET", "http://x/get/1%2F2", "c", "")
+	g.Expect(status).To(Equal(200))
+	g.Expect(server.received).To(HaveLen(2))
+	g.Expect(server.received[0]).To(HavePrefix("GET /get/1%2F2?x=%2F "), "forwarded as it was sent")
+}
+
 // TestMalformedRequests guards against requests that are malformed, have too long a
 // header, announce a body above the limit or match no route, but are forwarded or
 // answered with the wrong status.
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -5,9 +5,10 @@
 import (
 	"errors"
 	"fmt"
-	"sort"
+	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // Kind is the kind of the requests of a route.
@@ -118,11 +119,17 @@
 // Table is one revision of the configuration; Version is its number, which the
 // operator gives.
 type Table struct {
-	Version      uint64
-	Limits       Limits
-	Services     map[string]Service
-	routesByHost map[string][]*Route
-	routeCount   int
+	Version    uint64
+	Limits     Limits
+	Services   map[string]Service
+	hosts      map[string]*hostRoutes // by lower-case name
+	routeCount int
+}
+
+// hostRoutes are the routes of a host name.
+type hostRoutes struct {
+	byPrefix  map[string]*Route // by normalized prefix
+	maxPrefix int               // length in bytes of the longest of them
 }
 
 // Errors that New wraps.
@@ -136,7 +143,7 @@
 // them. The error wraps ErrNoService or ErrUnknownService for a route without a
 // usable service, or ErrPrefix for a malformed prefix.
 func New(version uint64, limits Limits, services []Service, routes []Route) (*Table, error) {
-	t := &Table{Version: version, Limits: limits, Services: map[string]Service{}, routesByHost: map[string][]*Route{}, routeCount: len(routes)}
+	t := &Table{Version: version, Limits: limits, Services: map[string]Service{}, hosts: map[string]*hostRoutes{}, routeCount: len(routes)}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
@@ -145,15 +152,25 @@
 		if err := t.check(r); err != nil {
 			return nil, fmt.Errorf("route %q: %w", r.Name, err)
 		}
-		host := strings.ToLower(r.Host)
-		t.routesByHost[host] = append(t.routesByHost[host], r)
-	}
-	for _, list := range t.routesByHost {
-		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+		t.add(r)
 	}
 	return t, nil
 }
 
+// add indexes a route. The first of several with the same host name and prefix counts.
+func (t *Table) add(r *Route) {
+	name, prefix := strings.ToLower(r.Host), normalizePath(r.Prefix)
+	h := t.hosts[name]
+	if h == nil {
+		h = &hostRoutes{byPrefix: map[string]*Route{}}
+		t.hosts[name] = h
+	}
+	if h.byPrefix[prefix] == nil {
+		h.byPrefix[prefix] = r
+	}
+	h.maxPrefix = max(h.maxPrefix, len(prefix))
+}
+
 // check validates a route and sets its MaxAttempts to at least 1.
 func (t *Table) check(r *Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
@@ -180,15 +197,54 @@
 
 // Lookup returns the route of a host name with the longest prefix of the path, or
 // nil if there is none. host may include a port and is matched without regard to
-// case; path is the path as the caller sent it.
+// case; path is the path as the caller sent it, with its percent-encoding.
 func (t *Table) Lookup(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
 		host = host[:i]
 	}
-	for _, r := range t.routesByHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	h := t.hosts[strings.ToLower(host)]
+	if h == nil {
+		return nil
+	}
+	path = normalizePath(path)
+	path = path[:min(len(path), h.maxPrefix)]
+	for {
+		end := strings.LastIndexByte(path, '/')
+		if end < 0 {
+			return nil
+		}
+		if r := h.byPrefix[path[:end+1]]; r != nil {
 			return r
 		}
+		path = path[:end]
 	}
-	return nil
+}
+
+// normalizePath decodes the percent-encoded bytes of a path that mean the same as the
+// bytes themselves: letters, digits, "-._~" (RFC 3986, section 6.2.2.2) and those beyond
+// ASCII. An encoded slash remains: it is not a slash.
+func normalizePath(path string) string {
+	if strings.IndexByte(path, '%') < 0 {
+		return path
+	}
+	var b strings.Builder
+	for i := 0; i < len(path); i++ {
+		if path[i] == '%' && i+2 < len(path) {
+			if c, err := strconv.ParseUint(path[i+1:i+3], 16, 8); err == nil {
+				if isUnreserved(byte(c)) || c >= utf8.RuneSelf {
+					b.WriteByte(byte(c))
+				} else {
+					b.WriteString(strings.ToUpper(path[i : i+3]))
+				}
+				i += 2
+				continue
+			}
+		}
+		b.WriteByte(path[i])
+	}
+	return b.String()
+}
+
+func isUnreserved(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("-._~", c) >= 0
 }
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -1,9 +1,11 @@
 package routetable
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 )
 
 func newTable(t *testing.T) *Table {
@@ -12,6 +14,9 @@
 		{Name: "all", Host: "a.example", Prefix: "/", Services: []WeightedService{{"s", 1}}},
 		{Name: "shop", Host: "A.example", Prefix: "/shop/", Services: []WeightedService{{"s", 1}}},
 		{Name: "cart", Host: "a.example", Prefix: "/shop/cart/", Services: []WeightedService{{"s", 1}}},
+		{Name: "old cart", Host: "a.example", Prefix: "/shop/cart/", Services: []WeightedService{{"s", 1}}},
+		{Name: "town", Host: "a.example", Prefix: "/bæir/", Services: []WeightedService{{"s", 1}}},
+		{Name: "encoded", Host: "a.example", Prefix: "/a%2fb/%7Ec/", Services: []WeightedService{{"s", 1}}},
 		{Name: "other", Host: "b.example", Prefix: "/x/", Services: []WeightedService{{"s", 1}}},
 	}
 	tab, err := New(1, Limits{}, []Service{{Name: "s"}}, routes)
@@ -30,6 +35,19 @@
 		{"shorter prefix", "a.example", "/shop/list", "shop"},
 		{"prefix is a whole segment", "a.example", "/shopping/", "all"},
 		{"host in other case and with a port", "A.EXAMPLE:8080", "/shop/", "shop"},
+		{"encoded slash", "a.example", "/shop%2Fcart/7", "all"},
+		{"encoded slash at the end of a prefix", "a.example", "/shop/cart%2F7", "shop"},
+		{"encoded slash in lower case", "a.example", "/shop/cart%2f7", "shop"},
+		{"encoded percent sign", "a.example", "/shop/cart%252F7", "shop"},
+		{"encoded letters", "a.example", "/%73hop/c%61rt/7", "cart"},
+		{"encoded letters beyond ASCII", "a.example", "/b%C3%A6ir/7", "town"},
+		{"letters beyond ASCII", "a.example", "/bæir/7", "town"},
+		{"encoded slash in a prefix", "a.example", "/a%2Fb/~c/7", "encoded"},
+		{"cut percent-encoding", "a.example", "/shop/%2", "shop"},
+		{"many slashes", "a.example", strings.Repeat("/", 10000), "all"},
+		{"empty path", "a.example", "", ""},
+		{"not a path", "a.example", "*", ""},
+		{"prefix without its slash", "a.example", "/shop", "all"},
 		{"no prefix", "b.example", "/y/", ""},
 		{"no host", "c.example", "/", ""},
 	} {
@@ -43,6 +61,33 @@
 	}
 }
 
+// TestLookupFindsLongestPrefix guards against an index that finds another route than a search
+// through all of them.
+func TestLookupFindsLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"a", "b", "ab", "", "%2F", "a%2Fb"})
+		join := func(segments []string) string { return "/" + strings.Join(append(segments, ""), "/") }
+		routes := []Route{}
+		for _, segments := range rapid.SliceOfN(rapid.SliceOfN(segment, 0, 3), 0, 8).Draw(t, "prefixes") {
+			routes = append(routes, Route{Host: "h", Prefix: join(segments), Services: []WeightedService{{"s", 1}}})
+		}
+		tab, err := New(1, Limits{}, []Service{{Name: "s"}}, routes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := strings.TrimSuffix(join(rapid.SliceOfN(segment, 0, 5).Draw(t, "path")), "/")
+		var want *Route
+		for i, r := range routes {
+			if strings.HasPrefix(path, r.Prefix) && (want == nil || len(r.Prefix) > len(want.Prefix)) {
+				want = &routes[i]
+			}
+		}
+		if got := tab.Lookup("h", path); got != want {
+			t.Fatalf("path %q: got %v, want %v", path, got, want)
+		}
+	})
+}
+
 // TestPick guards against a traffic split that does not follow its weights, and
 // against a service of weight 0 that is picked.
 func TestPick(t *testing.T) {
