gateway: no memory for attempts that are only allowed

Change: the channel of results is unbuffered. Its reader, or the one that collects abandoned attempts, takes each result.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -34,7 +34,7 @@
 // runAttempts tries backend servers until one answers or no further attempt is
 // allowed. The returned outcome is a stable identifier for logs and metrics.
 func (g *Gateway) runAttempts(ctx context.Context, pr *pendingRequest, budget *retry.Budget) (*Answer, string) {
-	results := make(chan *attempt, pr.route.MaxAttempts+maxUnsentAttempts+1)
+	results := make(chan *attempt) // read by this loop, and then by collectAbandoned
 	running := 0
 	anyMayHaveRun := false // the request may have run in an attempt without a usable answer
 	defer func() { g.collectAbandoned(results, running) }()
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
+	"github.com/galenabeam/galenabeam/internal/routetable"
 )
 
 // TestRetryAfterShed guards against a long Retry-After when servers with free slots
@@ -169,3 +172,26 @@
 	g.Expect(r.result).To(Equal(dispatch.Served))
 	g.Expect(s.runs.Load()).To(Equal(int32(2)))
 }
+
+// TestManyAttemptsAllowed guards against a request that takes memory for each attempt that a
+// configuration allows.
+func TestManyAttemptsAllowed(t *testing.T) {
+	g := NewWithT(t)
+	f := startGatewayWith(t, func(f *fixture) {
+		s := f.g.Snapshot()
+		table, err := routetable.New(2, defaultLimits, []routetable.Service{{Name: "s"}}, []routetable.Route{
+			{Name: "get", Host: "x", Prefix: "/get/", Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, MaxAttempts: math.MaxInt32},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		f.g.SetSnapshot(s.WithTable(table))
+	}, startBackend(t, answerOK))
+	const requests = 20
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range requests {
+		status, _, _ := f.sendRequest(t, "GET", "/get/1", fmt.Sprint(i), "")
+		g.Expect(status).To(Equal(200))
+	}
+	runtime.ReadMemStats(&after)
+	g.Expect((after.TotalAlloc - before.TotalAlloc) / requests).To(BeNumerically("<", 1<<20))
+}
