serverhold: respect pauses that a server asks for up to an hour

Change: the bound, which is there for absurd values, is an hour. A new incarnation of the server ends the pause as before.

Test: TestParseRetryAfter has two more cases, of which ten minutes failed before.

--- a/internal/gateway/faulty_test.go
+++ b/internal/gateway/faulty_test.go
@@ -312,7 +312,7 @@
 	}{
 		{"", 0}, {"0", 0}, {"-3", 0}, {"soon", 0}, {"NaN", 0}, {"Wed, 21 Oct 2026 07:28:00 GMT", 0},
 		{"0.25", 250 * time.Millisecond}, {" 2 ", 2 * time.Second},
-		{"1e300", serverhold.MaxRetryAfter}, {"Inf", serverhold.MaxRetryAfter}, {"9223372036854775807", serverhold.MaxRetryAfter},
+		{"90", 90 * time.Second}, {"600", 10 * time.Minute}, {"1e300", serverhold.MaxRetryAfter}, {"Inf", serverhold.MaxRetryAfter}, {"9223372036854775807", serverhold.MaxRetryAfter},
 	} {
 		g.Expect(parseRetryAfter(c.value)).To(Equal(c.want), c.value)
 	}
--- a/internal/serverhold/serverhold.go
+++ b/internal/serverhold/serverhold.go
@@ -12,7 +12,7 @@
 	// that still is registered then has said so by mistake.
 	LeavingTime = 5 * time.Minute
 	// MaxRetryAfter bounds the time for which a server may ask to get no requests.
-	MaxRetryAfter = time.Minute
+	MaxRetryAfter = time.Hour
 )
 
 // Server identifies one incarnation of a backend server.
