gateway: close connections only after the last answer has arrived

A caller whose body is refused with 413 while he sends it got a reset instead of the answer.

Cause: the connection was closed right after an answer with "Connection: close". Bytes of the caller that are unread then, or arrive later, make the kernel reset the connection and drop what it has not delivered.

Change: after the last answer only the sending side is closed. What arrives is dropped until the caller closes, for 2 s at most.

Test: TestLastAnswerArrives; the cases of a request behind the last answer and of a refused body fail before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -12,7 +12,8 @@
 )
 
 // writeAnswers writes the answers of a connection in the order of its requests. When
-// the connection ends, it cancels the requests in progress.
+// the connection ends, it cancels the requests in progress. After a complete answer, it
+// closes only the sending side; see linger.
 func (c *frontConn) writeAnswers(cancel context.CancelFunc) {
 	bw := bufio.NewWriterSize(c.nc, writeBuffer)
 	connEnded := false
@@ -29,12 +30,17 @@
 		if ex.request != nil {
 			c.front.bodies.give(ex.request.reserved)
 		}
+		if complete && ended {
+			c.closeWrite()
+		}
 		c.completeAnswer(ended)
 		close(ex.written)
 		if ended && !connEnded {
 			connEnded = true
 			cancel()
-			_ = c.nc.Close()
+			if !complete {
+				_ = c.nc.Close()
+			}
 		}
 	}
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -32,6 +32,10 @@
 	answerWriteTimeout = 10 * time.Second
 	// bodyReadTimeout bounds the wait for the next part of a body.
 	bodyReadTimeout = 10 * time.Second
+	// lingerTime bounds the time from the last answer of a connection to its close, in
+	// which the answer arrives. Some 10 KB arrive in each round trip of a caller in another
+	// region.
+	lingerTime = 2 * time.Second
 )
 
 // defaultLimits apply until a configuration is known.
@@ -61,6 +65,8 @@
 	// bodies is the budget of all buffered bodies.
 	bodies   memoryBudget
 	inFlight atomic.Int64 // the result of InFlight
+	// lingering is the result of Lingering.
+	lingering atomic.Int64
 }
 
 // NewFront returns a Front that passes requests to h.
@@ -111,6 +117,9 @@
 // their bodies, and whose answers are not written yet.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
+// Lingering returns the number of connections whose last answer may not have arrived yet.
+func (f *Front) Lingering() int64 { return f.lingering.Load() }
+
 // exchange is a request and its answer.
 type exchange struct {
 	request *Request
@@ -133,6 +142,10 @@
 	reading    bool      // a request arrives
 	finished   bool      // no further request is accepted
 	lastAnswer time.Time // when the latest answer was completed
+
+	// lingerTimer closes the connection after lingerTime. It is nil until the sending side
+	// is closed.
+	lingerTimer *time.Timer
 }
 
 // closeIfIdle ends the connection if all requests read are answered. A read deadline
@@ -146,7 +159,7 @@
 
 // closeIfIdleLocked is closeIfIdle for callers that hold c.mu.
 func (c *frontConn) closeIfIdleLocked() {
-	if c.pending == 0 {
+	if c.pending == 0 && c.lingerTimer == nil {
 		c.finished = true
 		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -257,6 +270,7 @@
 	close(c.queue)
 	<-written
 	cancel()
+	c.linger()
 	_ = c.nc.Close()
 	c.front.ConnLimit.Close(c)
 	c.front.mu.Lock()
@@ -264,6 +278,33 @@
 	c.front.mu.Unlock()
 }
 
+// closeWrite closes the sending side of the connection. The caller finds the end of the
+// connection behind the last answer.
+func (c *frontConn) closeWrite() {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		_ = c.nc.Close()
+		return
+	}
+	c.front.lingering.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingerTimer = time.AfterFunc(lingerTime, func() { _ = c.nc.Close() })
+}
+
+// linger drops what the caller still sends until it has closed the connection, or
+// lingerTime is over. A connection that is closed with unread bytes is reset, and the part
+// of the last answer that has not arrived is lost.
+func (c *frontConn) linger() {
+	if c.lingerTimer == nil {
+		return
+	}
+	_ = c.nc.SetReadDeadline(time.Time{})
+	_, _ = io.Copy(io.Discard, c.nc) // ends with an error, at the latest when the timer closes it
+	c.lingerTimer.Stop()
+	c.front.lingering.Add(-1)
+}
+
 // hasUnanswered reports whether this host has not ended the connection and answers
 // are outstanding.
 func (c *frontConn) hasUnanswered() bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -399,6 +400,66 @@
 	g.Expect(err).To(MatchError(io.EOF))
 }
 
+// TestLastAnswerArrives guards against an answer that is lost on its way to a slow caller, as
+// the connection is closed behind it while the caller sends: another request at a shutdown,
+// or the rest of a body that is refused.
+func TestLastAnswerArrives(t *testing.T) {
+	const size, window = 512 << 10, 64 << 10 // bytes of the answer, and of it that the caller takes at once
+	large := startBackend(t, func(_ *testBackend, c net.Conn, r *http.Request, _ string) bool {
+		return sendAnswer(c, r, 200, strings.Repeat("x", size))
+	})
+	t.Run("request behind the last answer", func(t *testing.T) {
+		g := NewWithT(t)
+		f := startGateway(t, large)
+		f.front.Drain()
+		c, _ := f.dial(t)
+		g.Expect(c.(*net.TCPConn).SetReadBuffer(window)).To(Succeed())
+		_, err := io.WriteString(c, rawRequest("GET", "/get/a", "a", ""))
+		g.Expect(err).NotTo(HaveOccurred())
+		start := make([]byte, 1)
+		_, err = io.ReadFull(c, start)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(100 * time.Millisecond) // the host has written its answer
+		_, err = io.WriteString(c, rawRequest("GET", "/get/a", "b", ""))
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(100 * time.Millisecond)
+		f.front.CloseIdle() // as during a shutdown
+		g.Expect(f.front.InFlight() + f.front.Lingering()).To(Equal(int64(1)))
+		status, body, _ := readAnswer(bufio.NewReader(io.MultiReader(bytes.NewReader(start), c)))
+		g.Expect(status).To(Equal(200))
+		g.Expect(body).To(HaveLen(size))
+		g.Expect(c.Close()).To(Succeed())
+		g.Eventually(f.front.Lingering, "1s").Should(BeZero())
+	})
+	t.Run("rest of a refused body", func(t *testing.T) {
+		g := NewWithT(t)
+		f := startGatewayWith(t, func(f *fixture) { f.setBodyLimit(1000) }, large)
+		c, in := f.dial(t)
+		_, err := io.WriteString(c, "POST /post/a HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		for range 10 {
+			_, err = c.Write(make([]byte, 10000))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(5 * time.Millisecond)
+		}
+		status, _, _ := readAnswer(in)
+		g.Expect(status).To(Equal(413))
+	})
+	t.Run("caller who stays", func(t *testing.T) {
+		g := NewWithT(t)
+		f := startGateway(t, large)
+		f.front.Drain()
+		c, in := f.dial(t)
+		_, err := io.WriteString(c, rawRequest("GET", "/get/a", "a", ""))
+		g.Expect(err).NotTo(HaveOccurred())
+		status, _, _ := readAnswer(in)
+		g.Expect(status).To(Equal(200))
+		_, err = in.ReadByte()
+		g.Expect(err).To(Equal(io.EOF), "the sending side is closed at once")
+		g.Eventually(f.front.Lingering, 2*lingerTime).Should(BeZero())
+	})
+}
+
 // TestShutdownRefusesLongRequests guards against a request that a host takes shortly before
 // its end and then cuts: it must be refused at once, so that another host can run it, while
 // those that are expected to end in time are served.
