gateway: let early answers arrive before the connection is closed

Cause: the connection also ends behind an answer that a server gave before it had read a long body.

Change: here as well only the sending side is closed until the caller has closed, for 2 s at most. The server's connection is closed by then, so nothing of the dropped body reaches it.

Test: the case "rest of a body that a server answers early" of TestLastAnswerArrives fails before.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -278,17 +278,21 @@
 	c.front.mu.Unlock()
 }
 
-// closeWrite closes the sending side of the connection. The caller finds the end of the
-// connection behind the last answer.
+// closeWrite closes the sending side of the connection, unless it is closed. The caller
+// finds the end of the connection behind the last answer.
 func (c *frontConn) closeWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lingerTimer != nil {
+		return
+	}
 	half, ok := c.nc.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		_ = c.nc.Close()
 		return
 	}
+	c.finished = true
 	c.front.lingering.Add(1)
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.lingerTimer = time.AfterFunc(lingerTime, func() { _ = c.nc.Close() })
 }
 
@@ -346,6 +350,7 @@
 			if !ex.request.Rest.reachedEnd() {
 				// The goroutine that forwards the body may still read it, so the
 				// connection ends with this answer.
+				c.closeWrite()
 				return
 			}
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -445,6 +445,44 @@
 		status, _, _ := readAnswer(in)
 		g.Expect(status).To(Equal(413))
 	})
+	t.Run("rest of a body that a server answers early", func(t *testing.T) {
+		g := NewWithT(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			// The server answers without reading the body.
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				sendAnswer(c, r, 200, strings.Repeat("x", size))
+			}
+			time.Sleep(2 * time.Second)
+			_ = c.Close()
+		}()
+		f := startGateway(t, &testBackend{listener: listener})
+		c, _ := f.dial(t)
+		g.Expect(c.(*net.TCPConn).SetReadBuffer(window)).To(Succeed())
+		_, err = io.WriteString(c, "POST /post/a HTTP/1.1\r\nHost: x\r\nX-Id: a\r\nX-Deadline: 2000\r\nContent-Length: 50000000\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		sent := make(chan error, 1)
+		go func() {
+			for range 30 {
+				if _, err := c.Write(make([]byte, 100_000)); err != nil {
+					sent <- err
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			sent <- nil
+		}()
+		g.Expect(<-sent).To(Succeed())
+		status, body, _ := readAnswer(bufio.NewReader(c))
+		g.Expect(status).To(Equal(200))
+		g.Expect(body).To(HaveLen(size))
+	})
 	t.Run("caller who stays", func(t *testing.T) {
 		g := NewWithT(t)
 		f := startGateway(t, large)
