--- a/internal/gateway/connlimit_test.go
+++ b/internal/gateway/connlimit_test.go
@@ -106,3 +106,28 @@
 		g.Expect(answer()).To(Equal(200))
 	}
 }
+
+// TestOnlyIdleConnectionIsGivenUp guards against a connection that is closed for another
+// although it has become busy since the limit chose it, and against one that is said to be
+// closed and is not.
+func TestOnlyIdleConnectionIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		pending int
+		reading bool
+		want    bool
+	}{
+		{"idle", 0, false, true},
+		{"a request runs", 1, false, false},
+		{"a request arrives", 0, true, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			near, far := net.Pipe()
+			defer func() { _, _ = near.Close(), far.Close() }()
+			conn := &frontConn{front: NewFront(nil), nc: near, pending: c.pending, reading: c.reading}
+			g.Expect(conn.CloseIdle()).To(Equal(c.want))
+			g.Expect(conn.finished).To(Equal(c.want), "accepts no further request")
+		})
+	}
+}
