mirror, platform: report the store's era and ignored answers

Logs and metrics could not tell the hypotheses apart: a host that ignored all that the store said, and one that missed changes of a reused revision, looked like a host without news.

No decision depends on the era yet.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -27,6 +27,9 @@
 type Batch struct {
 	// Revision is the store revision up to which the batch is complete.
 	Revision uint64 `json:"revision"`
+	// Era counts the times that the store was restored from an older copy, 0 if the
+	// store does not tell.
+	Era uint64 `json:"era,omitempty"`
 	// Full reports whether Items holds every mirrored item. Others that are not newer
 	// than Revision were removed.
 	Full  bool   `json:"full,omitempty"`
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -165,10 +165,30 @@
 	noFreshSource bool
 	suspects      map[string]time.Time // end of the skip time by the peer's name
 	source        string               // of the last batch: "store" or a peer's name
+	stats         Stats
+	ignoring      bool // whether the last batch was ignored
 	// direct reports whether the last step got an answer of the store.
 	direct bool
 }
 
+// Stats describes what a Syncer has got from the store and from other hosts.
+type Stats struct {
+	// Era and Revision are those of the copy.
+	Era, Revision uint64
+	// FullBatches counts the batches with all items, IgnoredBatches those that were
+	// ignored because the copy was newer.
+	FullBatches, IgnoredBatches int64
+}
+
+// Stats returns the statistics since the creation of the syncer.
+func (s *Syncer) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := s.stats
+	stats.Revision = s.mirror.Revision()
+	return stats
+}
+
 // NewSyncer returns a syncer for m, which must be empty. The caller sets Sources
 // and Changed before Run.
 func NewSyncer(store Store, peerClient PeerClient, m *Mirror, t Timing, log logrus.FieldLogger) *Syncer {
@@ -388,6 +408,7 @@
 		s.log.WithFields(logrus.Fields{"from": source, "before": s.source, "revision": b.Revision}).Info("source of the store's changes")
 		s.source = source
 	}
+	s.recordBatch(b, source)
 	if b.Revision >= s.mirror.Revision() && confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
@@ -400,6 +421,29 @@
 	s.publishAndUnlock(s.mirror.Apply(time.Since(s.started), b))
 }
 
+// recordBatch updates the statistics with a batch that is about to be applied. It logs a
+// new era, and the first of a series of ignored batches. The caller holds s.mu.
+func (s *Syncer) recordBatch(b Batch, source string) {
+	fields := logrus.Fields{
+		"from": source, "era": b.Era, "era_before": s.stats.Era, "revision": b.Revision, "revision_before": s.mirror.Revision(), "full": b.Full,
+	}
+	if b.Era > s.stats.Era {
+		s.log.WithFields(fields).Warn("store has a new era")
+		s.stats.Era = b.Era
+	}
+	if b.Full {
+		s.stats.FullBatches++
+	}
+	ignored := b.Revision < s.mirror.Revision()
+	if ignored {
+		s.stats.IgnoredBatches++
+		if !s.ignoring {
+			s.log.WithFields(fields).Warn("changes of an earlier revision ignored")
+		}
+	}
+	s.ignoring = ignored
+}
+
 func (s *Syncer) applyDeferred() {
 	s.mu.Lock()
 	if s.mirror.DeferredRemovals() > 0 {
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -439,3 +439,28 @@
 	g.Expect(s.source).To(Equal("reader"))
 	g.Expect(s.failingSince).To(BeZero())
 }
+
+// TestIgnoredChangesAreReported guards against a host that ignores what the store says and
+// neither logs nor counts it, so that nobody sees why a change is not in force.
+func TestIgnoredChangesAreReported(t *testing.T) {
+	g := NewWithT(t)
+	log, hook := logtest.NewNullLogger()
+	store := &scriptedStore{batch: Batch{Revision: 9, Full: true}}
+	s := newHost(network{}, "a", store, "a")
+	s.log = log
+	s.step(context.Background())
+	hook.Reset()
+	store.batch = Batch{Revision: 8, Full: true}
+	for range 3 {
+		s.step(context.Background())
+	}
+	g.Expect(s.Stats().IgnoredBatches).To(Equal(int64(3)))
+	g.Expect(s.Stats().FullBatches).To(Equal(int64(4)))
+	g.Expect(hook.AllEntries()).To(HaveLen(1), "a series is logged once")
+	g.Expect(hook.LastEntry().Message).To(Equal("changes of an earlier revision ignored"))
+	hook.Reset()
+	store.batch = Batch{Era: 1, Revision: 9}
+	s.step(context.Background())
+	g.Expect(s.Stats().Era).To(Equal(uint64(1)))
+	g.Expect(hook.LastEntry().Message).To(Equal("store has a new era"))
+}
