mirror: compare positions by the store's era before the revision

What callers saw: a confirmed change of the configuration was never in force, as long as nobody wrote the configuration again.

Cause: revisions were compared across a restore of the store. A host took what the restored store said for older than its copy and ignored it (TestChangeAfterStoreRestore, first case), or continued its watch from a revision that had been given out again and missed the changes up to it (second case). Hosts that followed another host had no way to know of the restore at all.

Now a position is era and revision. A batch continues a copy of its own era only; of a later era, only a full batch is taken, from the store as from another host, and a source of an earlier era counts as stale. Values that are the same after the restore are not decoded again.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -25,11 +25,10 @@
 
 // Batch is a set of changes of the store.
 type Batch struct {
-	// Revision is the store revision up to which the batch is complete.
+	// Revision is the store revision up to which the batch is complete, and Era its era;
+	// see Position.
 	Revision uint64 `json:"revision"`
-	// Era counts the times that the store was restored from an older copy, 0 if the
-	// store does not tell.
-	Era uint64 `json:"era,omitempty"`
+	Era      uint64 `json:"era,omitempty"`
 	// Full reports whether Items holds every mirrored item. Others that are not newer
 	// than Revision were removed.
 	Full  bool   `json:"full,omitempty"`
@@ -47,6 +46,9 @@
 	DeferRemovals time.Duration `json:"hold,omitempty"`
 }
 
+// Position returns the point in the store's history up to which the batch is complete.
+func (b Batch) Position() Position { return Position{b.Era, b.Revision} }
+
 // Fingerprint describes a set of keys.
 type Fingerprint struct {
 	Count int `json:"n"`
@@ -72,7 +74,7 @@
 	leasedPrefixes []string
 	items          map[string]Item
 	sorted         []Item // items by ascending key
-	revision       uint64
+	era, revision  uint64
 	history        []change                   // in the order of arrival
 	historyStart   uint64                     // revision after which the history is complete
 	deferred       map[string]deferredRemoval // by key
@@ -97,8 +99,8 @@
 	return &Mirror{leasedPrefixes: leasedPrefixes, items: map[string]Item{}, deferred: map[string]deferredRemoval{}, untaken: map[string]struct{}{}}
 }
 
-// Revision returns the store revision up to which the mirror is complete.
-func (m *Mirror) Revision() uint64 { return m.revision }
+// Position returns the point in the store's history up to which the mirror is complete.
+func (m *Mirror) Position() Position { return Position{m.era, m.revision} }
 
 // TakeChanges returns the items that changed since the last call, sorted by key. Removed
 // ones are tombstones.
@@ -117,8 +119,13 @@
 }
 
 func (m *Mirror) set(i Item) {
-	m.items[i.Key] = i
 	m.untaken[i.Key] = struct{}{}
+	m.replace(i)
+}
+
+// replace is set for an item that did not change for those who call TakeChanges.
+func (m *Mirror) replace(i Item) {
+	m.items[i.Key] = i
 	at, known := m.find(i.Key)
 	if known {
 		m.sorted[at] = i
@@ -143,18 +150,23 @@
 // Get returns the item of a key and reports whether there is one.
 func (m *Mirror) Get(key string) (Item, bool) { i, ok := m.items[key]; return i, ok }
 
-// Apply merges a batch into the mirror and reports whether an item changed. It
-// ignores a batch of an earlier revision.
+// Apply merges a batch into the mirror and reports whether an item changed. It ignores a
+// batch of an earlier position, and changes that continue another era than the mirror's.
 func (m *Mirror) Apply(now time.Duration, b Batch) bool {
-	if b.Revision < m.revision {
+	empty := m.revision == 0
+	if b.Position().Before(m.Position()) || b.Era != m.era && !b.Full && !empty {
 		return false
 	}
+	if b.Era != m.era && !empty {
+		return m.restore(now, b)
+	}
+	m.era = b.Era
 	changed := false
 	if b.Full {
 		changed = m.removeMissing(now, b)
 	}
 	for _, i := range b.Items {
-		if m.applyItem(now, i, b.DeferRemovals) {
+		if m.applyItem(now, i, m.deferral(i.Key, b)) {
 			changed = true
 		}
 	}
@@ -188,7 +200,7 @@
 	for key, i := range m.items {
 		// An item may be newer than the batch: the pages of a full read are not a
 		// snapshot.
-		if !present[key] && i.Revision <= b.Revision && m.remove(now, Item{Key: key, Revision: b.Revision, Deleted: true}, b.DeferRemovals) {
+		if !present[key] && i.Revision <= b.Revision && m.remove(now, Item{Key: key, Revision: b.Revision, Deleted: true}, m.deferral(key, b)) {
 			changed = true
 		}
 	}
@@ -216,22 +228,29 @@
 	return true
 }
 
-// remove removes an item and returns true, or defers that if the item is leased and
-// deferral is not 0.
+// remove removes an item and returns true, or defers that if deferral is not 0. The earliest
+// of several removals counts.
 func (m *Mirror) remove(now time.Duration, i Item, deferral time.Duration) bool {
-	if deferral > 0 && m.isLeased(i.Key) {
+	m.appendHistory(i)
+	if deferral > 0 {
 		if _, known := m.deferred[i.Key]; !known {
 			m.deferred[i.Key] = deferredRemoval{dueAt: now + deferral, tombstone: i}
 		}
-		m.appendHistory(i)
 		return false
 	}
 	m.unset(i.Key)
 	delete(m.deferred, i.Key)
-	m.appendHistory(i)
 	return true
 }
 
+// deferral returns how long the removal of a key by a batch is deferred.
+func (m *Mirror) deferral(key string, b Batch) time.Duration {
+	if m.isLeased(key) {
+		return b.DeferRemovals
+	}
+	return 0
+}
+
 func (m *Mirror) isLeased(key string) bool {
 	for _, prefix := range m.leasedPrefixes {
 		if strings.HasPrefix(key, prefix) {
@@ -260,6 +279,9 @@
 // CompleteWith reports whether the mirror is complete once b is applied, that is,
 // whether its keys that b does not list match b.Unchanged, if set.
 func (m *Mirror) CompleteWith(b Batch) bool {
+	if b.Full || b.Era != m.era {
+		return b.Full
+	}
 	if b.Unchanged == nil {
 		return true
 	}
@@ -293,11 +315,19 @@
 // DeferredRemovals returns the number of items whose removal is deferred.
 func (m *Mirror) DeferredRemovals() int { return len(m.deferred) }
 
-// ChangesSince returns the changes after a revision. For revision 0 it returns a
-// full batch. If the history does not reach back to the revision, it returns the
-// newer items and the fingerprint of the others.
-func (m *Mirror) ChangesSince(after uint64) Batch {
-	b := Batch{Revision: m.revision}
+// ChangesSince returns the changes after a position. For revision 0 and for an earlier era
+// it returns a full batch, for a later era an empty one, which the receiver ignores. If the
+// history does not reach back to the position, it returns the newer items and the
+// fingerprint of the others.
+func (m *Mirror) ChangesSince(position Position) Batch {
+	b := Batch{Era: m.era, Revision: m.revision}
+	if position.Era > m.era {
+		return b
+	}
+	after := position.Revision
+	if position.Era < m.era {
+		after = 0
+	}
 	if after < m.historyStart || after == 0 {
 		b.Full = after == 0
 		unchanged := Fingerprint{}
--- a/internal/mirror/seeds.go
+++ b/internal/mirror/seeds.go
@@ -15,7 +15,7 @@
 // of all hosts each would have to send its whole copy to a third of the fleet.
 func (s *Syncer) mayUseSeeds() bool {
 	isSelf := func(src Source) bool { return src.Self }
-	return len(s.Seeds) > 0 && time.Since(s.started) < seedTime && s.revision() > 0 && !slices.ContainsFunc(s.Seeds, isSelf)
+	return len(s.Seeds) > 0 && time.Since(s.started) < seedTime && s.position().Revision > 0 && !slices.ContainsFunc(s.Seeds, isSelf)
 }
 
 // fetchSeeds fetches from the first seed that reads the store and reports whether there
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -81,10 +81,10 @@
 
 // Store reads the platform's store.
 type Store interface {
-	// Fetch returns the changes after a revision. It waits up to wait for a change
+	// Fetch returns the changes after a position. It waits up to wait for a change
 	// and then returns an empty batch. It returns a full batch without waiting if
-	// after is 0 or the store has compacted the changes.
-	Fetch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// after.Revision is 0, the store has compacted the changes, or it has another era.
+	Fetch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
 
 // PeerClient calls RPC methods of other entry hosts. It reports the arrival of data to
@@ -100,9 +100,10 @@
 	Self bool
 }
 
-// FetchParams are the parameters of MethodFetch: it returns the changes after a
-// revision.
+// FetchParams are the parameters of MethodFetch: it returns the changes after a revision
+// of an era; see Position.
 type FetchParams struct {
+	Era   uint64 `json:"era,omitempty"`
 	After uint64 `json:"after"`
 	// WaitMillis is the longest wait for a change, in milliseconds.
 	WaitMillis int64 `json:"wait_ms"`
@@ -152,9 +153,9 @@
 	confirmed  time.Time     // when the store last confirmed the copy
 	deferUntil time.Time     // end of the deferral of removals
 	updated    chan struct{} // closed at the next change, or when direct becomes false
-	// answers caches answers until the mirror may change, by the revision after which
+	// answers caches answers until the mirror may change, by the position after which
 	// they start.
-	answers map[uint64]*sharedAnswer
+	answers map[Position]*sharedAnswer
 
 	// failingSince is the first failure of this host's store calls since the last success
 	// or the last batch from another host, zero if none.
@@ -173,8 +174,8 @@
 
 // Stats describes what a Syncer has got from the store and from other hosts.
 type Stats struct {
-	// Era and Revision are those of the copy.
-	Era, Revision uint64
+	// Position is that of the copy.
+	Position Position
 	// FullBatches counts the batches with all items, IgnoredBatches those that were
 	// ignored because the copy was newer.
 	FullBatches, IgnoredBatches int64
@@ -185,7 +186,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stats := s.stats
-	stats.Revision = s.mirror.Revision()
+	stats.Position = s.mirror.Position()
 	return stats
 }
 
@@ -194,7 +195,7 @@
 func NewSyncer(store Store, peerClient PeerClient, m *Mirror, t Timing, log logrus.FieldLogger) *Syncer {
 	return &Syncer{
 		store: store, peerClient: peerClient, mirror: m, timing: t, log: log, started: time.Now(),
-		updated: make(chan struct{}), answers: map[uint64]*sharedAnswer{}, suspects: map[string]time.Time{},
+		updated: make(chan struct{}), answers: map[Position]*sharedAnswer{}, suspects: map[string]time.Time{},
 	}
 }
 
@@ -319,13 +320,14 @@
 }
 
 // errStale reports a peer that does not read the store, or whose copy is older
-// than Timing.MaxAge.
+// than Timing.MaxAge or of an earlier era than this host's.
 var errStale = errors.New("peer does not read the store or its copy is too old")
 
 // fetchPeer fetches and applies the changes of a peer. It fetches all items if a
 // removal may be missing from the changes.
 func (s *Syncer) fetchPeer(ctx context.Context, src Source) error {
-	b, confirmed, err := s.fetchFrom(ctx, src, FetchParams{After: s.revision(), WaitMillis: peerWait.Milliseconds()})
+	at := s.position()
+	b, confirmed, err := s.fetchFrom(ctx, src, FetchParams{Era: at.Era, After: at.Revision, WaitMillis: peerWait.Milliseconds()})
 	if err == nil && !s.complete(b) {
 		b, confirmed, err = s.fetchFrom(ctx, src, FetchParams{})
 	}
@@ -348,7 +350,7 @@
 	if err := s.peerClient.Call(callCtx, src.Address, MethodFetch, p, &a); err != nil {
 		return Batch{}, time.Time{}, err
 	}
-	if !a.Direct || a.Age > s.timing.MaxAge {
+	if !a.Direct || a.Age > s.timing.MaxAge || a.Era < s.position().Era {
 		return Batch{}, time.Time{}, errStale
 	}
 	b, err := a.unpack()
@@ -359,7 +361,8 @@
 // succeeded. The first failure after a success is logged as no answer, also if the
 // store answered with an error; changes may still come from peers.
 func (s *Syncer) fetchStore(ctx context.Context) bool {
-	b, err := s.store.Fetch(ctx, s.revision(), s.timing.StoreWait)
+	at := s.position()
+	b, err := s.store.Fetch(ctx, at, s.timing.StoreWait)
 	now := time.Now()
 	if ctx.Err() != nil {
 		return false
@@ -382,6 +385,10 @@
 		s.log.WithField("away_ms", outage.Milliseconds()).Info("store answers again")
 	}
 	s.mu.Lock()
+	if at.Revision > 0 && b.Era > at.Era {
+		// The restored copy may lack items that their writers are about to write again.
+		s.deferUntil = now.Add(removalDeferral)
+	}
 	b.DeferRemovals = max(s.deferUntil.Sub(now), 0)
 	s.mu.Unlock()
 	s.applyBatch(b, now.Add(-b.Age), "store")
@@ -395,13 +402,13 @@
 	return s.mirror.CompleteWith(b)
 }
 
-func (s *Syncer) revision() uint64 {
+func (s *Syncer) position() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mirror.Revision()
+	return s.mirror.Position()
 }
 
-// applyBatch applies a batch whose revision the store confirmed at the given time.
+// applyBatch applies a batch whose position the store confirmed at the given time.
 func (s *Syncer) applyBatch(b Batch, confirmed time.Time, source string) {
 	s.mu.Lock()
 	if source != s.source {
@@ -409,32 +416,31 @@
 		s.source = source
 	}
 	s.recordBatch(b, source)
-	if b.Revision >= s.mirror.Revision() && confirmed.After(s.confirmed) {
-		s.confirmed = confirmed
-	}
 	if b.DeferRemovals > 0 {
 		if until := time.Now().Add(b.DeferRemovals); until.After(s.deferUntil) {
 			s.deferUntil = until
 		}
 	}
 	clear(s.answers)
-	s.publishAndUnlock(s.mirror.Apply(time.Since(s.started), b))
+	changed := s.mirror.Apply(time.Since(s.started), b)
+	if s.mirror.Position() == b.Position() && confirmed.After(s.confirmed) {
+		s.confirmed = confirmed
+	}
+	s.publishAndUnlock(changed)
 }
 
 // recordBatch updates the statistics with a batch that is about to be applied. It logs a
 // new era, and the first of a series of ignored batches. The caller holds s.mu.
 func (s *Syncer) recordBatch(b Batch, source string) {
-	fields := logrus.Fields{
-		"from": source, "era": b.Era, "era_before": s.stats.Era, "revision": b.Revision, "revision_before": s.mirror.Revision(), "full": b.Full,
-	}
-	if b.Era > s.stats.Era {
-		s.log.WithFields(fields).Warn("store has a new era")
-		s.stats.Era = b.Era
+	at := s.mirror.Position()
+	fields := logrus.Fields{"from": source, "era": b.Era, "era_before": at.Era, "revision": b.Revision, "revision_before": at.Revision}
+	if at.Revision > 0 && b.Era > at.Era {
+		s.log.WithFields(fields).Warn("store was restored from an older copy")
 	}
 	if b.Full {
 		s.stats.FullBatches++
 	}
-	ignored := b.Revision < s.mirror.Revision()
+	ignored := b.Position().Before(at)
 	if ignored {
 		s.stats.IgnoredBatches++
 		if !s.ignoring {
@@ -461,22 +467,22 @@
 	}
 	close(s.updated)
 	s.updated = make(chan struct{})
-	revision, changes := s.mirror.Revision(), s.mirror.TakeChanges()
+	revision, changes := s.mirror.Position().Revision, s.mirror.TakeChanges()
 	s.mu.Unlock()
 	s.Changed(revision, changes)
 }
 
 // HandleFetch serves MethodFetch. It waits for a change after the revision, for
 // p.WaitMillis but at most 1 s, and returns at once if this host does not read the
-// store.
+// store, or if its copy is of another era.
 func (s *Syncer) HandleFetch(ctx context.Context, p FetchParams) (Answer, error) {
 	wait := min(time.Duration(p.WaitMillis)*time.Millisecond, maxFetchWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for expired := false; ; {
-		shared, meta, updated := s.answerAfter(p.After)
+		shared, meta, updated := s.answerAfter(Position{p.Era, p.After})
 		b := shared.batch
-		if expired || !meta.Direct || (len(b.Items) > 0 || b.Unchanged != nil) && b.Revision > p.After {
+		if expired || !meta.Direct || b.Era != p.Era || (len(b.Items) > 0 || b.Unchanged != nil) && b.Revision > p.After {
 			a, err := shared.answer()
 			a.Age, a.DeferRemovals, a.Direct = meta.Age, meta.DeferRemovals, meta.Direct
 			return a, err
@@ -492,9 +498,9 @@
 	}
 }
 
-// answerAfter returns the changes after a revision, a batch with only their Age,
+// answerAfter returns the changes after a position, a batch with only their Age,
 // DeferRemovals and Direct, and the channel updated.
-func (s *Syncer) answerAfter(after uint64) (*sharedAnswer, Batch, <-chan struct{}) {
+func (s *Syncer) answerAfter(after Position) (*sharedAnswer, Batch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.answers[after]
