mirror: prefer known reports of servers to older ones of a restored store

Callers would be sent to backend servers that have announced their end, or that ended before the restore, as the copy shows them ready.

Other hosts still get what the store has. Within one era the revisions alone decide.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -72,13 +72,20 @@
 	// of their writer ends. A lease also ends if its writer is alive but cannot reach
 	// the store.
 	leasedPrefixes []string
+	notNewer       NotNewer // nil if no writer orders its items
 	items          map[string]Item
 	sorted         []Item // items by ascending key
 	era, revision  uint64
-	history        []change                   // in the order of arrival
-	historyStart   uint64                     // revision after which the history is complete
-	deferred       map[string]deferredRemoval // by key
-	untaken        map[string]struct{}        // keys that changed since the last TakeChanges
+	history        []change                  // in the order of arrival
+	historyStart   uint64                    // revision after which the history is complete
+	deferred       map[string]deferredChange // by key
+	untaken        map[string]struct{}       // keys that changed since the last TakeChanges
+	// removed holds the leased items that were removed lately in this era.
+	removed map[string]removedItem
+	// former holds, until formerUntil, the leased items of before the last restore that the
+	// store has neither confirmed nor replaced since, the removed ones included.
+	former      map[string]Item
+	formerUntil time.Duration
 }
 
 // change is a change of an item. It has no value: that of a replaced item is of no use, and
@@ -88,15 +95,13 @@
 	revision uint64
 }
 
-type deferredRemoval struct {
-	dueAt     time.Duration
-	tombstone Item
-}
-
 // New returns an empty mirror. Items whose key has one of the prefixes are
-// leased.
-func New(leasedPrefixes ...string) *Mirror {
-	return &Mirror{leasedPrefixes: leasedPrefixes, items: map[string]Item{}, deferred: map[string]deferredRemoval{}, untaken: map[string]struct{}{}}
+// leased. notNewer compares leased items after a restore of the store; it may be nil.
+func New(notNewer NotNewer, leasedPrefixes ...string) *Mirror {
+	return &Mirror{
+		leasedPrefixes: leasedPrefixes, notNewer: notNewer, items: map[string]Item{}, deferred: map[string]deferredChange{},
+		untaken: map[string]struct{}{}, removed: map[string]removedItem{}, former: map[string]Item{},
+	}
 }
 
 // Position returns the point in the store's history up to which the mirror is complete.
@@ -204,6 +209,11 @@
 			changed = true
 		}
 	}
+	for key, c := range m.deferred {
+		if _, known := m.items[key]; !known && !present[key] && c.item.Revision <= b.Revision {
+			delete(m.deferred, key) // an older value of a restored copy
+		}
+	}
 	return changed
 }
 
@@ -214,6 +224,7 @@
 		return false
 	}
 	if i.Deleted && !present {
+		delete(m.deferred, i.Key)
 		// The last full read may have come after the removal, but hosts that fetch from
 		// this one may still hold the item.
 		m.appendHistory(i)
@@ -222,10 +233,9 @@
 	if i.Deleted {
 		return m.remove(now, i, deferral)
 	}
-	delete(m.deferred, i.Key)
-	m.set(i)
 	m.appendHistory(i)
-	return true
+	delete(m.removed, i.Key)
+	return m.write(i)
 }
 
 // remove removes an item and returns true, or defers that if deferral is not 0. The earliest
@@ -233,16 +243,24 @@
 func (m *Mirror) remove(now time.Duration, i Item, deferral time.Duration) bool {
 	m.appendHistory(i)
 	if deferral > 0 {
-		if _, known := m.deferred[i.Key]; !known {
-			m.deferred[i.Key] = deferredRemoval{dueAt: now + deferral, tombstone: i}
+		if c, deferred := m.deferred[i.Key]; !deferred || !c.item.Deleted {
+			m.deferred[i.Key] = deferredChange{dueAt: now + deferral, item: i}
 		}
 		return false
 	}
-	m.unset(i.Key)
-	delete(m.deferred, i.Key)
+	m.drop(now, i.Key)
 	return true
 }
 
+// drop removes an item and its deferred change, and remembers its value if it is leased.
+func (m *Mirror) drop(now time.Duration, key string) {
+	if m.notNewer != nil && m.isLeased(key) {
+		m.removed[key] = removedItem{m.items[key], now}
+	}
+	m.unset(key)
+	delete(m.deferred, key)
+}
+
 // deferral returns how long the removal of a key by a batch is deferred.
 func (m *Mirror) deferral(key string, b Batch) time.Duration {
 	if m.isLeased(key) {
@@ -290,30 +308,36 @@
 		listed[i.Key] = true
 	}
 	unlisted := Fingerprint{}
-	for key, i := range m.items {
-		if _, removed := m.deferred[key]; !removed && !listed[key] && i.Revision <= b.Revision {
-			unlisted.add(key)
+	for i := range m.stored() {
+		if !listed[i.Key] && i.Revision <= b.Revision {
+			unlisted.add(i.Key)
 		}
 	}
 	return unlisted == *b.Unchanged
 }
 
-// ApplyDeferred applies the deferred removals that are due at now and reports
+// ApplyDeferred applies the deferred changes that are due at now and reports
 // whether there were any.
 func (m *Mirror) ApplyDeferred(now time.Duration) bool {
+	m.expireFormer(now)
 	changed := false
-	for key, r := range m.deferred {
-		if now >= r.dueAt {
-			m.unset(key)
-			delete(m.deferred, key)
-			changed = true
+	for key, c := range m.deferred {
+		if now < c.dueAt {
+			continue
+		}
+		changed = true
+		if c.item.Deleted {
+			m.drop(now, key)
+			continue
 		}
+		delete(m.deferred, key)
+		m.set(c.item)
 	}
 	return changed
 }
 
-// DeferredRemovals returns the number of items whose removal is deferred.
-func (m *Mirror) DeferredRemovals() int { return len(m.deferred) }
+// Deferred returns the number of items whose change is deferred.
+func (m *Mirror) Deferred() int { return len(m.deferred) }
 
 // ChangesSince returns the changes after a position. For revision 0 and for an earlier era
 // it returns a full batch, for a later era an empty one, which the receiver ignores. If the
@@ -331,10 +355,7 @@
 	if after < m.historyStart || after == 0 {
 		b.Full = after == 0
 		unchanged := Fingerprint{}
-		for _, i := range m.sorted {
-			if _, removed := m.deferred[i.Key]; removed {
-				continue
-			}
+		for i := range m.stored() {
 			if b.Full || i.Revision > after {
 				b.Items = append(b.Items, i)
 			} else {
@@ -359,10 +380,11 @@
 	return b
 }
 
-// current returns the item that a change of the history led to, or its tombstone.
+// current returns the item that a change of the history led to in the store, or its
+// tombstone.
 func (m *Mirror) current(c change) Item {
-	if r, removed := m.deferred[c.key]; removed {
-		return r.tombstone
+	if d, deferred := m.deferred[c.key]; deferred {
+		return d.item
 	}
 	if i, present := m.items[c.key]; present {
 		return i
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -48,7 +48,7 @@
 		{"a later full read has it again", Batch{Revision: 5, Full: true, Items: []Item{put("op/x", 1)}, DeferRemovals: deferral}, Batch{Revision: 7, Full: true, Items: []Item{put("op/x", 1), put("servers/a", 6)}}, deferral, []string{"op/x", "servers/a"}},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
-			m := New("servers/")
+			m := New(nil, "servers/")
 			m.Apply(0, Batch{Revision: 4, Full: true, Items: []Item{put("op/x", 1), put("servers/a", 2)}})
 			m.Apply(0, c.second)
 			m.Apply(0, c.third)
@@ -63,7 +63,7 @@
 // change.
 func TestLaggingSourceRevertsNothing(t *testing.T) {
 	g := NewWithT(t)
-	m := New()
+	m := New(nil)
 	m.Apply(0, Batch{Revision: 9, Full: true, Items: []Item{put("op/config", 9)}})
 	g.Expect(m.Apply(0, Batch{Revision: 8, Full: true, Items: []Item{put("op/config", 3)}})).To(BeFalse())
 	g.Expect(m.Apply(0, Batch{Revision: 10, Items: []Item{put("op/config", 3)}})).To(BeFalse())
@@ -77,7 +77,7 @@
 func TestFollowersConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		source, follower := New(), New()
+		source, follower := New(nil), New(nil)
 		rev := uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "changes") {
 			rev++
@@ -102,7 +102,7 @@
 func TestGapInHistory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		store, source, follower := New(), New(), New()
+		store, source, follower := New(nil), New(nil), New(nil)
 		fetch := func() {
 			b := source.ChangesSince(follower.Position())
 			if !follower.CompleteWith(b) {
@@ -131,7 +131,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
-				source = New()
+				source = New(nil)
 				readAll(source)
 			case 1:
 				readAll(follower)
@@ -159,7 +159,7 @@
 	for i := range servers {
 		list = append(list, Item{Key: fmt.Sprint("servers/i-", i), Value: make([]byte, 250), Revision: uint64(i + 1)})
 	}
-	follower, reader := New(), New()
+	follower, reader := New(nil), New(nil)
 	follower.Apply(0, Batch{Revision: servers, Full: true, Items: list})
 	reader.Apply(0, Batch{Revision: servers + 1, Full: true, Items: append(list, put("hosts/a", servers+1))})
 	b := reader.ChangesSince(follower.Position())
@@ -176,7 +176,7 @@
 func TestFullHistoryIsCheap(t *testing.T) {
 	g := NewWithT(t)
 	const changes, items = 4 * minHistoryLength, 500
-	m := New()
+	m := New(nil)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for rev := uint64(1); rev <= changes; rev++ {
@@ -197,7 +197,7 @@
 func TestLargeItemChangesOften(t *testing.T) {
 	g := NewWithT(t)
 	const versions, valueBytes = 100, 1 << 20
-	m := New()
+	m := New(nil)
 	m.Apply(0, Batch{Revision: 1, Full: true})
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -218,7 +218,7 @@
 // change or a removal, deferred or not, is missing from what they are told.
 func TestTakeChanges(t *testing.T) {
 	g := NewWithT(t)
-	m := New("leased/")
+	m := New(nil, "leased/")
 	told := map[string]uint64{}
 	take := func() {
 		for _, i := range m.TakeChanges() {
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +17,16 @@
 	return Item{Key: key, Value: []byte(value), Revision: rev}
 }
 
+// byNumber is a NotNewer for leased items whose values begin with a number.
+func byNumber(item, known Item) bool {
+	number := func(i Item) int {
+		text, _, _ := strings.Cut(string(i.Value), " ")
+		n, _ := strconv.Atoi(text)
+		return n
+	}
+	return number(item) <= number(known)
+}
+
 // values returns the values of a mirror's items by key.
 func values(m *Mirror) map[string]string {
 	list := map[string]string{}
@@ -48,7 +60,7 @@
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
-			m := New("servers/")
+			m := New(byNumber, "servers/")
 			m.Apply(0, before)
 			for _, b := range c.batches {
 				m.Apply(0, b)
@@ -63,7 +75,7 @@
 // configuration again after a restore, and so takes servers for cold that no longer are.
 func TestUnchangedByRestore(t *testing.T) {
 	g := NewWithT(t)
-	m := New("servers/")
+	m := New(byNumber, "servers/")
 	m.Apply(0, Batch{Era: 1, Revision: 90, Full: true, Items: []Item{valued("op/config", "8", 80), valued("servers/a", "3", 90), valued("servers/b", "1", 7)}})
 	m.TakeChanges()
 	changed := m.Apply(0, Batch{Era: 2, Revision: 40, Full: true, Items: []Item{valued("op/config", "8", 30), valued("servers/a", "3", 33), valued("servers/b", "2", 40)}})
@@ -94,7 +106,7 @@
 		{"a source whose deferral is over", Batch{Era: 2, Revision: 5}, 0, map[string]string{"servers/b": "1"}, true},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
-			m := New("servers/")
+			m := New(byNumber, "servers/")
 			m.Apply(0, Batch{Era: 1, Revision: 9, Full: true, Items: []Item{valued("op/evacuate/a", "{}", 9), valued("servers/a", "1", 8), valued("servers/b", "1", 3)}})
 			b := restored
 			if c.settled {
@@ -108,6 +120,44 @@
 	}
 }
 
+// TestOlderValuesOfRestore guards against requests to servers that are leaving or gone,
+// because a restored store shows them as they were before.
+func TestOlderValuesOfRestore(t *testing.T) {
+	known := map[string]string{"servers/gone": "3 ready", "servers/leaving": "3 ready"}
+	left := map[string]string{"servers/leaving": "4 draining"}
+	restored := []Item{valued("servers/gone", "3 ready", 3), valued("servers/leaving", "3 ready", 3)}
+	for _, c := range []struct {
+		desc  string
+		after []Batch // after the restore
+		at    time.Duration
+		want  map[string]string
+	}{
+		{"older values do not count", nil, formerItemTime - 1, left},
+		{"values that nobody replaces count in the end", nil, formerItemTime, known},
+		{"newer values count at once", []Batch{{Era: 2, Revision: 6, Items: []Item{valued("servers/gone", "5 ready", 5), valued("servers/leaving", "5 draining", 6)}}}, 0,
+			map[string]string{"servers/gone": "5 ready", "servers/leaving": "5 draining"}},
+		{"all lost values are written again in their order", []Batch{
+			{Era: 2, Revision: 6, Items: []Item{valued("servers/leaving", "3 ready", 6)}}, {Era: 2, Revision: 7, Items: []Item{valued("servers/leaving", "4 draining", 7), del("servers/gone", 7)}},
+		}, formerItemTime, left},
+		{"the store removes what is not written again", []Batch{{Era: 2, Revision: 7, Items: []Item{del("servers/gone", 6), del("servers/leaving", 7)}}}, formerItemTime, map[string]string{}},
+		{"a full read after the store has removed them", []Batch{{Era: 2, Revision: 7, Full: true}}, formerItemTime, map[string]string{}},
+		{"a value that is written again after the restore", []Batch{{Era: 2, Revision: 6, Items: []Item{del("servers/gone", 5)}}, {Era: 2, Revision: 7, Items: []Item{valued("servers/gone", "3 ready", 7)}}}, formerItemTime - 1, left},
+		{"a second restore", []Batch{{Era: 3, Revision: 4, Full: true, Items: restored}}, formerItemTime - 1, left},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			m := New(byNumber, "servers/")
+			m.Apply(0, Batch{Era: 1, Revision: 5, Full: true, Items: restored})
+			m.Apply(0, Batch{Era: 1, Revision: 20, Items: []Item{valued("servers/leaving", "4 draining", 19), del("servers/gone", 20)}})
+			m.Apply(0, Batch{Era: 2, Revision: 4, Full: true, Items: restored, DeferRemovals: time.Second})
+			for _, b := range c.after {
+				m.Apply(0, b)
+			}
+			m.ApplyDeferred(c.at)
+			NewWithT(t).Expect(values(m)).To(Equal(c.want))
+		})
+	}
+}
+
 // TestFollowersConvergeOverRestores guards against hosts that differ from the store for good
 // after restores, whichever of them reads the store, follows a host of another era or is cut
 // off, and against receivers that are not told of all changes.
@@ -129,7 +179,7 @@
 		copies := []state{clone(store)}
 		var history []Item // of the era
 		now := time.Duration(0)
-		hosts := []*Mirror{New("leased/"), New("leased/"), New("leased/")}
+		hosts := []*Mirror{New(byNumber, "leased/"), New(byNumber, "leased/"), New(byNumber, "leased/")}
 		told := []map[string]string{{}, {}, {}}
 		take := func(n int) {
 			for _, i := range hosts[n].TakeChanges() {
@@ -186,7 +236,7 @@
 			case 4:
 				follow(n, rapid.IntRange(0, len(hosts)-1).Draw(t, "source"))
 			case 5:
-				hosts[n], told[n] = New("leased/"), map[string]string{}
+				hosts[n], told[n] = New(byNumber, "leased/"), map[string]string{}
 			default:
 				store.rev++
 				number++
@@ -203,7 +253,7 @@
 		for n := 1; n < len(hosts); n++ {
 			follow(n, 0)
 		}
-		now += time.Minute
+		now += formerItemTime
 		want := map[string]string{}
 		for k, i := range store.items {
 			want[k] = string(i.Value)
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -452,7 +452,7 @@
 
 func (s *Syncer) applyDeferred() {
 	s.mu.Lock()
-	if s.mirror.DeferredRemovals() > 0 {
+	if s.mirror.Deferred() > 0 {
 		clear(s.answers)
 	}
 	s.publishAndUnlock(s.mirror.ApplyDeferred(time.Since(s.started)))
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -56,7 +56,7 @@
 
 // newHost returns the syncer of a host on network n. order names its sources.
 func newHost(n network, name string, store Store, order ...string) *Syncer {
-	s := NewSyncer(store, n, New("servers/"), TimingFor(0), quietLog())
+	s := NewSyncer(store, n, New(nil, "servers/"), TimingFor(0), quietLog())
 	s.Sources = func() []Source {
 		var list []Source
 		for _, o := range order {
