mirror, platform: end leases with the era in which they were granted

Callers would not find an entry host for some seconds, or ever as long as another host renews the lease: a restored store gives lease IDs out again. A host renewed the lease of another one, and while shutting down would have ended it.

A lease is now its ID and the era of the answer that granted it. The syncer reports a restore, and the host checks its registration at once instead of at the next renewal.

--- a/internal/mirror/registration.go
+++ b/internal/mirror/registration.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// ErrLeaseEnded is returned by Registrar.RenewLease if the lease no longer exists.
+// ErrLeaseEnded is returned by a Registrar if the lease no longer exists.
 var ErrLeaseEnded = errors.New("lease has ended")
 
 // Timing of a host's registration.
@@ -35,17 +35,24 @@
 	registrationCallTimeout = time.Second
 )
 
-// Registrar writes leased items to the platform's store.
+// Lease identifies a lease. A store that was restored from an older copy may have lost the
+// leases of its earlier eras and may give their IDs to others; see Position.
+type Lease struct {
+	ID  int64 // 0 if there is none
+	Era uint64
+}
+
+// Registrar writes leased items to the platform's store. Its methods return ErrLeaseEnded
+// if the store no longer has the lease, or has a later era than the lease.
 type Registrar interface {
-	// GrantLease creates a lease and returns its ID.
-	GrantLease(ctx context.Context, ttl time.Duration) (int64, error)
-	// RenewLease restarts the TTL of a lease. It returns ErrLeaseEnded if the lease no
-	// longer exists.
-	RenewLease(ctx context.Context, lease int64) error
+	// GrantLease creates a lease.
+	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
+	// RenewLease restarts the TTL of a lease.
+	RenewLease(ctx context.Context, lease Lease) error
 	// RevokeLease ends a lease and removes its items.
-	RevokeLease(ctx context.Context, lease int64) error
+	RevokeLease(ctx context.Context, lease Lease) error
 	// Put writes an item that is removed when the lease ends.
-	Put(ctx context.Context, key string, value []byte, lease int64) error
+	Put(ctx context.Context, key string, value []byte, lease Lease) error
 }
 
 // RegistrationTTL returns a lease TTL short enough for registrations of ended hosts to
@@ -68,14 +75,24 @@
 	// Listed reports whether this host's copy of the store has the item. Set it
 	// before Run.
 	Listed       func() bool
-	lease        int64 // 0 if there is none
+	lease        Lease
 	registeredAt time.Time
 	retryDelay   time.Duration // before the next attempt, 0 after a success
+	checkNow     chan struct{}
 }
 
 // NewRegistration returns a registration; Run writes the item.
 func NewRegistration(store Registrar, key string, value []byte, ttl time.Duration, log logrus.FieldLogger) *Registration {
-	return &Registration{store: store, key: key, value: value, ttl: ttl, log: log}
+	return &Registration{store: store, key: key, value: value, ttl: ttl, log: log, checkNow: make(chan struct{}, 1)}
+}
+
+// Check makes Run renew the lease now, and write the item again if the lease has ended. It
+// does not block.
+func (r *Registration) Check() {
+	select {
+	case r.checkNow <- struct{}{}:
+	default: // a check is pending
+	}
 }
 
 func (r *Registration) renewInterval() time.Duration {
@@ -89,10 +106,11 @@
 		pause := r.step(ctx)
 		select {
 		case <-ctx.Done():
+		case <-r.checkNow:
 		case <-time.After(pause):
 		}
 	}
-	if r.lease == 0 {
+	if r.lease.ID == 0 {
 		return nil
 	}
 	revokeCtx, cancel := context.WithTimeout(context.Background(), registrationCallTimeout)
@@ -118,19 +136,19 @@
 func (r *Registration) step(ctx context.Context) time.Duration {
 	callCtx, cancel := context.WithTimeout(ctx, registrationCallTimeout)
 	defer cancel()
-	if r.lease != 0 {
+	if r.lease.ID != 0 {
 		err := r.store.RenewLease(callCtx, r.lease)
 		switch {
 		case ctx.Err() != nil:
 			return 0
 		case errors.Is(err, ErrLeaseEnded):
 			r.log.Warn("registration lease has ended; registering again")
-			r.lease = 0
+			r.lease = Lease{}
 		case err != nil:
 			return r.backOff("failed to renew the registration", err)
 		case time.Since(r.registeredAt) > r.ttl && !r.Listed():
 			// The lease is valid, but the store may have removed the item.
-			r.lease = 0
+			r.lease = Lease{}
 		default:
 			r.retryDelay = 0
 			return r.renewInterval()
@@ -144,6 +162,6 @@
 		return r.backOff("failed to register the host", err)
 	}
 	r.lease, r.registeredAt, r.retryDelay = lease, time.Now(), 0
-	r.log.WithField("lease", lease).Info("host registered")
+	r.log.WithFields(logrus.Fields{"lease": lease.ID, "era": lease.Era}).Info("host registered")
 	return r.renewInterval()
 }
--- a/internal/mirror/registration_test.go
+++ b/internal/mirror/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -15,14 +16,14 @@
 	ttl                   time.Duration
 }
 
-func (r *scriptedRegistrar) GrantLease(_ context.Context, ttl time.Duration) (int64, error) {
+func (r *scriptedRegistrar) GrantLease(_ context.Context, ttl time.Duration) (Lease, error) {
 	r.leases++
 	r.ttl = ttl
-	return int64(r.leases), r.grantErr
+	return Lease{ID: int64(r.leases)}, r.grantErr
 }
-func (r *scriptedRegistrar) RenewLease(context.Context, int64) error  { return r.renewErr }
-func (r *scriptedRegistrar) RevokeLease(context.Context, int64) error { r.revokes++; return nil }
-func (r *scriptedRegistrar) Put(context.Context, string, []byte, int64) error {
+func (r *scriptedRegistrar) RenewLease(context.Context, Lease) error  { return r.renewErr }
+func (r *scriptedRegistrar) RevokeLease(context.Context, Lease) error { r.revokes++; return nil }
+func (r *scriptedRegistrar) Put(context.Context, string, []byte, Lease) error {
 	r.puts++
 	return nil
 }
@@ -88,3 +89,26 @@
 	r.renewErr = errUnavailable
 	g.Expect(p.step(context.Background())).To(Equal(registrationRetryDelay))
 }
+
+// TestCheckRegistersAtOnce guards against a host that is missing from the directory until its
+// next renewal, because a restored store has lost its lease.
+func TestCheckRegistersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := &scriptedRegistrar{}
+		p := NewRegistration(r, "hosts/a", nil, RegistrationTTL(0), quietLog())
+		p.Listed = func() bool { return true }
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- p.Run(ctx) }()
+		synctest.Wait()
+		g.Expect(r.puts).To(Equal(1))
+		r.renewErr = ErrLeaseEnded
+		p.Check()
+		p.Check()
+		synctest.Wait()
+		g.Expect(r.puts).To(BeNumerically(">=", 2))
+		cancel()
+		g.Expect(<-ended).To(Succeed())
+	})
+}
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -297,3 +297,20 @@
 	g.Expect(values(behind.mirror)).To(Equal(map[string]string{"op/config": "9"}))
 	g.Expect(behind.source).To(Equal("host"))
 }
+
+// TestRestoreIsReportedOnce guards against a host that does not write its own items again
+// after a restore, or does so after each answer.
+func TestRestoreIsReportedOnce(t *testing.T) {
+	g := NewWithT(t)
+	store := &scriptedStore{batch: Batch{Era: 4, Revision: 9, Full: true}}
+	s := newHost(network{}, "a", store, "a")
+	restored := 0
+	s.Restored = func() { restored++ }
+	s.step(context.Background())
+	g.Expect(restored).To(BeZero(), "the first copy")
+	store.batch = Batch{Era: 5, Revision: 3, Full: true}
+	s.step(context.Background())
+	s.step(context.Background())
+	g.Expect(restored).To(Equal(1))
+	g.Expect(time.Until(s.deferUntil)).To(BeNumerically("~", removalDeferral, time.Second))
+}
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -145,6 +145,9 @@
 	// Changed is called after each change, from the goroutine of Run, with the mirror's
 	// revision and the items that changed since the last call; see Mirror.TakeChanges.
 	Changed func(revision uint64, changes []Item)
+	// Restored, if set, is called after Changed when the copy has reached a new era: the
+	// store was restored from an older copy, and what this host has written may be gone.
+	Restored func()
 
 	started time.Time
 
@@ -422,11 +425,16 @@
 		}
 	}
 	clear(s.answers)
+	before := s.mirror.Position()
 	changed := s.mirror.Apply(time.Since(s.started), b)
-	if s.mirror.Position() == b.Position() && confirmed.After(s.confirmed) {
+	after := s.mirror.Position()
+	if after == b.Position() && confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
 	s.publishAndUnlock(changed)
+	if before.Revision > 0 && after.Era > before.Era && s.Restored != nil {
+		s.Restored()
+	}
 }
 
 // recordBatch updates the statistics with a batch that is about to be applied. It logs a
