gateway: save learned knowledge again after a restore of the store

A value that a restored store has lost was saved again only when it changed; after a restart of all hosts, requests would have gone to servers that do not hold their objects. After a restore each first dispatcher saves once more.

TestKnowledgeSavedAgain fails without it.

--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// SaveAll makes this host save the knowledge of its pools again, also if it is unchanged: the
+// store may have lost what was saved last.
+func (sel *Selector) SaveAll() {
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	for _, ps := range sel.sharedPools {
+		ps.saveUnchanged = true
+	}
+}
+
 // dueKnowledge returns, by pool name, the changed knowledge of the pools that are due
 // and of which this host is the first dispatcher.
 func (sel *Selector) dueKnowledge() map[string]dispatch.Knowledge {
@@ -87,7 +97,8 @@
 			continue
 		}
 		ps.nextSave = now + savePeriod
-		if k, changed := ps.pool.Export(); changed {
+		if k, changed := ps.pool.Export(); changed || ps.saveUnchanged {
+			ps.saveUnchanged = false
 			due[sel.self.Region+"/"+service] = k
 		}
 	}
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -155,6 +155,8 @@
 	minDigestInterval time.Duration
 	// nextSave is the earliest time of the next save of the pool's knowledge.
 	nextSave time.Duration
+	// saveUnchanged is set if the next save must not wait for a change.
+	saveUnchanged bool
 }
 
 // NewSelector returns a Selector for the host self without a snapshot.
--- a/internal/gateway/selector_test.go
+++ b/internal/gateway/selector_test.go
@@ -176,6 +176,25 @@
 	}
 }
 
+// TestKnowledgeSavedAgain guards against knowledge that a restored store has lost and that is
+// not saved again, as it has not changed since.
+func TestKnowledgeSavedAgain(t *testing.T) {
+	g := NewWithT(t)
+	network, s, _ := newFakeNetwork(3)
+	first := network.selectors[s.Dispatchers("r", "s")[0].Name]
+	dec := first.Acquire(context.Background(), newAcquireParams("k"))
+	first.Release(dec, dispatch.Report{Result: dispatch.Served, Elapsed: 400 * time.Millisecond})
+	due := func() map[string]dispatch.Knowledge {
+		first.sharedPools["s"].nextSave = 0
+		return first.dueKnowledge()
+	}
+	g.Expect(due()).To(HaveKey("r/s"))
+	g.Expect(due()).To(BeEmpty())
+	first.SaveAll()
+	g.Expect(due()).To(HaveKey("r/s"))
+	g.Expect(due()).To(BeEmpty())
+}
+
 // TestDigestsReachOtherRegions guards against overload of servers that two regions
 // use without knowing each other's requests.
 func TestDigestsReachOtherRegions(t *testing.T) {
