--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -43,6 +43,7 @@
 	slow         atomic.Bool
 	answerFault  atomic.Int32 // an answerFault
 	failing      atomic.Bool
+	reports      atomic.Int64 // registrations so far
 	leaving      atomic.Bool  // answers say that the server leaves
 	pausedUntil  atomic.Int64 // Unix nanoseconds; until then requests are refused with Retry-After
 	// drainingSince is the time at which the store confirmed the drain of the
@@ -107,7 +108,7 @@
 	return map[string]any{
 		"address": b.link.l.Addr().String(), "born": 1,
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": 4},
-		"status": map[string]any{"state": state, "seq": 1, "cold_remaining": "0ms"},
+		"status": map[string]any{"state": state, "seq": b.reports.Add(1), "cold_remaining": "0ms"},
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -214,8 +214,9 @@
 		sr.storeServer.CloseClientConnections()
 		sr.storeServer.Close()
 	}()
-	time.Sleep(time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
+	go sr.store.copyUntil(ctx.Done())
+	time.Sleep(time.Second)
 	var callers sync.WaitGroup
 	hostsByFront := map[string]*host{}
 	for _, h := range sr.hosts {
@@ -234,6 +235,9 @@
 	}
 	faults.Wait()
 	sr.clearFaults()
+	if sr.seed%2 == 1 {
+		sr.restoreStore(restoreOutage, maxCopyAge, maxRewriteDelay)
+	}
 	faultsEnded := time.Now()
 	time.Sleep(recoveredAfter)
 	sr.logEvent("recovered: draining a server, submitting a configuration")
@@ -261,6 +265,8 @@
 	m := mode(1 + sr.rng.Intn(4))
 	answerFault := int32(1 + sr.rng.Intn(answerFaults-1))
 	odd := oddEntries[sr.rng.Intn(len(oddEntries))]
+	copyAge := time.Duration(sr.rng.Intn(int(maxCopyAge)))
+	rewriteDelay := time.Duration(sr.rng.Intn(int(maxRewriteDelay)))
 	faults := []struct {
 		name string
 		run  func()
@@ -286,6 +292,7 @@
 		}},
 		{"store loses answers", func() { sr.storeFault(duration, func(s *store, active bool) { s.loseAnswers = active }) }},
 		{"store drops its history", func() { sr.storeFault(0, func(s *store, _ bool) { s.compactedTo = s.rev }) }},
+		{fmt.Sprintf("store restored from a copy of %v ago", copyAge), func() { sr.restoreStore(duration/2, copyAge, rewriteDelay) }},
 		{"link of " + h.name + " to the store: " + modeNames[m], func() { h.link.setMode(m); time.Sleep(duration); h.link.setMode(modePass) }},
 		{"link to " + b.id + ": " + modeNames[m], func() { b.link.setMode(m); time.Sleep(duration); b.link.setMode(modePass) }},
 		{"slow " + b.id, func() { b.slow.Store(true); time.Sleep(duration); b.slow.Store(false) }},
@@ -319,6 +326,31 @@
 	}
 }
 
+// maxRewriteDelay is the greatest time after a restore of the store until the operator and the
+// backend servers have written again what was lost.
+const maxRewriteDelay = 1500 * time.Millisecond
+
+// restoreOutage is the length of the outage with which every other seed ends its faults.
+const restoreOutage = 500 * time.Millisecond
+
+// restoreStore takes the store down for the duration and restores it from a copy. The operator
+// and the backend servers write again what was lost, one after the other, and the operator
+// submits a configuration between.
+func (sr *soakRun) restoreStore(duration, copyAge, rewriteDelay time.Duration) {
+	var age time.Duration
+	sr.storeFault(duration, func(s *store, active bool) {
+		if s.down = active; !active {
+			age = s.restore(copyAge)
+		}
+	})
+	sr.logEvent("store restored to its state %v ago", age.Round(time.Millisecond))
+	time.Sleep(rewriteDelay / 2)
+	sr.store.writeAgain("op/")
+	sr.submit()
+	time.Sleep(rewriteDelay / 2)
+	sr.store.writeAgain("servers/")
+}
+
 // servingBackend returns a backend server that neither drains nor has crashed, or
 // nil if there is none.
 func (sr *soakRun) servingBackend() *backend {
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -1,10 +1,14 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,15 +29,16 @@
 }
 
 // store is a stand-in for the platform's store. Its faults: it is down or slow, drops
-// its history, or loses answers.
+// its history, loses answers, or is restored from an older copy.
 type store struct {
-	mu           sync.Mutex
-	rev          uint64
-	compactedTo  uint64 // a watch from an earlier revision gets 410
-	items        map[string]item
-	events       []item
-	leases       map[int64]*lease
-	changed      chan struct{} // closed and replaced at each change
+	mu sync.Mutex
+	storeContent
+	compactedTo uint64        // a watch from an earlier revision gets 410
+	era         uint64        // number of restores
+	changed     chan struct{} // closed and replaced at each change
+	copies      []storeCopy   // by age, the oldest first
+	// written holds the latest writes of the operator and the backend servers by key.
+	written      map[string]item
 	down         bool
 	delay        time.Duration // of each call
 	loseAnswers  bool          // each third call takes effect but gets no answer
@@ -41,8 +46,93 @@
 	disturbances []disturbance
 }
 
+// storeContent is what a copy of the store contains.
+type storeContent struct {
+	rev    uint64
+	items  map[string]item
+	events []item
+	leases map[int64]*lease
+}
+
+func (c storeContent) clone() storeContent {
+	n := storeContent{c.rev, maps.Clone(c.items), slices.Clone(c.events), map[int64]*lease{}}
+	for id, l := range c.leases {
+		copied := *l
+		n.leases[id] = &copied
+	}
+	return n
+}
+
+type storeCopy struct {
+	madeAt  time.Time
+	content storeContent
+}
+
+const (
+	// copyPeriod is the time between two copies of the store.
+	copyPeriod = 500 * time.Millisecond
+	// otherWrites is the number of writes of another writer in that time.
+	otherWrites = 10
+	// maxCopyAge is the age of the oldest copy that is kept.
+	maxCopyAge = 6 * time.Second
+)
+
 func newStore() *store {
-	return &store{rev: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
+	return &store{
+		storeContent: storeContent{rev: 1, items: map[string]item{}, leases: map[int64]*lease{}}, changed: make(chan struct{}), written: map[string]item{},
+	}
+}
+
+// copyUntil copies the store from time to time until done is closed. Another writer writes
+// keys of its own meanwhile, so that revisions are lost and given out again by a restore.
+func (s *store) copyUntil(done <-chan struct{}) {
+	for {
+		for n := range otherWrites {
+			s.put(fmt.Sprint("elsewhere/", n), time.Now())
+		}
+		s.mu.Lock()
+		s.copies = append(s.copies, storeCopy{time.Now(), s.clone()})
+		for time.Since(s.copies[0].madeAt) > maxCopyAge {
+			s.copies = s.copies[1:]
+		}
+		s.mu.Unlock()
+		select {
+		case <-done:
+			return
+		case <-time.After(copyPeriod):
+		}
+	}
+}
+
+// restore replaces the content by that of the oldest copy which is not older than age, and
+// begins a new era. It returns the age of the copy. Leases run on from their state in it. The
+// caller holds the lock.
+func (s *store) restore(age time.Duration) time.Duration {
+	n := slices.IndexFunc(s.copies, func(c storeCopy) bool { return time.Since(c.madeAt) <= age })
+	if n < 0 {
+		n = len(s.copies) - 1
+	}
+	c := s.copies[n]
+	s.copies = s.copies[:n+1]
+	s.storeContent = c.content.clone()
+	s.era++
+	s.compactedTo = min(s.compactedTo, s.rev)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return time.Since(c.madeAt)
+}
+
+// writeAgain writes those of the latest writes of the operator and the backend servers that
+// the store lacks and whose keys have the prefix.
+func (s *store) writeAgain(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, w := range s.written {
+		i, present := s.items[key]
+		if strings.HasPrefix(key, prefix) && (present == w.Tombstone || present && !bytes.Equal(i.Value, w.Value)) {
+			s.write(w)
+		}
+	}
 }
 
 // setFaults changes the faults and records a disturbance, which has ended already if
@@ -84,13 +174,15 @@
 	raw, _ := json.Marshal(value)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(item{Key: key, Value: raw})
+	s.written[key] = item{Key: key, Value: raw}
+	s.write(s.written[key])
 }
 
 func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(item{Key: key, Tombstone: true})
+	s.written[key] = item{Key: key, Tombstone: true}
+	s.write(s.written[key])
 }
 
 // expire ends the leases whose TTL has passed. Each call of the API runs it first.
@@ -118,30 +210,39 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	down, delay := s.down, s.delay
+	down, delay, era := s.down, s.delay, s.era
 	lose := s.loseAnswers && s.calls%3 == 0
 	s.mu.Unlock()
 	if down {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	time.Sleep(delay)
-	status, answer := s.answer(r)
-	if lose {
+	status, answer, era := s.answer(r)
+	if lose || status == 0 {
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// answer executes a call and returns the status and the body of the answer.
-func (s *store) answer(r *http.Request) (int, map[string]any) {
+// answer executes a call and returns the status and the body of the answer, and the era in
+// which it was executed. A status of 0 means that there is no answer.
+func (s *store) answer(r *http.Request) (int, map[string]any, uint64) {
 	if r.URL.Path == "/v1/kv-watch" {
 		return s.watch(r)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, answer := s.execute(r)
+	return status, answer, s.era
+}
+
+// execute executes a call other than a watch. The caller holds the lock.
+func (s *store) execute(r *http.Request) (int, map[string]any) {
 	s.expire()
 	q := r.URL.Query()
 	switch {
@@ -205,8 +306,12 @@
 	return 400, nil
 }
 
-// watch returns the events after a revision. It waits up to wait_ms for the first one.
-func (s *store) watch(r *http.Request) (int, map[string]any) {
+// watch returns the events after a revision. It waits up to wait_ms for the first one. A
+// restore of the store cuts it.
+func (s *store) watch(r *http.Request) (int, map[string]any, uint64) {
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	q := r.URL.Query()
 	var after uint64
 	var wait int
@@ -216,10 +321,14 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if s.era != era {
+			s.mu.Unlock()
+			return 0, nil, era
+		}
 		s.expire()
-		if after < s.compactedTo {
+		if after < s.compactedTo || after > s.rev {
 			s.mu.Unlock()
-			return 410, nil
+			return 410, nil, era
 		}
 		list := []item{}
 		for _, e := range s.events {
@@ -230,17 +339,17 @@
 		rev, changed, down := s.rev, s.changed, s.down
 		s.mu.Unlock()
 		if down {
-			return 503, nil
+			return 503, nil, era
 		}
 		if len(list) > 0 {
-			return 200, map[string]any{"events": list, "at_rev": rev}
+			return 200, map[string]any{"events": list, "at_rev": rev}, era
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return 200, map[string]any{"events": list, "at_rev": rev}
+			return 200, map[string]any{"events": list, "at_rev": rev}, era
 		case <-r.Context().Done():
-			return 503, nil
+			return 503, nil, era
 		}
 	}
 }
