mirror: share one full answer among hosts of earlier eras

After a restore each host of a region continues from a position of its own and gets all items. The reader packed them once for each of these positions, processor time that grows with the fleet while the new configuration waits. TestFullAnswerIsShared fails without the change.

--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -314,3 +314,25 @@
 	g.Expect(restored).To(Equal(1))
 	g.Expect(time.Until(s.deferUntil)).To(BeNumerically("~", removalDeferral, time.Second))
 }
+
+// TestFullAnswerIsShared guards against a reader that packs all items once for each host of
+// its region after a restore, as each continues from another revision.
+func TestFullAnswerIsShared(t *testing.T) {
+	g := NewWithT(t)
+	var list []Item
+	for i := range 2 * minPackedItems {
+		list = append(list, valued(fmt.Sprint("servers/", i), "1", uint64(i+1)))
+	}
+	s := newHost(network{}, "a", &scriptedStore{batch: Batch{Era: 2, Revision: 40, Full: true, Items: list}}, "a")
+	s.step(context.Background())
+	var packed []byte
+	for _, p := range []FetchParams{{}, {Era: 1, After: 90}, {Era: 1, After: 91}, {Era: 0, After: 70}} {
+		a, err := s.HandleFetch(context.Background(), p)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(a.Full).To(BeTrue())
+		if packed == nil {
+			packed = a.Packed
+		}
+		g.Expect(&a.Packed[0]).To(BeIdenticalTo(&packed[0]))
+	}
+}
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -511,6 +511,9 @@
 func (s *Syncer) answerAfter(after Position) (*sharedAnswer, Batch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if after.Era < s.mirror.Position().Era {
+		after = Position{} // all hosts of earlier eras get the same full batch
+	}
 	p := s.answers[after]
 	if p == nil {
 		p = &sharedAnswer{batch: s.mirror.ChangesSince(after)}
