ctl: explain shows a restore of the store before the request

A line of a request names the revision of its host's view, which says little without the era. explain now prints the last restore that the host had seen, and the last answer that it ignored as outdated. TestExplain failed before.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -28,7 +28,7 @@
 var stateMessages = []string{
 	"configuration in force", "source of the store's changes", "store does not answer; the last known state stays in force",
 	"store answers again", "dispatcher does not answer; asking the next one", "dispatcher changed", "shutting down", "entry host started",
-	"knowledge of the pool loaded",
+	"knowledge of the pool loaded", "store was restored from an older copy", "changes of an earlier revision ignored",
 }
 
 func prepareExplain(i *invocation) action {
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -13,6 +13,7 @@
 not a line of the log
 {"host":"h2","level":"info","msg":"configuration in force","time":"2026-01-01T00:00:01.000Z","version":6}
 {"host":"h1","level":"info","msg":"configuration in force","time":"2026-01-01T00:00:02.000Z","version":8}
+{"host":"h1","level":"warning","msg":"store was restored from an older copy","time":"2026-01-01T00:00:02.500Z","era":3,"era_before":2,"revision":80,"revision_before":95}
 {"host":"h1","level":"warning","msg":"request not served","request":"id1","outcome":"overload","status":503,"took_ms":1.5,"left_ms":1998,"route":"r","service":"s","key":"17","config_version":8,"view_revision":90,"view_age_ms":12,"attempts":[{"by":"h3","load":9,"busy":0.97,"wait_ms":300,"service_ms":200,"took_ms":0,"result":"overload"}],"time":"2026-01-01T00:00:03.000Z"}
 {"host":"h1","level":"info","msg":"configuration in force","time":"2026-01-01T00:00:04.000Z","version":9}
 `
@@ -29,6 +30,7 @@
 	g.Expect(text).To(ContainSubstring("decided by h3"))
 	g.Expect(text).To(ContainSubstring("0.97 of all slots taken"))
 	g.Expect(text).To(ContainSubstring("version=8"))
+	g.Expect(text).To(ContainSubstring("store was restored from an older copy era=3 era_before=2 revision=80"), "the view's revision is one of that era")
 	g.Expect(text).NotTo(ContainSubstring("version=6"))
 	g.Expect(text).NotTo(ContainSubstring("version=9"))
 }
