--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -80,7 +80,7 @@
 	historyStart   uint64                    // revision after which the history is complete
 	deferred       map[string]deferredChange // by key
 	untaken        map[string]struct{}       // keys that changed since the last TakeChanges
-	// removed holds the leased items that were removed lately in this era.
+	// removed holds the leased items that were removed recently in this era.
 	removed map[string]removedItem
 	// former holds, until formerUntil, the leased items of before the last restore that the
 	// store has neither confirmed nor replaced since, the removed ones included.
--- a/internal/mirror/restore.go
+++ b/internal/mirror/restore.go
@@ -72,7 +72,7 @@
 	return changed
 }
 
-// rememberFormer makes the known items, and those that were removed lately, former ones.
+// rememberFormer makes the known items, and those that were removed recently, former ones.
 func (m *Mirror) rememberFormer(now time.Duration) {
 	if now >= m.formerUntil {
 		clear(m.former)
--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -175,24 +175,6 @@
 	direct bool
 }
 
-// Stats describes what a Syncer has got from the store and from other hosts.
-type Stats struct {
-	// Position is that of the copy.
-	Position Position
-	// FullBatches counts the batches with all items, IgnoredBatches those that were
-	// ignored because the copy was newer.
-	FullBatches, IgnoredBatches int64
-}
-
-// Stats returns the statistics since the creation of the syncer.
-func (s *Syncer) Stats() Stats {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	stats := s.stats
-	stats.Position = s.mirror.Position()
-	return stats
-}
-
 // NewSyncer returns a syncer for m, which must be empty. The caller sets Sources
 // and Changed before Run.
 func NewSyncer(store Store, peerClient PeerClient, m *Mirror, t Timing, log logrus.FieldLogger) *Syncer {
@@ -437,27 +419,6 @@
 	}
 }
 
-// recordBatch updates the statistics with a batch that is about to be applied. It logs a
-// new era, and the first of a series of ignored batches. The caller holds s.mu.
-func (s *Syncer) recordBatch(b Batch, source string) {
-	at := s.mirror.Position()
-	fields := logrus.Fields{"from": source, "era": b.Era, "era_before": at.Era, "revision": b.Revision, "revision_before": at.Revision}
-	if at.Revision > 0 && b.Era > at.Era {
-		s.log.WithFields(fields).Warn("store was restored from an older copy")
-	}
-	if b.Full {
-		s.stats.FullBatches++
-	}
-	ignored := b.Position().Before(at)
-	if ignored {
-		s.stats.IgnoredBatches++
-		if !s.ignoring {
-			s.log.WithFields(fields).Warn("changes of an earlier revision ignored")
-		}
-	}
-	s.ignoring = ignored
-}
-
 func (s *Syncer) applyDeferred() {
 	s.mu.Lock()
 	if s.mirror.Deferred() > 0 {
@@ -479,49 +440,3 @@
 	s.mu.Unlock()
 	s.Changed(revision, changes)
 }
-
-// HandleFetch serves MethodFetch. It waits for a change after the revision, for
-// p.WaitMillis but at most 1 s, and returns at once if this host does not read the
-// store, or if its copy is of another era.
-func (s *Syncer) HandleFetch(ctx context.Context, p FetchParams) (Answer, error) {
-	wait := min(time.Duration(p.WaitMillis)*time.Millisecond, maxFetchWait)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for expired := false; ; {
-		shared, meta, updated := s.answerAfter(Position{p.Era, p.After})
-		b := shared.batch
-		if expired || !meta.Direct || b.Era != p.Era || (len(b.Items) > 0 || b.Unchanged != nil) && b.Revision > p.After {
-			a, err := shared.answer()
-			a.Age, a.DeferRemovals, a.Direct = meta.Age, meta.DeferRemovals, meta.Direct
-			return a, err
-		}
-		select {
-		case <-updated:
-		case <-timer.C:
-			// Compute the answer anew: its age must include the wait.
-			expired = true
-		case <-ctx.Done():
-			return Answer{}, ctx.Err()
-		}
-	}
-}
-
-// answerAfter returns the changes after a position, a batch with only their Age,
-// DeferRemovals and Direct, and the channel updated.
-func (s *Syncer) answerAfter(after Position) (*sharedAnswer, Batch, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if after.Era < s.mirror.Position().Era {
-		after = Position{} // all hosts of earlier eras get the same full batch
-	}
-	p := s.answers[after]
-	if p == nil {
-		p = &sharedAnswer{batch: s.mirror.ChangesSince(after)}
-		s.answers[after] = p
-	}
-	meta := Batch{Age: neverConfirmedAge, DeferRemovals: max(time.Until(s.deferUntil), 0), Direct: s.direct}
-	if !s.confirmed.IsZero() {
-		meta.Age = time.Since(s.confirmed)
-	}
-	return p, meta, s.updated
-}
