--- a/internal/mirror/sim_test.go
+++ b/internal/mirror/sim_test.go
@@ -156,7 +156,18 @@
 	written  map[string]string
 	events   []string
 	began    time.Time
-	ended    bool // nobody writes any more
+	ended    bool   // nobody writes any more
+	wrong    string // the first fault that was found
+}
+
+// firstFault records a fault unless it is "" or there is an earlier one, and returns the first.
+func (s *simulation) firstFault(found string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wrong == "" {
+		s.wrong = found
+	}
+	return s.wrong
 }
 
 func (s *simulation) logEvent(format string, args ...any) {
@@ -376,12 +387,12 @@
 		}
 		s.writers(rand.New(rand.NewSource(seed + 1)))
 		go func() {
-			for ctx.Err() == nil && wrong == "" {
-				wrong = s.late()
+			for ctx.Err() == nil && s.firstFault("") == "" {
+				s.firstFault(s.late())
 				time.Sleep(simCheckPeriod)
 			}
 		}()
-		for time.Since(s.began) < simDuration && wrong == "" {
+		for time.Since(s.began) < simDuration && s.firstFault("") == "" {
 			time.Sleep(time.Duration(s.rng.Intn(6000)) * time.Millisecond)
 			s.injectFault()
 		}
@@ -391,10 +402,10 @@
 		s.mu.Unlock()
 		time.Sleep(formerItemTime + simContact)
 		s.mu.Lock()
-		defer s.mu.Unlock()
-		if events = s.events; wrong == "" {
-			wrong = s.different()
-		}
+		different := s.different()
+		events = s.events
+		s.mu.Unlock()
+		wrong = s.firstFault(different)
 	})
 	return wrong, events
 }
