gateway: let first decisions wait for the saved knowledge

After all hosts have lost power, the dispatchers sent the first requests to servers that did not hold their objects: the knowledge was loaded only at the first request, over links between regions. These requests take three times as long, filled the servers and led to refusals for four seconds. The saved copy was also old, as 1 KB/s allows a save of 19 KB every 19 s.

--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,6 +12,7 @@
 // loadKnowledge imports the knowledge that an earlier dispatcher of the service has
 // saved. It makes up to loadTries attempts and logs each that fails.
 func (sel *Selector) loadKnowledge(service string, ps *poolState) {
+	defer sel.endKnowledgeWait(ps)
 	poolName := sel.self.Region + "/" + service
 	for range loadTries {
 		ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
@@ -20,30 +20,38 @@
 		cancel()
 		if err != nil {
 			sel.log.WithError(err).WithField("pool", poolName).Warn("failed to load the knowledge of the pool")
+			sel.endKnowledgeWait(ps)
 			time.Sleep(saveTimeout)
 			continue
 		}
 		if raw == nil {
 			return
 		}
-		var k dispatch.Knowledge
-		if err := json.Unmarshal(raw, &k); err != nil {
+		k, err := decodeKnowledge(raw)
+		if err != nil {
 			sel.log.WithError(err).WithField("pool", poolName).Warn("failed to decode the saved knowledge of the pool")
 			return
 		}
 		sel.mu.Lock()
 		ps.pool.Import(sel.now(), k)
 		sel.mu.Unlock()
-		sel.log.WithFields(logrus.Fields{"pool": poolName, "servers": len(k.Servers)}).Info("knowledge of the pool loaded")
+		sel.log.WithFields(logrus.Fields{"pool": poolName, "servers": len(k.Servers), "bytes": len(raw)}).Info("knowledge of the pool loaded")
 		return
 	}
 }
 
+// endKnowledgeWait lets the decisions of a pool no longer wait for its knowledge.
+func (sel *Selector) endKnowledgeWait(ps *poolState) {
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	ps.knowledgeDue = 0
+}
+
 // saveKnowledge saves the knowledge of the pools that are due, in the background. A
 // save that fails is not repeated until the knowledge changes again.
 func (sel *Selector) saveKnowledge(ctx context.Context) {
 	for poolName, k := range sel.dueKnowledge() {
-		raw, err := json.Marshal(k)
+		raw, err := encodeKnowledge(k)
 		if err != nil {
 			sel.log.WithError(err).WithField("pool", poolName).Error("failed to encode the knowledge of the pool")
 			continue
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -57,6 +57,13 @@
 	saveRate = 1 << 10
 	// saveTimeout bounds a save or load; it is also the pause after a failed load.
 	saveTimeout = time.Second
+	// knowledgeWait bounds the time for which the decisions of a new pool wait for the saved
+	// knowledge. A request that is sent to a server without its object takes several times
+	// as long, so after a restart of all hosts such requests fill the servers for seconds.
+	knowledgeWait = 300 * time.Millisecond
+	// knowledgePoll is the time after which a host asks a dispatcher again that still loads
+	// its knowledge.
+	knowledgePoll = 30 * time.Millisecond
 	// loadTries bounds the attempts to load knowledge while the store does not answer.
 	loadTries = 5
 )
@@ -108,6 +115,9 @@
 	// dispatcher numbers its grants from the beginning.
 	DispatcherIncarnation int64             `json:"process"`
 	Decision              dispatch.Decision `json:"decision"`
+	// Loading is set if the dispatcher has not decided, as it still loads its knowledge. It
+	// is to be asked again after knowledgePoll. Decision is then a refusal.
+	Loading bool `json:"loading,omitempty"`
 }
 
 // Selector selects a backend server for each request, either from the pools of this
@@ -128,6 +138,8 @@
 	fallbackPools     map[string]*poolState
 	suspectedUntil    map[string]time.Time
 	activeDispatchers map[string]ActiveDispatcher
+	// poolsPrepared is set once preparePools was called.
+	poolsPrepared bool
 }
 
 // ActiveDispatcher describes who made the latest decision for requests of a service
@@ -157,6 +169,9 @@
 	nextSave time.Duration
 	// saveUnchanged is set if the next save must not wait for a change.
 	saveUnchanged bool
+	// knowledgeDue is when decisions no longer wait for the saved knowledge: the zero value
+	// once it is loaded, or if the first attempt to load it failed.
+	knowledgeDue time.Duration
 }
 
 // NewSelector returns a Selector for the host self without a snapshot.
@@ -174,6 +189,10 @@
 	}
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
+	if !sel.poolsPrepared && len(s.BackendsByService) > 0 {
+		sel.poolsPrepared = true
+		sel.preparePools(s)
+	}
 	for name, ps := range sel.sharedPools {
 		sel.updatePool(name, ps, s)
 	}
@@ -182,6 +201,22 @@
 	}
 }
 
+// preparePools creates the shared pools of the services that this host dispatches, or will
+// dispatch if the first host in the order does not answer. Their saved knowledge is then
+// loaded before the first request. The caller holds sel.mu.
+func (sel *Selector) preparePools(s *fleet.Snapshot) {
+	for service := range s.BackendsByService {
+		for i, h := range s.Dispatchers(sel.self.Region, service) {
+			if i >= maxDispatchers {
+				break
+			}
+			if h.Name == sel.self.Name {
+				sel.pool(sharedPool, service).lastUsed = -poolIdle
+			}
+		}
+	}
+}
+
 // changesPool reports whether a snapshot differs, for the pool of a service, from the one
 // that the pool was last updated with.
 func changesPool(service string, old, s *fleet.Snapshot) bool {
@@ -225,7 +260,7 @@
 			sel.updatePool(service, ps, s)
 		}
 		if kind == sharedPool {
-			ps.nextSave = sel.now() + savePeriod
+			ps.nextSave, ps.knowledgeDue = sel.now()+savePeriod, sel.now()+knowledgeWait
 			go sel.loadKnowledge(service, ps)
 		}
 	}
@@ -311,7 +346,7 @@
 	asked := 0
 	for _, h := range s.Dispatchers(sel.self.Region, p.Service) {
 		if h.Name == sel.self.Name {
-			return sel.acquireLocally(sharedPool, p, "self")
+			return sel.acquireLocally(sharedPool, sel.awaitKnowledge(ctx, p), "self")
 		}
 		if asked >= maxDispatchers || sel.isSuspected(h.Name) {
 			continue
@@ -330,12 +365,68 @@
 	return sel.acquireLocally(fallbackPool, p, "alone")
 }
 
+// awaitKnowledge waits for the knowledge of this host's shared pool, if it is being loaded.
+// It returns the request with the time that is left then.
+func (sel *Selector) awaitKnowledge(ctx context.Context, p AcquireParams) AcquireParams {
+	for sel.isLoading(p) && sleep(ctx, knowledgePoll) {
+		p = p.after(knowledgePoll)
+	}
+	return p
+}
+
+// after returns the request as it is when d has passed.
+func (p AcquireParams) after(d time.Duration) AcquireParams {
+	p.ObjectiveMillis -= toMillis(d)
+	p.RemainingMillis -= toMillis(d)
+	return p
+}
+
+// isLoading reports whether the decision about a request has to wait for the knowledge of
+// this host's shared pool. Requests without an object do not wait.
+func (sel *Selector) isLoading(p AcquireParams) bool {
+	if p.Key == "" {
+		return false
+	}
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	ps := sel.sharedPools[p.Service]
+	if ps == nil {
+		ps = sel.pool(sharedPool, p.Service)
+	}
+	return sel.now() < ps.knowledgeDue
+}
+
+// sleep waits for d and reports whether ctx is not done.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askDispatcher asks a host for a decision, and again while it loads its knowledge.
 func (sel *Selector) askDispatcher(ctx context.Context, h *fleet.Host, p AcquireParams) (decision, error) {
-	actx, cancel := context.WithTimeout(ctx, acquireTimeout)
-	defer cancel()
 	var r AcquireResult
-	if err := sel.peerClient.Call(actx, h.PeerAddress, MethodAcquire, p, &r); err != nil {
-		return decision{}, err
+	giveUp := time.Now().Add(knowledgeWait)
+	for {
+		r = AcquireResult{}
+		actx, cancel := context.WithTimeout(ctx, acquireTimeout)
+		err := sel.peerClient.Call(actx, h.PeerAddress, MethodAcquire, p, &r)
+		cancel()
+		if err != nil {
+			return decision{}, err
+		}
+		if !r.Loading {
+			break
+		}
+		if time.Now().After(giveUp) || !sleep(ctx, knowledgePoll) {
+			return decision{}, errNoSnapshot
+		}
+		p = p.after(knowledgePoll)
 	}
 	return decision{Decision: r.Decision, service: p.Service, dispatcher: h, incarnation: r.DispatcherIncarnation, decidedBy: h.Name}, nil
 }
@@ -417,6 +508,10 @@
 	case <-ctx.Done():
 		return AcquireResult{}, ctx.Err()
 	}
+	if sel.isLoading(p) {
+		refused := dispatch.Decision{Refused: dispatch.NoServer, RetryAfter: retryAfterUnconfigured}
+		return AcquireResult{DispatcherIncarnation: sel.self.Incarnation, Decision: refused, Loading: true}, nil
+	}
 	dec := sel.acquireLocally(sharedPool, p, "self")
 	return AcquireResult{DispatcherIncarnation: sel.self.Incarnation, Decision: dec.Decision}, nil
 }
