--- a/internal/gateway/knowledge_test.go
+++ b/internal/gateway/knowledge_test.go
@@ -135,9 +135,11 @@
 			log := logrus.New()
 			log.SetOutput(io.Discard)
 			restarted := NewSelector(*first, dispatch.DefaultLimits, network, store, log)
+			restarted.knowledgeWait = time.Minute
 			restarted.SetSnapshot(s)
 			network.selectors[first.Name] = restarted
 			asker := network.selectors[second.Name]
+			asker.knowledgeWait = time.Minute
 			if tc.own {
 				asker = restarted
 			}
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -138,6 +138,8 @@
 	fallbackPools     map[string]*poolState
 	suspectedUntil    map[string]time.Time
 	activeDispatchers map[string]ActiveDispatcher
+	// knowledgeWait is the constant of that name, except in tests.
+	knowledgeWait time.Duration
 	// poolsPrepared is set once preparePools was called.
 	poolsPrepared bool
 }
@@ -177,7 +179,7 @@
 // NewSelector returns a Selector for the host self without a snapshot.
 func NewSelector(self fleet.Host, limits dispatch.Limits, peerClient PeerClient, persistentStore PersistentStore, log logrus.FieldLogger) *Selector {
 	return &Selector{
-		self: self, limits: limits, peerClient: peerClient, persistentStore: persistentStore, log: log, startTime: time.Now(),
+		self: self, limits: limits, peerClient: peerClient, persistentStore: persistentStore, log: log, startTime: time.Now(), knowledgeWait: knowledgeWait,
 		snapshotReady: make(chan struct{}), sharedPools: map[string]*poolState{}, fallbackPools: map[string]*poolState{}, suspectedUntil: map[string]time.Time{}, activeDispatchers: map[string]ActiveDispatcher{},
 	}
 }
@@ -260,7 +262,7 @@
 			sel.updatePool(service, ps, s)
 		}
 		if kind == sharedPool {
-			ps.nextSave, ps.knowledgeDue = sel.now()+savePeriod, sel.now()+knowledgeWait
+			ps.nextSave, ps.knowledgeDue = sel.now()+savePeriod, sel.now()+sel.knowledgeWait
 			go sel.loadKnowledge(service, ps)
 		}
 	}
@@ -411,7 +413,7 @@
 // askDispatcher asks a host for a decision, and again while it loads its knowledge.
 func (sel *Selector) askDispatcher(ctx context.Context, h *fleet.Host, p AcquireParams) (decision, error) {
 	var r AcquireResult
-	giveUp := time.Now().Add(knowledgeWait)
+	giveUp := time.Now().Add(sel.knowledgeWait)
 	for {
 		r = AcquireResult{}
 		actx, cancel := context.WithTimeout(ctx, acquireTimeout)
