gateway: assign requests to workspaces by their keys

Several customers share a deployment. The configuration may now list them (tenants) with their API keys, a rank and allowed regions. A request on a route that is not public needs a key and is answered 401 otherwise. The key is removed from the header before the first attempt; servers get the name of the workspace. Lines of that name from callers are removed. Rank and regions of the workspace are used in all decisions about the request. Further attempts are not sent once the key is revoked. A host whose copy of the store is older than the time of a change answers 503 to an unknown key.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 	Class string
 	// Key identifies the object that the request is about; "" if there is none.
 	Key string
+	// Workspace is the name of the request's workspace, "" if it belongs to none.
+	Workspace string `json:"workspace,omitempty"`
 	// Host is the entry host that sends the request, FailureDomain is that host's.
 	Host, FailureDomain string
 	// The rank of the request; 0 is the most urgent.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/retry"
+	"github.com/galenabeam/galenabeam/internal/routetable"
 )
 
 // attempt is one attempt to have a backend server run a request. reply and elapsed
@@ -123,9 +124,9 @@
 		dec := g.selector.Acquire(ctx, AcquireParams{
 			Service: pr.service, Class: pr.route.Name, Key: g.requestAffinity(pr),
 			Host: g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
-			Rank: pr.route.Rank, Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
+			Rank: pr.rank, Workspace: pr.workspaceName(), Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
 			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
-			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.route.Regions,
+			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.regions,
 		})
 		if dec.Refused != "" {
 			if len(held) > 0 {
@@ -137,7 +138,7 @@
 		// be missing, draining, evacuated, or of another service or region.
 		snapshot := g.snapshot.Load()
 		b := snapshot.Backends[dec.Server]
-		if b != nil && !b.Draining && !snapshot.Evacuated[b.FailureDomain] && b.Service == pr.service && pr.route.AllowsRegion(b.Region) {
+		if b != nil && !b.Draining && !snapshot.Evacuated[b.FailureDomain] && b.Service == pr.service && routetable.AllowsRegion(pr.regions, b.Region) {
 			var allowed bool
 			if allowed, dec.trial = g.holds.begin(b); allowed {
 				return dec
@@ -156,7 +157,7 @@
 	s := g.snapshot.Load()
 	var usable []*fleet.Backend
 	for _, b := range s.BackendsByService[pr.service] {
-		if !b.Draining && !s.Evacuated[b.FailureDomain] && pr.route.AllowsRegion(b.Region) && !slices.Contains(pr.exclude, b.ID) {
+		if !b.Draining && !s.Evacuated[b.FailureDomain] && routetable.AllowsRegion(pr.regions, b.Region) && !slices.Contains(pr.exclude, b.ID) {
 			usable = append(usable, b)
 		}
 	}
@@ -193,6 +194,7 @@
 	pr.exclude = append(pr.exclude, dec.Server)
 	header := pr.request.HTTP.Header.Clone()
 	stripHopByHop(header)
+	g.setWorkspaceHeaders(pr, header)
 	c := &upstreamCall{backend: b, request: pr.request, header: header, id: pr.id, deadline: pr.deadline, repeatable: pr.route.Kind.Repeatable(), maxIdleConns: idleConnLimit(snapshot, pr.service)}
 	go func() {
 		if b == nil {
@@ -300,7 +302,7 @@
 // is not expected before the objective. A late hedge has until the deadline, but needs
 // an occupancy of at most lateHedgeMaxOccupancy.
 func (g *Gateway) hedge(ctx context.Context, pr *pendingRequest, budget *retry.Budget, late bool) (decision, bool) {
-	if pr.sentAttempts+1 >= pr.route.MaxAttempts {
+	if pr.sentAttempts+1 >= pr.route.MaxAttempts || g.keyRevoked(pr) {
 		return decision{}, false
 	}
 	dec := g.acquire(ctx, pr)
@@ -321,7 +323,7 @@
 // isReplaceable reports whether another attempt may replace a server's answer. Answers
 // with a status below 500 and that of the last possible attempt are passed on.
 func (g *Gateway) isReplaceable(pr *pendingRequest, a *attempt, budget *retry.Budget) bool {
-	if a.reply.answer.Status < 500 || !pr.route.Kind.Repeatable() || pr.request.Rest != nil {
+	if a.reply.answer.Status < 500 || !pr.route.Kind.Repeatable() || pr.request.Rest != nil || g.keyRevoked(pr) {
 		return false
 	}
 	return pr.sentAttempts < pr.route.MaxAttempts && time.Until(pr.deadline) > a.decision.Service && g.hasBudget(budget)
@@ -339,7 +341,7 @@
 	if pr.request.Rest != nil || a.reply.mayHaveRun && !pr.route.Kind.Repeatable() {
 		return decision{}, false
 	}
-	if pr.sentAttempts >= pr.route.MaxAttempts || pr.unsentAttempts > maxUnsentAttempts {
+	if pr.sentAttempts >= pr.route.MaxAttempts || pr.unsentAttempts > maxUnsentAttempts || g.keyRevoked(pr) {
 		return decision{}, false
 	}
 	if pr.sentAttempts > 0 && !g.takeBudget(pr.service, budget) {
@@ -373,8 +375,8 @@
 
 // answerFailed answers a request after its last attempt failed: with the error
 // answer of that attempt, if there is one; with 413, if the body is too large, or the end
-// of the connection, if it broke off; with 502, if an attempt may have run it; and
-// otherwise with a refusal.
+// of the connection, if it broke off; with 502, if an attempt may have run it; with 401, if
+// its key was revoked; and otherwise with a refusal.
 func (g *Gateway) answerFailed(pr *pendingRequest, a *attempt, mayHaveRun bool, dec decision) (*Answer, string) {
 	if a.reply.answer != nil {
 		return a.reply.answer, "served"
@@ -388,6 +390,9 @@
 	if mayHaveRun {
 		return failure(http.StatusBadGateway, "backend server broke off"), "broken"
 	}
+	if g.keyRevoked(pr) && !pr.route.Public {
+		return g.unauthorized()
+	}
 	retryAfter := retryAfterShed
 	if a.reply.result == dispatch.Shed && a.decision.Wait == 0 {
 		retryAfter = retryAfterShedFreeSlot
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -20,11 +20,13 @@
 	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/routetable"
+	"github.com/galenabeam/galenabeam/internal/workspace"
 )
 
 var testHeaders = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Affinity: "X-Key", ExpectInstance: "X-Expect",
 	Load: "X-Load", NotRun: "X-Not-Run", Signature: "X-Signature", Leaving: "X-Leaving",
+	Key: "X-Credential", Workspace: "X-Workspace",
 }
 
 // testBackend is a backend server whose answers are defined by the test.
@@ -109,6 +111,18 @@
 func (noPeers) Save(context.Context, string, []byte) error           { return nil }
 func (noPeers) Load(context.Context, string) ([]byte, error)         { return nil, nil }
 
+// testServices are the services of startGateway.
+var testServices = []routetable.Service{{Name: "s", ColdRate: 5, ColdStart: time.Second}}
+
+// testRoutes returns the routes of startGateway.
+func testRoutes() []routetable.Route {
+	return []routetable.Route{
+		{Name: "get", Host: "x", Prefix: "/get/", Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
+		{Name: "post", Host: "x", Prefix: "/post/", Kind: routetable.NonIdempotent, Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
+		{Name: "short", Host: "x", Prefix: "/short/", Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Timeout: 150 * time.Millisecond, Objective: 100 * time.Millisecond, MaxAttempts: 2},
+	}
+}
+
 type fixture struct {
 	g       *Gateway
 	front   *Front
@@ -136,11 +150,7 @@
 	// Only the deadline of a request bounds its connections: on a busy machine, one to a
 	// test server may take longer than connectTimeout.
 	g.upstream.dialContext = (&net.Dialer{}).DialContext
-	table, err := routetable.New(1, defaultLimits, []routetable.Service{{Name: "s", ColdRate: 5, ColdStart: time.Second}}, []routetable.Route{
-		{Name: "get", Host: "x", Prefix: "/get/", Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
-		{Name: "post", Host: "x", Prefix: "/post/", Kind: routetable.NonIdempotent, Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2},
-		{Name: "short", Host: "x", Prefix: "/short/", Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Timeout: 150 * time.Millisecond, Objective: 100 * time.Millisecond, MaxAttempts: 2},
-	})
+	table, err := routetable.New(1, defaultLimits, testServices, testRoutes())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -160,6 +170,27 @@
 	return f
 }
 
+// setWorkspaces sets a new configuration: that of the fixture, changed by change if it is
+// not nil, with the workspaces.
+func (f *fixture) setWorkspaces(t *testing.T, change func(routes []routetable.Route), list ...workspace.Definition) {
+	t.Helper()
+	set, err := workspace.NewSet(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes := testRoutes()
+	if change != nil {
+		change(routes)
+	}
+	s := f.g.Snapshot()
+	table, err := routetable.New(s.Table.Version+1, s.Table.Limits, testServices, routes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.Workspaces = set
+	f.g.SetSnapshot(s.WithTable(table))
+}
+
 // setBodyLimit sets the configuration's limit of a request's body, in bytes.
 func (f *fixture) setBodyLimit(limit int64) {
 	s := f.g.Snapshot()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/routetable"
+	"github.com/galenabeam/galenabeam/internal/workspace"
 )
 
 // Times and attempts of a request.
@@ -75,8 +75,11 @@
 	Access logrus.FieldLogger
 	// Age returns the time since the store last confirmed the current snapshot, or
 	// since the start if it has not done so yet.
-	Age     func() time.Duration
-	Metrics *Metrics
+	Age func() time.Duration
+	// ChangeDeadline is the time within which a new configuration takes effect, 0 for
+	// 2.5 s. Unknown keys are not rejected while Age is above it.
+	ChangeDeadline time.Duration
+	Metrics        *Metrics
 }
 
 // Gateway forwards callers' requests to backend servers. It implements Handler.
@@ -101,6 +104,9 @@
 // New returns a gateway without a snapshot. Until it has one with a configuration,
 // requests wait up to 400 ms and are then refused.
 func New(cfg Config) *Gateway {
+	if cfg.ChangeDeadline <= 0 {
+		cfg.ChangeDeadline = defaultChangeDeadline
+	}
 	selector := NewSelector(cfg.Self, cfg.FleetLimits, cfg.PeerClient, cfg.PersistentStore, cfg.Log)
 	return &Gateway{
 		cfg: cfg, selector: selector, upstream: newUpstream(cfg.Headers), holds: newServerHolds(selector.Now, cfg.Log),
@@ -174,7 +180,16 @@
 	configVersion uint64
 	deadline      time.Time
 	// objective is the time up to which an answer has its full worth.
-	objective      time.Time
+	objective time.Time
+	// apiKey is the caller's key, "" unless the request has exactly one. It is never
+	// logged.
+	apiKey string
+	// workspace is the holder of apiKey, nil if the request belongs to no workspace.
+	workspace *workspace.Workspace
+	// rank and regions are the route's, changed by those of the workspace. Empty regions
+	// allow all.
+	rank           int
+	regions        []string
 	exclude        []string
 	sentAttempts   int // attempts that count towards MaxAttempts; see finishAttempt
 	unsentAttempts int // the others: no connection, or cancelled before sending
@@ -216,13 +231,14 @@
 	if g.refusing.Load() {
 		return refusalByShutdown()
 	}
-	pr.configVersion = s.Table.Version
-	pr.route = s.Table.Lookup(pr.request.HTTP.Host, pr.request.HTTP.URL.EscapedPath())
-	if pr.route == nil {
-		return failure(http.StatusNotFound, "no route"), "no_route"
+	if answer, outcome := g.route(pr, s.Table); answer != nil {
+		return answer, outcome
 	}
 	g.setDeadlines(pr)
 	pr.service = pr.route.PickService(rand.Float64())
+	if answer, outcome := g.checkRegions(pr); answer != nil {
+		return answer, outcome
+	}
 	budget := g.countRequest(pr.service)
 	deadlineCtx, cancel := context.WithDeadline(ctx, pr.deadline)
 	answer, outcome := g.runAttempts(deadlineCtx, pr, budget)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -32,6 +32,11 @@
 	Signature string
 	// Leaving is set by backend servers that will end soon, in all their answers.
 	Leaving string
+	// Key holds the key of the caller's workspace. It is never forwarded.
+	Key string
+	// Workspace tells backend servers the name of a request's workspace. Lines of callers
+	// are removed. Key and Workspace have no effect without workspaces.
+	Workspace string
 }
 
 // Request is one request of a caller, read from a connection.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,14 +23,15 @@
 	noLabel = "none"
 )
 
-// request counts a finished request. pr.route is nil if no route matched.
+// request counts a finished request. pr.service is empty if no route matched, or if the
+// request was answered before its service was chosen.
 func (m *Metrics) request(pr *pendingRequest, outcome string, took time.Duration) {
 	if m == nil {
 		return
 	}
 	service, rank := noLabel, noLabel
-	if pr.route != nil {
-		service, rank = pr.service, strconv.Itoa(pr.route.Rank)
+	if pr.service != "" {
+		service, rank = pr.service, strconv.Itoa(pr.rank)
 		m.histogram("request_ms;route=" + pr.route.Name).Update(took.Milliseconds())
 	}
 	m.increment("requests;service=" + service + ";rank=" + rank + ";outcome=" + outcome)
@@ -92,6 +93,7 @@
 		gauge("backends", int64(len(s.Backends)))
 		if s.Table != nil {
 			gauge("config_version", int64(s.Table.Version))
+			gauge("workspaces", int64(s.Table.Workspaces.Len()))
 			gauge("config_age_ms", (g.selector.Now() - time.Duration(g.configuredAt.Load())).Milliseconds())
 		}
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -52,6 +52,9 @@
 		"view_revision": revision, "view_age_ms": g.cfg.Age().Milliseconds(), "status": a.Status, "outcome": outcome,
 		"took_ms": toMillis(took), "left_ms": left, "attempts": pr.attemptRecords, "retry_budget_empty": pr.budgetEmpty,
 	})
+	if pr.workspace != nil {
+		entry = entry.WithFields(logrus.Fields{"workspace": pr.workspace.Name, "rank": pr.rank})
+	}
 	if answered {
 		entry.Info("request answered")
 		return
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -84,6 +84,7 @@
 	Service         string   `json:"service"`
 	Class           string   `json:"class"`
 	Key             string   `json:"key,omitempty"`
+	Workspace       string   `json:"workspace,omitempty"`
 	Host            string   `json:"host"`
 	FailureDomain   string   `json:"domain"`
 	Rank            int      `json:"priority"`
@@ -376,7 +377,7 @@
 func (sel *Selector) poolRequest(p AcquireParams) dispatch.Request {
 	now := sel.now()
 	return dispatch.Request{
-		Class: p.Class, Key: p.Key, Host: p.Host, FailureDomain: p.FailureDomain, Rank: p.Rank, Bytes: p.Bytes,
+		Class: p.Class, Key: p.Key, Workspace: p.Workspace, Host: p.Host, FailureDomain: p.FailureDomain, Rank: p.Rank, Bytes: p.Bytes,
 		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis),
 		Exclude: p.Exclude, Allowed: p.Allowed,
 	}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -5,10 +5,13 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 	"unicode/utf8"
+
+	"github.com/galenabeam/galenabeam/internal/workspace"
 )
 
 // Kind is the kind of the requests of a route.
@@ -50,26 +53,21 @@
 	// MaxAttempts bounds the backend servers to which one request is sent. New raises a
 	// value below 1 to 1.
 	MaxAttempts int
-	// The rank of the requests; 0 is the most urgent.
+	// The rank of the requests; 0 is the most urgent. A workspace's rank replaces it.
 	Rank int
 	// Regions lists the regions that may serve the route; empty allows all.
 	Regions []string
 	// Affinity is set if a backend server answers faster when it has recently
 	// handled a request about the same object.
 	Affinity bool
+	// Public is set if requests need no key. It has no effect without workspaces.
+	Public bool
 }
 
-// AllowsRegion reports whether the route may be served in the region.
-func (r *Route) AllowsRegion(region string) bool {
-	if len(r.Regions) == 0 {
-		return true
-	}
-	for _, allowed := range r.Regions {
-		if allowed == region {
-			return true
-		}
-	}
-	return false
+// AllowsRegion reports whether a list of allowed regions contains the region or is
+// empty, which allows all.
+func AllowsRegion(allowed []string, region string) bool {
+	return len(allowed) == 0 || slices.Contains(allowed, region)
 }
 
 // PickService returns a service by the weights of Services, or "" if none is
@@ -119,9 +117,12 @@
 // Table is one revision of the configuration; Version is its number, which the
 // operator gives.
 type Table struct {
-	Version    uint64
-	Limits     Limits
-	Services   map[string]Service
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+	// Workspaces are the customers and their keys. If it is nil, requests need no key and
+	// belong to no workspace. It is set before the table is shared.
+	Workspaces *workspace.Set
 	hosts      map[string]*hostRoutes // by lower-case name
 	routeCount int
 }
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -122,11 +122,11 @@
 	}
 }
 
-// TestAllowsRegion guards against requests that are served outside the regions of
-// their route.
+// TestAllowsRegion guards against requests that are served outside the regions that
+// they are allowed in.
 func TestAllowsRegion(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect((&Route{}).AllowsRegion("x")).To(BeTrue())
-	g.Expect((&Route{Regions: []string{"x", "y"}}).AllowsRegion("y")).To(BeTrue())
-	g.Expect((&Route{Regions: []string{"x", "y"}}).AllowsRegion("z")).To(BeFalse())
+	g.Expect(AllowsRegion(nil, "x")).To(BeTrue())
+	g.Expect(AllowsRegion([]string{"x", "y"}, "y")).To(BeTrue())
+	g.Expect(AllowsRegion([]string{"x", "y"}, "z")).To(BeFalse())
 }
