mirror: count the age from what the user of the copy has got

Age dropped to zero as soon as a batch was accepted, while Changed was still decoding it. Age now changes when Changed has returned.

go test ./internal/mirror passes; TestAgeWhileChangesAreApplied fails without the change.

--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -154,6 +154,7 @@
 	mu         sync.Mutex
 	mirror     *Mirror
 	confirmed  time.Time     // when the store last confirmed the copy
+	published  time.Time     // the same of the copy that Changed has got
 	deferUntil time.Time     // end of the deferral of removals
 	updated    chan struct{} // closed at the next change, or when direct becomes false
 	// answers caches answers until the mirror may change, by the position after which
@@ -184,15 +185,16 @@
 	}
 }
 
-// Age returns the time since the store last confirmed the copy, or since the
-// creation of the syncer if it never did.
+// Age returns the time since the store last confirmed the copy that Changed has got, or
+// since the creation of the syncer if it never did. While Changed runs, it is still that
+// of the copy before: a user that finds nothing there may conclude nothing from it.
 func (s *Syncer) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.confirmed.IsZero() {
+	if s.published.IsZero() {
 		return time.Since(s.started)
 	}
-	return time.Since(s.confirmed)
+	return time.Since(s.published)
 }
 
 // Run synchronizes until ctx is done and returns nil.
@@ -413,7 +415,11 @@
 	if after == b.Position() && confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
+	published := s.confirmed
 	s.publishAndUnlock(changed)
+	s.mu.Lock()
+	s.published = published
+	s.mu.Unlock()
 	if before.Revision > 0 && after.Era > before.Era && s.Restored != nil {
 		s.Restored()
 	}
--- a/internal/mirror/sync_test.go
+++ b/internal/mirror/sync_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -103,6 +104,28 @@
 	g.Expect(b.source).To(Equal("c"))
 }
 
+// TestAgeWhileChangesAreApplied guards against a copy that looks confirmed while the changes
+// since an outage have not reached its user: what the copy lacks is not missing in the store.
+func TestAgeWhileChangesAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &scriptedStore{batch: Batch{Revision: 1, Items: []Item{put("op/config", 1)}}}
+		s := newHost(network{}, "a", store, "a")
+		const outage = 9 * time.Second
+		var ages []time.Duration
+		s.Changed = func(uint64, []Item) { ages = append(ages, s.Age()) }
+		s.step(t.Context())
+		g.Expect(s.Age()).To(BeZero())
+		store.err = errUnavailable
+		s.step(t.Context())
+		time.Sleep(outage)
+		store.batch, store.err = Batch{Revision: 2, Items: []Item{put("op/config", 2)}}, nil
+		s.step(t.Context())
+		g.Expect(ages).To(Equal([]time.Duration{0, outage}))
+		g.Expect(s.Age()).To(BeZero())
+	})
+}
+
 // TestOnlyFirstHostReadsStore guards against store calls that grow with the fleet:
 // only the first host of the order reads the store.
 func TestOnlyFirstHostReadsStore(t *testing.T) {
