gateway: answer requests without a valid key before their bodies

Such a request was answered after up to 1 MiB of its body had arrived, which took memory of the host and time of the caller. It is now answered at once. A body of up to 1 MiB is then read and dropped, so that the connection is kept; after a larger one it ends as before. A caller that waits for 100 Continue still gets that first, because it may or may not send its body after a refusal.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -45,6 +45,9 @@
 // Handler answers one request. It must return soon after ctx is done.
 type Handler interface {
 	Serve(ctx context.Context, r *Request) *Answer
+	// NeedsBody reports whether the body of a request, which has not been read, is
+	// needed to answer it.
+	NeedsBody(r *Request) bool
 	// Limits returns the limits of callers' requests and connections.
 	Limits() routetable.Limits
 }
@@ -345,6 +348,9 @@
 		}
 		if ex.request.Rest != nil {
 			<-ex.written
+			if ex.answer.SkipBody {
+				ex.request.Rest.skip()
+			}
 			if !ex.request.Rest.reachedEnd() {
 				// The goroutine that forwards the body may still read it, so the
 				// connection ends with this answer.
--- a/internal/gateway/front_request.go
+++ b/internal/gateway/front_request.go
@@ -28,7 +28,9 @@
 	if hr.ContentLength > limits.BodyBytes {
 		return nil, closeAfter(failure(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error()))
 	}
-	if errorAnswer, ok := c.readBody(r, limits); !ok || errorAnswer != nil {
+	if c.leavesBody(r) {
+		r.Rest = &restReader{r: c.bodyReader(r), left: limits.BodyBytes}
+	} else if errorAnswer, ok := c.readBody(r, limits); !ok || errorAnswer != nil {
 		return nil, errorAnswer
 	}
 	return &exchange{request: r, done: make(chan struct{}), written: make(chan struct{})}, nil
@@ -52,6 +54,17 @@
 	return closeAfter(failure(http.StatusBadRequest, "malformed request"))
 }
 
+// leavesBody reports whether a request is served before its body is read, because the body
+// is not needed. A caller that waits for an interim answer is sent that first: without it,
+// the caller may or may not send the body, and the connection could not be kept.
+func (c *frontConn) leavesBody(r *Request) bool {
+	return r.Length != 0 && r.HTTP.Header.Get("Expect") == "" && !c.front.handler.NeedsBody(r)
+}
+
+func (c *frontConn) bodyReader(r *Request) io.Reader {
+	return &timedReader{conn: c.nc, r: r.HTTP.Body}
+}
+
 // readBody reads up to maxBufferedBody bytes of a body, less if the memory for bodies is
 // used up, and leaves the rest of a larger one in r.Rest. It returns false if the request
 // cannot be served, with no answer if the caller disconnected.
@@ -62,7 +75,7 @@
 	if strings.EqualFold(r.HTTP.Header.Get("Expect"), "100-continue") && c.br.Buffered() == 0 {
 		c.sendContinue()
 	}
-	body := &timedReader{conn: c.nc, r: r.HTTP.Body}
+	body := c.bodyReader(r)
 	var ended bool
 	var err error
 	r.Body, ended, r.reserved, err = c.front.bodies.readUpTo(body, r.HTTP.ContentLength, maxBufferedBody)
@@ -147,6 +160,12 @@
 	return nil
 }
 
+// skip drops up to maxBufferedBody bytes of a body that nothing else reads, so that its
+// connection can be kept.
+func (b *restReader) skip() {
+	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxBufferedBody+1)) // an error is in b.end
+}
+
 func (b *restReader) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
 	if b.left -= int64(n); b.left < 0 {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -69,6 +69,9 @@
 	Abort bool
 	// Close ends the connection after the answer.
 	Close bool
+	// SkipBody is set if nothing has read Request.Rest or will, so that a short one is
+	// dropped and the connection kept.
+	SkipBody bool
 }
 
 // drop ends the use of an answer that is not written. a may be nil.
--- a/internal/gateway/workspace.go
+++ b/internal/gateway/workspace.go
@@ -41,7 +41,7 @@
 			return nil, ""
 		}
 		if !workspace.ValidKey(pr.apiKey) {
-			return g.unauthorized()
+			return skipBody(g.unauthorized())
 		}
 		// The age is read before the table is compared: a table that arrives in between
 		// may have the key, although the one searched is not older than the age says.
@@ -51,12 +51,33 @@
 			continue
 		}
 		if confirmed {
-			return g.unauthorized()
+			return skipBody(g.unauthorized())
 		}
-		return refusal(retryAfterUnconfirmed, "the key cannot be confirmed now"), "key_unconfirmed"
+		return skipBody(refusal(retryAfterUnconfirmed, "the key cannot be confirmed now"), "key_unconfirmed")
 	}
 }
 
+// skipBody marks an answer to a request whose body has not been used.
+func skipBody(a *Answer, outcome string) (*Answer, string) {
+	a.SkipBody = true
+	return a, outcome
+}
+
+// NeedsBody implements Handler. A request that lacks a valid key is answered at once: its
+// body would take memory of the host, and the caller would wait for nothing.
+func (g *Gateway) NeedsBody(r *Request) bool {
+	set := g.workspaces()
+	if set == nil {
+		return true
+	}
+	route := g.snapshot.Load().Table.Lookup(r.HTTP.Host, r.HTTP.URL.EscapedPath())
+	if route == nil || route.Public {
+		return true
+	}
+	keys := r.HTTP.Header.Values(g.cfg.Headers.Key)
+	return len(keys) == 1 && set.ByKey(keys[0]) != nil
+}
+
 // takeKey removes the lines of key and workspace from the header of a request, and keeps
 // the key if it is the only one.
 func (g *Gateway) takeKey(pr *pendingRequest) {
