--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -32,6 +32,11 @@
 	Signature string
 	// Leaving is set by backend servers that will end soon, in all their answers.
 	Leaving string
+	// Key holds the key of the caller's workspace. It is never forwarded.
+	Key string
+	// Workspace tells backend servers the name of a request's workspace. Lines of callers
+	// are removed. Key and Workspace have no effect without workspaces.
+	Workspace string
 }
 
 // Request is one request of a caller, read from a connection.
@@ -64,6 +69,9 @@
 	Abort bool
 	// Close ends the connection after the answer.
 	Close bool
+	// SkipBody is set if nothing has read Request.Rest or will, so that a short one is
+	// dropped and the connection kept.
+	SkipBody bool
 }
 
 // drop ends the use of an answer that is not written. a may be nil.
