--- a/internal/gateway/workspace_test.go
+++ b/internal/gateway/workspace_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"bytes"
-	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,7 +16,6 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/routetable"
 	"github.com/galenabeam/galenabeam/internal/workspace"
 )
@@ -115,114 +111,6 @@
 	}
 }
 
-// TestRefusalsInOrder guards against refusals of pipelined requests that overtake the
-// answers to earlier ones, also from a server that is slow.
-func TestRefusalsInOrder(t *testing.T) {
-	g := NewWithT(t)
-	s := startBackend(t, func(s *testBackend, c net.Conn, r *http.Request, body string) bool {
-		time.Sleep(20 * time.Millisecond)
-		return answerOK(s, c, r, body)
-	})
-	f := startGateway(t, s)
-	f.setWorkspaces(t, nil, testWorkspace)
-	conn, in := f.dial(t)
-	var all strings.Builder
-	for i := range 8 {
-		key := "X-Credential: " + secretKey
-		if i%2 == 1 {
-			key = "X-Credential: guess"
-		}
-		all.WriteString(requestWith("GET", "/get/a", fmt.Sprint("r", i), "", key))
-	}
-	_, _ = io.WriteString(conn, all.String())
-	for i := range 8 {
-		status, body, _ := readAnswer(in)
-		if i%2 == 1 {
-			g.Expect(status).To(Equal(401))
-			continue
-		}
-		g.Expect(status).To(Equal(200))
-		g.Expect(body).To(Equal(fmt.Sprintf("answer to r%d ", i)))
-	}
-	g.Expect(s.runs.Load()).To(Equal(int32(4)))
-}
-
-// TestRefusalBeforeBody guards against a refusal that waits for the body, and against a
-// connection that ends, or takes the body for a request, after it.
-func TestRefusalBeforeBody(t *testing.T) {
-	const head = "POST /post/a HTTP/1.1\r\nHost: x\r\nX-Id: p\r\n"
-	hidden := requestWith("POST", "/post/a", "hidden", "", "X-Credential: "+secretKey)
-	for _, c := range []struct {
-		desc, head, body string
-		age              time.Duration
-		want             int
-	}{
-		{"length", fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, len(hidden)), hidden, 0, 401},
-		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden), 0, 401},
-		{"the greatest body that is dropped", fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, maxBufferedBody), strings.Repeat("x", maxBufferedBody), 0, 401},
-		{"unknown key on a stale copy", fmt.Sprintf("%sX-Credential: guess\r\nContent-Length: 4\r\n\r\n", head), "body", time.Minute, 503},
-	} {
-		t.Run(c.desc, func(t *testing.T) {
-			g := NewWithT(t)
-			s := startBackend(t, answerOK)
-			f := startGatewayWith(t, func(f *fixture) { f.g.cfg.Age = func() time.Duration { return c.age } }, s)
-			f.setWorkspaces(t, nil, testWorkspace)
-			conn, in := f.dial(t)
-			for range 2 {
-				_, _ = io.WriteString(conn, c.head)
-				status, _, _ := readAnswer(in)
-				g.Expect(status).To(Equal(c.want))
-				_, _ = io.WriteString(conn, c.body)
-			}
-			_, _ = io.WriteString(conn, requestWith("POST", "/post/a", "last", "body", "X-Credential: "+secretKey))
-			status, body, _ := readAnswer(in)
-			g.Expect(status).To(Equal(200))
-			g.Expect(body).To(Equal("answer to last body"))
-			g.Expect(s.runs.Load()).To(Equal(int32(1)))
-		})
-	}
-}
-
-// TestRefusalAfterContinue guards against a caller that waits for an interim answer before
-// its body, and after a refusal sends bytes that are taken for a request.
-func TestRefusalAfterContinue(t *testing.T) {
-	g := NewWithT(t)
-	s := startBackend(t, answerOK)
-	f := startGateway(t, s)
-	f.setWorkspaces(t, nil, testWorkspace)
-	conn, in := f.dial(t)
-	_, _ = io.WriteString(conn, "POST /post/a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
-	status, _, _ := readAnswer(in)
-	g.Expect(status).To(Equal(100))
-	_, _ = io.WriteString(conn, "body")
-	status, _, _ = readAnswer(in)
-	g.Expect(status).To(Equal(401))
-	_, _ = io.WriteString(conn, requestWith("POST", "/post/a", "last", "body", "X-Credential: "+secretKey))
-	status, _, _ = readAnswer(in)
-	g.Expect(status).To(Equal(200))
-	g.Expect(s.runs.Load()).To(Equal(int32(1)))
-}
-
-// TestRefusalOfLargeBody guards against a refusal that is lost, or that reaches a server,
-// because the body is too large to be read before.
-func TestRefusalOfLargeBody(t *testing.T) {
-	g := NewWithT(t)
-	s := startBackend(t, answerOK)
-	f := startGateway(t, s)
-	f.setWorkspaces(t, nil, testWorkspace)
-	conn, in := f.dial(t)
-	go func() {
-		_, _ = fmt.Fprintf(conn, "POST /post/a HTTP/1.1\r\nHost: x\r\nX-Id: p\r\nContent-Length: %d\r\n\r\n", 4<<20)
-		_, _ = conn.Write(make([]byte, 4<<20))
-		_, _ = io.WriteString(conn, requestWith("POST", "/post/a", "hidden", "", "X-Credential: "+secretKey))
-	}()
-	status, _, _ := readAnswer(in)
-	g.Expect(status).To(Equal(401))
-	status, _, _ = readAnswer(in)
-	g.Expect(status).To(BeZero(), "the connection ends: the rest of the body is not read")
-	g.Expect(s.runs.Load()).To(BeZero())
-}
-
 // TestWorkspaceHeader guards against a key that reaches a server, and against a workspace
 // that the caller forged, in any letter case and number of lines.
 func TestWorkspaceHeader(t *testing.T) {
@@ -416,134 +304,6 @@
 	g.Expect(status).To(Equal(200))
 }
 
-// recordingPeers is a PeerClient that keeps the parameters of acquires and fails.
-type recordingPeers struct {
-	noPeers
-	mu       sync.Mutex
-	acquires []AcquireParams
-}
-
-func (p *recordingPeers) Call(_ context.Context, _, method string, params, _ any) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if method == MethodAcquire {
-		p.acquires = append(p.acquires, params.(AcquireParams))
-	}
-	return errors.New("no answer")
-}
-
-// TestDispatcherSeesWorkspace guards against a dispatcher that gets the rank, the regions or
-// the name that don't apply to the request.
-func TestDispatcherSeesWorkspace(t *testing.T) {
-	type seen struct {
-		Workspace string
-		Rank      int
-		Allowed   []string
-	}
-	for _, c := range []struct {
-		desc      string
-		workspace workspace.Workspace
-		regions   []string // of the route, whose rank is 3
-		want      seen
-	}{
-		{"nothing of its own", workspace.Workspace{Name: "acme"}, nil, seen{"acme", 3, nil}},
-		{"empty lists", workspace.Workspace{Name: "acme", Regions: []string{}}, []string{}, seen{"acme", 3, nil}},
-		{"regions of the route", workspace.Workspace{Name: "acme", Regions: []string{}}, []string{"r"}, seen{"acme", 3, []string{"r"}}},
-		{"most urgent rank", workspace.Workspace{Name: "acme", HasRank: true}, nil, seen{"acme", 0, nil}},
-		{"less urgent rank", workspace.Workspace{Name: "acme", Rank: 7, HasRank: true}, nil, seen{"acme", 7, nil}},
-		{"regions of the workspace", workspace.Workspace{Name: "acme", Regions: []string{"r", "q"}}, nil, seen{"acme", 3, []string{"r", "q"}}},
-		{"regions of both", workspace.Workspace{Name: "acme", Regions: []string{"q", "r"}}, []string{"o", "r", "p"}, seen{"acme", 3, []string{"r"}}},
-	} {
-		t.Run(c.desc, func(t *testing.T) {
-			g := NewWithT(t)
-			peers, registry := &recordingPeers{}, metrics.NewRegistry()
-			f := startGatewayWith(t, func(f *fixture) {
-				f.g.selector.peerClient = peers
-				f.g.cfg.Metrics = NewMetrics(registry)
-				s := f.g.Snapshot()
-				f.g.SetSnapshot(s.Apply(2, fleet.Changes{Table: s.Table, Hosts: map[string]*fleet.Host{
-					"dispatcher": {Name: "dispatcher", Region: "r", FailureDomain: "d", PeerAddress: "q", Cores: 9},
-				}}))
-			}, startBackend(t, answerOK))
-			f.setWorkspaces(t, func(routes []routetable.Route) { routes[0].Rank, routes[0].Regions = 3, c.regions },
-				workspace.Definition{Workspace: c.workspace, Keys: []string{secretKey}})
-			status, _, _ := f.sendWith(t, "GET", "/get/a", "", "X-Credential: "+secretKey)
-			g.Expect(status).To(Equal(200))
-			peers.mu.Lock()
-			defer peers.mu.Unlock()
-			g.Expect(peers.acquires).To(HaveLen(1))
-			p := peers.acquires[0]
-			g.Expect(seen{p.Workspace, p.Rank, p.Allowed}).To(Equal(c.want))
-			name := fmt.Sprintf("requests;service=s;rank=%d;outcome=served", c.want.Rank)
-			g.Eventually(func() int64 { return metrics.GetOrRegisterCounter(name, registry).Count() }).Should(Equal(int64(1)))
-			request := f.g.selector.poolRequest(p)
-			g.Expect(seen{request.Workspace, request.Rank, request.Allowed}).To(Equal(c.want))
-		})
-	}
-}
-
-// TestAcquireParamsWithoutWorkspace guards against a longer message between hosts of
-// deployments without workspaces.
-func TestAcquireParamsWithoutWorkspace(t *testing.T) {
-	g := NewWithT(t)
-	raw, err := json.Marshal(AcquireParams{Service: "s"})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(raw)).NotTo(ContainSubstring("workspace"))
-	raw, err = json.Marshal(AcquireParams{Service: "s", Workspace: "acme"})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(raw)).To(ContainSubstring(`"workspace":"acme"`))
-}
-
-// TestNoAllowedRegion guards against a request that is served outside its regions, or waits
-// although no server can ever take it.
-func TestNoAllowedRegion(t *testing.T) {
-	for _, c := range []struct {
-		desc             string
-		route, workspace []string
-		want             int
-		reason           string
-	}{
-		{"nothing in common", []string{"r"}, []string{"q"}, 503, "in common"},
-		{"no server in the common region", []string{"q", "r"}, []string{"q"}, 503, "no backend server"},
-		{"no server in the region of the workspace", nil, []string{"q"}, 503, "no backend server"},
-		{"no server in the region of the route", []string{"q"}, nil, 503, "no backend server"},
-		{"server in the common region", []string{"q", "r"}, []string{"r", "o"}, 200, ""},
-	} {
-		t.Run(c.desc, func(t *testing.T) {
-			g := NewWithT(t)
-			s, registry := startBackend(t, answerOK), metrics.NewRegistry()
-			f := startGatewayWith(t, func(f *fixture) { f.g.cfg.Metrics = NewMetrics(registry) }, s)
-			f.setWorkspaces(t, func(routes []routetable.Route) { routes[1].Regions = c.route },
-				workspace.Definition{Workspace: workspace.Workspace{Name: "acme", Regions: c.workspace}, Keys: []string{secretKey}})
-			status, body, header := f.sendWith(t, "POST", "/post/a", "x", "X-Credential: "+secretKey)
-			g.Expect(status).To(Equal(c.want))
-			if c.want == 200 {
-				return
-			}
-			g.Expect(body).To(ContainSubstring(c.reason))
-			g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
-			g.Expect(s.runs.Load()).To(BeZero())
-			g.Expect(metrics.GetOrRegisterCounter("requests;service=s;rank=0;outcome=no_region", registry).Count()).To(Equal(int64(1)))
-		})
-	}
-}
-
-// TestRetryStaysInRegions guards against a retry in a region that the workspace does not
-// allow, although the route does.
-func TestRetryStaysInRegions(t *testing.T) {
-	g := NewWithT(t)
-	failing, elsewhere := startBackend(t, func(*testBackend, net.Conn, *http.Request, string) bool { return false }), startBackend(t, answerOK)
-	f := startGateway(t, failing)
-	s := f.g.Snapshot()
-	b := &fleet.Backend{ID: "b1", Service: "s", Address: elsewhere.listener.Addr().String(), FailureDomain: "e", Region: "q", Slots: 4}
-	f.g.SetSnapshot(s.Apply(2, fleet.Changes{Table: s.Table, Backends: map[string]*fleet.Backend{"b1": b}}))
-	f.setWorkspaces(t, func(routes []routetable.Route) { routes[0].Regions = []string{"q", "r"} },
-		workspace.Definition{Workspace: workspace.Workspace{Name: "acme", Regions: []string{"r"}}, Keys: []string{secretKey}})
-	status, _, _ := f.sendWith(t, "GET", "/get/a", "", "X-Credential: "+secretKey)
-	g.Expect(status).To(Equal(502))
-	g.Expect(elsewhere.runs.Load()).To(BeZero())
-}
-
 // TestKeyIsNowhere guards against a key in a log line, in a metric or in the state of the
 // pools, for all kinds of answers.
 func TestKeyIsNowhere(t *testing.T) {
