dispatch: divide scarce slots and schedule returning callers

While a service was short of slots, requests were refused in the order of their arrival: a workspace at a multiple of its rate took the slots of the others, and all callers refused within a moment were told the same time and came back as one wave.

--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -113,6 +113,7 @@
 	p.markStalledServers(now)
 	p.expireGrants(now)
 	p.expireLeavingMarks(now)
+	p.scarcity.expire(now)
 }
 
 // A request without an answer is overdue after stallFactor times its expected
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,6 +52,8 @@
 	// Class is the name of the request's route, whose requests have similar service
 	// times.
 	Class string
+	// Workspace is the name of the request's workspace; "" if it has none.
+	Workspace string
 	// Key identifies the object that the request is about; "" if there is none.
 	Key string
 	// Host is the entry host that sends the request, FailureDomain is that host's.
@@ -70,6 +72,9 @@
 	Exclude []string
 	// Allowed lists the regions that may serve; empty allows all.
 	Allowed []string
+	// Hedge is set for an attempt beside another one. Its refusal reaches no caller, so
+	// that no return is scheduled.
+	Hedge bool
 }
 
 // Decision is a granted server or, if Refused is set, a refusal. Entry hosts send it
@@ -90,8 +95,9 @@
 	Load, Busy float64
 	Refused    Reason
 	// RetryAfter is the delay to ask of the caller of a refused request: a constant
-	// for NoServer, otherwise the expected wait, from 0.7 s to 2 s. It is 0 for a grant,
-	// and if the request ended before a pool could decide.
+	// for NoServer, otherwise the expected wait, from 0.7 s to 2 s, or a time of the
+	// schedule of returns if Options.Scheduled is set. It is 0 for a grant, and if the
+	// request ended before a pool could decide.
 	RetryAfter time.Duration
 }
 
@@ -157,6 +163,9 @@
 	Shared bool
 	// Limits are the operator's, not yet divided between pools.
 	Limits Limits
+	// Scheduled is set if the deployment has workspaces or quotas: scarce slots are then
+	// divided between workspaces, and refused callers return by a schedule.
+	Scheduled bool
 }
 
 // Pool chooses among the backend servers of one service in all regions, for the
@@ -188,6 +197,7 @@
 	// knowledgeChanged is set if, since the last call of Export, an object was requested
 	// from a server that was not assumed to hold it.
 	knowledgeChanged bool
+	scarcity         *scarcity // nil unless Options.Scheduled is set
 }
 
 type grant struct {
@@ -219,6 +229,7 @@
 		classes: map[string]*class{}, places: map[string]*place{}, leavingMarks: map[string]leavingMark{},
 		shiftLimiter:   shiftLimiter{ownRegion: o.Region, maxGrowth: o.Limits.maxRegionGrowth()},
 		objectCapacity: initialObjectCapacity, lastRequestByRank: map[int]time.Duration{},
+		scarcity: newScarcity(o.Scheduled),
 	}
 }
 
@@ -255,9 +266,10 @@
 	p.orderForeignServers()
 }
 
-// Acquire chooses a server for the request or refuses it; no request is queued in
-// the pool. Each grant must be ended with Release.
-func (p *Pool) Acquire(now time.Duration, r Request) Decision {
+// decide chooses a server for the request or refuses it. returned is set for the return
+// of a refused caller at its scheduled time: it is not refused for the load of the servers
+// or the share of its workspace.
+func (p *Pool) decide(now time.Duration, r Request, returned bool) Decision {
 	c := p.class(r.Class, r.Objective-now)
 	if now-p.occupancyAt > maxOccupancyAge {
 		p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
@@ -270,15 +282,23 @@
 	if best != nil && p.yieldsToUrgent(now, r, best) {
 		return p.refuse(now, Overload, best, est)
 	}
+	if best != nil && !returned && p.aboveShare(now, r, best) {
+		return p.refuse(now, Overload, best, est)
+	}
 	if best != nil && p.overloaded(now, best, est) {
 		// While many slots are free, take a server with a free one, even if it has to
 		// fetch the object or the answer will be late. While few are free, a fetch would
 		// take slot time from several requests whose objects are held already.
-		if p.occupancy > spareOccupancy {
+		returned = returned && best.load(now) <= maxReturnLoad*float64(best.slots)
+		if p.occupancy > spareOccupancy && !returned {
 			return p.refuse(now, Overload, best, est)
 		}
-		if best, est = p.choose(now, r, c, freeServers); best == nil {
-			return p.refuse(now, Overload, nil, est)
+		free, freeEst := p.choose(now, r, c, freeServers)
+		switch {
+		case free != nil:
+			best, est = free, freeEst
+		case !returned:
+			return p.refuse(now, Overload, nil, freeEst)
 		}
 	}
 	switch {
@@ -408,6 +428,7 @@
 	delete(p.grants, id)
 	s := g.server
 	s.removeGrant(now, g)
+	p.scarcity.ended(now, r.Result)
 	if r.Leaving && r.StartedAtMillis == s.startedAtMillis {
 		p.markLeaving(s.id, leavingMark{startedAtMillis: s.startedAtMillis, until: now + serverhold.LeavingTime, reported: true})
 	}
--- /dev/null
+++ b/internal/dispatch/scarcity_test.go
@@ -0,0 +1,295 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/galenabeam/galenabeam/internal/fleet"
+)
+
+// The tests of this file run callers that are refused and come back, in virtual time
+// against model servers.
+
+// modelCaller is a caller with one request, which it sends again when it was refused.
+type modelCaller struct {
+	workspace, key string
+	rank           int
+	deadline       time.Duration
+	at             time.Duration // of the next attempt
+	returns        bool          // the attempt is at the time that a refusal gave
+}
+
+type callerHeap []*modelCaller
+
+func (h callerHeap) Len() int           { return len(h) }
+func (h callerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h callerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *callerHeap) Push(x any)        { *h = append(*h, x.(*modelCaller)) }
+func (h *callerHeap) Pop() any          { o := *h; x := o[len(o)-1]; *h = o[:len(o)-1]; return x }
+
+// workspaceCount counts the attempts of a workspace.
+type workspaceCount struct{ attempts, granted, callers, answered int }
+
+// crowd sends the requests of several workspaces to model servers.
+type crowd struct {
+	pool        *Pool
+	servers     map[string]*modelServer
+	completions completionHeap
+	callers     callerHeap
+	rng         *rand.Rand
+	serviceTime time.Duration
+	// constantRetryAfter replaces the Retry-After of refusals if it is not 0.
+	constantRetryAfter time.Duration
+	counts             map[string]*workspaceCount
+	returnsPerBin      map[time.Duration]int // attempts of refused callers per returnBin
+	returned           int                   // attempts at a scheduled time
+	refusedAgain       int
+	longestWait        time.Duration // from the grant to the answer
+}
+
+// returnBin is the length of the intervals in which returning callers are counted.
+const returnBin = 50 * ms
+
+// callerTransit is the way of a message between the callers and the pool.
+const callerTransit = 3 * ms
+
+func newCrowd(servers int, scheduled bool) *crowd {
+	c := &crowd{
+		servers: map[string]*modelServer{}, rng: rand.New(rand.NewSource(1)), serviceTime: 200 * ms,
+		counts: map[string]*workspaceCount{}, returnsPerBin: map[time.Duration]int{},
+	}
+	c.pool = New(Options{Region: "r", Shared: true, Limits: DefaultLimits, Scheduled: scheduled})
+	c.setServers(0, servers)
+	return c
+}
+
+// setServers leaves the given number of servers, of 4 slots each.
+func (c *crowd) setServers(now time.Duration, n int) {
+	var list []*fleet.Backend
+	for i := range n {
+		b := backend(fmt.Sprint("b", i), "r")
+		list = append(list, b)
+		if c.servers[b.ID] == nil {
+			c.servers[b.ID] = &modelServer{slotFreeAt: make([]time.Duration, b.Slots), objects: map[string]bool{}}
+		}
+	}
+	c.pool.Update(now, list, nil, 5, 3*time.Second)
+}
+
+// add lets a caller send its first request at a time.
+func (c *crowd) add(at time.Duration, workspace string, rank int, timeLeft time.Duration) {
+	heap.Push(&c.callers, &modelCaller{workspace: workspace, key: fmt.Sprint(c.rng.Intn(64)), rank: rank, at: at, deadline: at + timeLeft})
+	c.count(workspace).callers++
+}
+
+// addRate adds callers at random times.
+func (c *crowd) addRate(from, to time.Duration, workspace string, rank int, perSecond float64, timeLeft time.Duration) {
+	for at := from; ; {
+		at += time.Duration(c.rng.ExpFloat64() / perSecond * float64(time.Second))
+		if at >= to {
+			return
+		}
+		c.add(at, workspace, rank, timeLeft)
+	}
+}
+
+func (c *crowd) count(workspace string) *workspaceCount {
+	if c.counts[workspace] == nil {
+		c.counts[workspace] = &workspaceCount{}
+	}
+	return c.counts[workspace]
+}
+
+func (c *crowd) play(from, to time.Duration) {
+	for now := from; now < to; now += ms {
+		for len(c.completions) > 0 && c.completions[0].at <= now {
+			e := heap.Pop(&c.completions).(modelCompletion)
+			c.pool.Release(e.at, e.grant, e.report)
+		}
+		if now%(200*ms) == 0 {
+			c.pool.Maintain(now)
+		}
+		for len(c.callers) > 0 && c.callers[0].at <= now {
+			c.send(now, heap.Pop(&c.callers).(*modelCaller))
+		}
+	}
+}
+
+func (c *crowd) send(now time.Duration, m *modelCaller) {
+	n := c.count(m.workspace)
+	n.attempts++
+	d := c.pool.Acquire(now, Request{
+		Workspace: m.workspace, Class: "c", Key: m.key, Rank: m.rank, FailureDomain: "r-a", Objective: now + objective, Deadline: m.deadline,
+	})
+	if m.returns {
+		c.returned++
+		c.returnsPerBin[now/returnBin]++
+	}
+	if d.Refused == "" {
+		n.granted++
+		end := c.servers[d.Server].serve(now, m.key, c.serviceTime, c.serviceTime)
+		if end <= m.deadline {
+			n.answered++
+		}
+		c.longestWait = max(c.longestWait, end-now)
+		heap.Push(&c.completions, modelCompletion{end, d.Grant, Report{Result: Served, Elapsed: end - now}})
+		return
+	}
+	if m.returns {
+		c.refusedAgain++
+	}
+	wait := d.RetryAfter
+	if c.constantRetryAfter > 0 {
+		wait = c.constantRetryAfter
+	}
+	heard := now + callerTransit
+	if wait <= (m.deadline-heard)/3 {
+		m.at, m.returns = heard+wait+callerTransit, true
+		heap.Push(&c.callers, m)
+	}
+}
+
+func (c *crowd) largestReturn() int {
+	largest := 0
+	for _, n := range c.returnsPerBin {
+		largest = max(largest, n)
+	}
+	return largest
+}
+
+func (c *crowd) totals() workspaceCount {
+	var sum workspaceCount
+	for _, n := range c.counts {
+		sum.attempts, sum.granted = sum.attempts+n.attempts, sum.granted+n.granted
+		sum.callers, sum.answered = sum.callers+n.callers, sum.answered+n.answered
+	}
+	return sum
+}
+
+// flashCrowd plays a steady load of 100 callers per second on 160 slots per second, and
+// 400 further callers within 100 ms, 3 s later.
+func flashCrowd(scheduled bool) *crowd {
+	c := newCrowd(8, scheduled)
+	c.addRate(0, 10*time.Second, "steady", 0, 100, 3*time.Second)
+	for i := range 400 {
+		c.add(4*time.Second+time.Duration(i)*ms/4, "crowd", 0, 3*time.Second)
+	}
+	if !scheduled {
+		c.constantRetryAfter = 700 * ms
+	}
+	c.play(0, 14*time.Second)
+	return c
+}
+
+// TestRefusedCallersDoNotReturnAtOnce guards against a flood of 400 callers that is
+// refused within 100 ms and comes back as one wave. The baseline is a Retry-After of
+// 700 ms for all.
+func TestRefusedCallersDoNotReturnAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	baseline, c := flashCrowd(false), flashCrowd(true)
+	t.Logf("largest return in %v: %d, baseline %d; answered of the crowd: %d, baseline %d",
+		returnBin, c.largestReturn(), baseline.largestReturn(), c.count("crowd").answered, baseline.count("crowd").answered)
+	g.Expect(c.largestReturn()).To(BeNumerically("<=", baseline.largestReturn()/3))
+	g.Expect(c.count("crowd").answered).To(BeNumerically(">", baseline.count("crowd").answered))
+	g.Expect(c.count("steady").answered).To(BeNumerically(">=", baseline.count("steady").answered-10))
+}
+
+// TestPromisedCallerIsServed guards against callers that are refused a second time
+// although they come back at the scheduled time and the slots are enough for them: 120
+// callers within 60 ms, after a steady load of 80 per second on 160 slots per second.
+func TestPromisedCallerIsServed(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrowd(8, true)
+	c.addRate(0, 8*time.Second, "steady", 0, 80, 8*time.Second)
+	for i := range 120 {
+		c.add(4*time.Second+time.Duration(i)*ms/2, fmt.Sprint("w", i), 0, 8*time.Second)
+	}
+	c.play(0, 12*time.Second)
+	g.Expect(c.returned).To(BeNumerically(">", 30))
+	g.Expect(c.refusedAgain).To(BeZero())
+	g.Expect(c.totals().answered).To(Equal(c.totals().callers))
+}
+
+// TestHotWorkspace guards against a workspace at 7.5 times its rate that takes the slots
+// of the 87 others: it usually has a third of 110 callers per second, on 160 slots per
+// second.
+func TestHotWorkspace(t *testing.T) {
+	g := NewWithT(t)
+	play := func(scheduled bool) *crowd {
+		c := newCrowd(8, scheduled)
+		const usual = 110.0
+		c.addRate(0, 5*time.Second, "hot", 0, usual/3, 3*time.Second)
+		c.addRate(5*time.Second, 15*time.Second, "hot", 0, 7.5*usual/3, 3*time.Second)
+		for i := range 87 {
+			c.addRate(0, 15*time.Second, fmt.Sprint("w", i), 0, usual*2/3/87, 3*time.Second)
+		}
+		c.play(0, 20*time.Second)
+		return c
+	}
+	others := func(c *crowd) float64 {
+		sum, hot := c.totals(), c.count("hot")
+		return float64(sum.answered-hot.answered) / float64(sum.callers-hot.callers)
+	}
+	baseline, c := play(false), play(true)
+	t.Logf("answered of the others: %.3f, baseline %.3f; of the hot one: %d, baseline %d of %d",
+		others(c), others(baseline), c.count("hot").answered, baseline.count("hot").answered, c.count("hot").callers)
+	g.Expect(others(c)).To(BeNumerically(">=", 0.97))
+	g.Expect(c.totals().answered).To(BeNumerically(">=", 0.97*float64(baseline.totals().answered)), "no slot is lost")
+	checkServedRatio(g, c)
+}
+
+// checkServedRatio checks that no workspace is served less than a quarter as often as all,
+// by attempts.
+func checkServedRatio(g Gomega, c *crowd) {
+	sum := c.totals()
+	for name, n := range c.counts {
+		g.Expect(float64(n.granted)/float64(n.attempts)).To(BeNumerically(">=", 0.25*float64(sum.granted)/float64(sum.attempts)), "%s: %+v", name, *n)
+	}
+}
+
+// TestShortRegion guards against workspaces that get nothing in a region with less than
+// half of the slots that its 88 workspaces ask for, of which it then loses a further half.
+func TestShortRegion(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrowd(8, true)
+	for i := range 88 {
+		rate := 3.0
+		if i%10 == 0 {
+			rate = 12
+		}
+		c.addRate(0, 30*time.Second, fmt.Sprint("w", i), 0, rate, 3*time.Second)
+	}
+	c.play(0, 15*time.Second)
+	checkServedRatio(g, c)
+	before := c.totals().granted
+	c.counts = map[string]*workspaceCount{}
+	c.setServers(15*time.Second, 4)
+	c.play(15*time.Second, 30*time.Second)
+	checkServedRatio(g, c)
+	g.Expect(c.totals().granted).To(BeNumerically(">=", 0.4*float64(before)), "the slots that are left are used")
+	g.Expect(c.longestWait).To(BeNumerically("<", 2*objective))
+}
+
+// TestRankComesBeforeShare guards against urgent requests that are refused for the share
+// of a less urgent rank: one workspace asks for three quarters of the slots at rank 0, and
+// ten for more than all of them at rank 1.
+func TestRankComesBeforeShare(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrowd(8, true)
+	c.addRate(0, 15*time.Second, "urgent", 0, 100, 3*time.Second)
+	c.addRate(0, 15*time.Second, "urgent too", 0, 20, 3*time.Second)
+	for i := range 10 {
+		c.addRate(3*time.Second, 15*time.Second, fmt.Sprint("w", i), 1, 30, 3*time.Second)
+	}
+	c.play(0, 18*time.Second)
+	for _, name := range []string{"urgent", "urgent too"} {
+		n := c.count(name)
+		g.Expect(n.answered).To(BeNumerically(">=", 0.97*float64(n.callers)), "%s: %+v", name, *n)
+	}
+	g.Expect(c.totals().answered).To(BeNumerically(">", c.count("urgent").answered+c.count("urgent too").answered+300), "the rest of the slots is used")
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -49,7 +49,7 @@
 		active = append(active, a)
 		running++
 	}
-	dec := g.acquire(ctx, pr)
+	dec := g.acquire(ctx, pr, false)
 	if dec.Refused != "" {
 		return g.answerRefused(ctx, pr, dec)
 	}
@@ -116,13 +116,15 @@
 	}()
 }
 
-// acquire selects a backend server for the next attempt of a request.
-func (g *Gateway) acquire(ctx context.Context, pr *pendingRequest) decision {
+// acquire selects a backend server for the next attempt of a request. hedge is set if
+// another attempt is running.
+func (g *Gateway) acquire(ctx context.Context, pr *pendingRequest, hedge bool) decision {
 	for range maxUnsentAttempts { // here a bound on decisions; nothing is sent
 		held := g.holds.held()
 		dec := g.selector.Acquire(ctx, AcquireParams{
 			Service: pr.service, Class: pr.route.Name, Key: g.requestAffinity(pr),
-			Host: g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
+			Hedge: hedge,
+			Host:  g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
 			Rank: pr.route.Rank, Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
 			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
 			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.route.Regions,
@@ -303,7 +305,7 @@
 	if pr.sentAttempts+1 >= pr.route.MaxAttempts {
 		return decision{}, false
 	}
-	dec := g.acquire(ctx, pr)
+	dec := g.acquire(ctx, pr, true)
 	if dec.Refused != "" {
 		return dec, false
 	}
@@ -346,7 +348,7 @@
 		pr.budgetEmpty = true
 		return decision{}, false
 	}
-	dec := g.acquire(ctx, pr)
+	dec := g.acquire(ctx, pr, false)
 	return dec, dec.Refused == ""
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,10 +62,12 @@
 // Config holds the dependencies and limits of a gateway. Interfaces and functions
 // must be set; Metrics may be nil.
 type Config struct {
-	Self            fleet.Host
-	Headers         Headers
-	Budget          Budget
-	FleetLimits     dispatch.Limits
+	Self        fleet.Host
+	Headers     Headers
+	Budget      Budget
+	FleetLimits dispatch.Limits
+	// Scheduled enables dispatch.Options.Scheduled for all pools.
+	Scheduled       bool
 	PeerClient      PeerClient
 	PersistentStore PersistentStore
 	Log             logrus.FieldLogger
@@ -102,6 +104,9 @@
 // requests wait up to 400 ms and are then refused.
 func New(cfg Config) *Gateway {
 	selector := NewSelector(cfg.Self, cfg.FleetLimits, cfg.PeerClient, cfg.PersistentStore, cfg.Log)
+	if cfg.Scheduled {
+		selector.Schedule()
+	}
 	return &Gateway{
 		cfg: cfg, selector: selector, upstream: newUpstream(cfg.Headers), holds: newServerHolds(selector.Now, cfg.Log),
 		budgets: map[string]*retry.Budget{}, configured: make(chan struct{}),
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -92,6 +92,10 @@
 	RemainingMillis float64  `json:"left_ms"`
 	Exclude         []string `json:"exclude,omitempty"`
 	Allowed         []string `json:"allowed,omitempty"`
+	// Workspace is the name of the request's workspace, "" if it has none.
+	Workspace string `json:"workspace,omitempty"`
+	// Hedge is set for an attempt beside another one, whose refusal reaches no caller.
+	Hedge bool `json:"hedge,omitempty"`
 }
 
 // ReleaseParams releases a grant and reports how its request ended.
@@ -116,6 +120,7 @@
 type Selector struct {
 	self            fleet.Host
 	limits          dispatch.Limits
+	scheduled       bool // the settings call for dispatch.Options.Scheduled
 	peerClient      PeerClient
 	persistentStore PersistentStore
 	log             logrus.FieldLogger
@@ -167,6 +172,11 @@
 	}
 }
 
+// Schedule lets all pools divide scarce slots between workspaces and schedule the returns
+// of refused callers; see dispatch.Options.Scheduled. It must be called before any other
+// method.
+func (sel *Selector) Schedule() { sel.scheduled = true }
+
 // SetSnapshot replaces the current snapshot and updates all pools with it.
 func (sel *Selector) SetSnapshot(s *fleet.Snapshot) {
 	if sel.snapshot.Swap(s) == nil {
@@ -219,7 +229,7 @@
 	}
 	ps := pools[service]
 	if ps == nil {
-		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: sel.self.Region, Shared: kind == sharedPool, Limits: sel.limits})}
+		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: sel.self.Region, Shared: kind == sharedPool, Limits: sel.limits, Scheduled: sel.scheduled})}
 		pools[service] = ps
 		if s := sel.snapshot.Load(); s != nil {
 			sel.updatePool(service, ps, s)
@@ -378,7 +388,7 @@
 	return dispatch.Request{
 		Class: p.Class, Key: p.Key, Host: p.Host, FailureDomain: p.FailureDomain, Rank: p.Rank, Bytes: p.Bytes,
 		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis),
-		Exclude: p.Exclude, Allowed: p.Allowed,
+		Exclude: p.Exclude, Allowed: p.Allowed, Workspace: p.Workspace, Hedge: p.Hedge,
 	}
 }
 
