dispatch: pace servers that have just started or recovered

A server that had just joined or recovered looked idle to the dispatcher and got as many requests at once as it has slots, before its first answer.

With quotas or EnablePacing, a pool now limits the requests in flight at such a server. The limit starts at 1, doubles with each round of answers in time, is halved at once by a refusal, a timeout or an answer after twice the expected time, and ends at slots + 1 or after 5 s. Digests carry the limits to the pools of other regions. A request that would be refused for the limit alone is decided again without it. Starts and ends are logged, and servers_paced counts the servers.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -49,6 +49,9 @@
 		passes = 1 // for a free server the bound on shifts is hard
 	}
 	for pass := 0; pass < passes && best == nil; pass++ {
+		if p.paceSkipped && (pass > 0 || filter == anyServer) {
+			return nil, bestEst // a paced server comes before these; see decideAtPace
+		}
 		candidates := p.firstChoice
 		if pass > 0 {
 			candidates = p.list
@@ -88,8 +91,8 @@
 
 // usable reports whether the request may be sent to the server. A server without a
 // free slot is usable unless the filter requires one; one that is marked down or
-// refused a request lately is usable only with anyServer. The other conditions always
-// hold.
+// refused a request lately is usable only with anyServer, and a paced one without room
+// only while paceIgnored is set. The other conditions always hold.
 func (p *Pool) usable(now time.Duration, r Request, s *server, filter serverFilter) bool {
 	if s.draining || s.replaced || s.leaving(now) || s.evacuated || slices.Contains(r.Exclude, s.id) {
 		return false
@@ -103,7 +106,14 @@
 	if filter == freeServers && s.load(now) >= float64(s.slots) {
 		return false
 	}
-	return filter == anyServer || s.available(now)
+	if filter != anyServer && !s.available(now) {
+		return false
+	}
+	if !p.paceIgnored && !p.hasPaceRoom(now, s) {
+		p.paceSkipped = true
+		return false
+	}
+	return true
 }
 
 // mayUseCold reports whether the pool may send a request to a cold server now. Only
--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -114,6 +114,9 @@
 	p.expireGrants(now)
 	p.expireLeavingMarks(now)
 	p.scarcity.expire(now)
+	for _, s := range p.list {
+		p.updatePacing(now, s)
+	}
 }
 
 // A request without an answer is overdue after stallFactor times its expected
--- a/internal/dispatch/digest.go
+++ b/internal/dispatch/digest.go
@@ -22,6 +22,9 @@
 	// Leaving lists the servers whose answers to this pool's requests said that they
 	// leave. It is repeated in each digest, as digests may be lost.
 	Leaving []LeavingServer `json:"leaving,omitempty"`
+	// Pace is the number of requests of all regions that a server may have at once, by its
+	// ID, for servers that the pool paces and uses.
+	Pace map[string]int `json:"pace,omitempty"`
 }
 
 // LeavingServer is one incarnation of a server that said it leaves. Entry hosts send it
@@ -36,7 +39,7 @@
 // Digest returns the requests now in flight, the objects newly requested since the last
 // call and the servers that leave. It does not set Service.
 func (p *Pool) Digest(now time.Duration) Digest {
-	d := Digest{Region: p.opts.Region, InFlight: map[string]int{}, RequestedObjects: p.requestedObjects}
+	d := Digest{Region: p.opts.Region, InFlight: map[string]int{}, RequestedObjects: p.requestedObjects, Pace: p.digestPace(now)}
 	p.requestedObjects = nil
 	for id, s := range p.servers {
 		if s.inflight > 0 {
@@ -70,6 +73,7 @@
 		left := time.Duration(min(max(l.LeftMillis, 0), serverhold.LeavingTime.Milliseconds())) * time.Millisecond
 		p.markLeaving(l.Server, leavingMark{startedAtMillis: l.StartedAtMillis, until: now + left})
 	}
+	p.mergePace(now, d)
 	if d.Region == p.opts.Region {
 		return
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -166,6 +166,9 @@
 	// Scheduled is set if the deployment has workspaces or quotas: scarce slots are then
 	// divided between workspaces, and refused callers return by a schedule.
 	Scheduled bool
+	// Paced is set if servers that have just started or recovered get their requests at a
+	// limited concurrency, which grows with their answers; see also EnablePacing.
+	Paced bool
 }
 
 // Pool chooses among the backend servers of one service in all regions, for the
@@ -198,6 +201,14 @@
 	// from a server that was not assumed to hold it.
 	knowledgeChanged bool
 	scarcity         *scarcity // nil unless Options.Scheduled is set
+
+	paced       bool // Options.Paced or EnablePacing
+	requested   bool // a request has arrived, the last one at requestedAt
+	requestedAt time.Duration
+	paceEvents  []PaceEvent
+	// paceSkipped is set if a server was not used for the present request because it is
+	// paced, paceIgnored while the request is decided without regard to that.
+	paceSkipped, paceIgnored bool
 }
 
 type grant struct {
@@ -229,7 +240,7 @@
 		classes: map[string]*class{}, places: map[string]*place{}, leavingMarks: map[string]leavingMark{},
 		shiftLimiter:   shiftLimiter{ownRegion: o.Region, maxGrowth: o.Limits.maxRegionGrowth()},
 		objectCapacity: initialObjectCapacity, lastRequestByRank: map[int]time.Duration{},
-		scarcity: newScarcity(o.Scheduled),
+		scarcity: newScarcity(o.Scheduled), paced: o.Paced,
 	}
 }
 
@@ -242,6 +253,7 @@
 func (p *Pool) Update(now time.Duration, list []*fleet.Backend, evacuated map[string]bool, serviceColdRate float64, restartColdTime time.Duration) {
 	p.coldRateShare, p.restartColdTime = p.opts.Limits.poolColdRate(serviceColdRate), restartColdTime
 	seen := make(map[string]bool, len(list))
+	var joined []*server
 	for _, b := range list {
 		seen[b.ID] = true
 		s := p.servers[b.ID]
@@ -249,6 +261,7 @@
 			s = newServer(now, b)
 			p.servers[b.ID] = s
 			p.applyLeavingMark(b.ID)
+			joined = append(joined, s)
 		}
 		s.failureDomain, s.region, s.slots, s.draining = b.FailureDomain, b.Region, max(b.Slots, 1), b.Draining
 		s.evacuated, s.place = evacuated[b.FailureDomain], p.place(b.Region)
@@ -264,6 +277,9 @@
 	}
 	slices.SortFunc(p.list, func(a, b *server) int { return strings.Compare(a.id, b.id) })
 	p.orderForeignServers()
+	for _, s := range joined {
+		p.paceJoinedServer(now, s)
+	}
 }
 
 // decide chooses a server for the request or refuses it. returned is set for the return
@@ -445,6 +461,7 @@
 func (p *Pool) applyReport(now time.Duration, g *grant, r Report) {
 	s := g.server
 	key := objectKey(g.class, g.key)
+	p.observePace(now, g, r)
 	switch r.Result {
 	case Served:
 		wasDown := s.downUntil > 0
@@ -456,6 +473,9 @@
 			s.coldUntil = max(s.coldUntil, now+p.restartColdTime)
 			s.clearObjects()
 		}
+		if wasDown {
+			p.startPacing(now, s, paceRecovered)
+		}
 		p.class(g.class, 0).observeAnswerBytes(r.Bytes)
 		p.observeObjectCapacity(g, p.class(g.class, 0), r.Elapsed-s.place.roundTrip)
 		p.class(g.class, 0).observeServiceTime(g, s, r.Elapsed-s.place.roundTrip)
--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -21,6 +21,8 @@
 	Slowness float64 `json:"slowness"`
 	Failures float64 `json:"failure_rate"`
 	Objects  int     `json:"objects"`
+	// Pace is the limit of a paced server, 0 of others.
+	Pace int `json:"pace,omitempty"`
 }
 
 // Dump returns the state of each backend server by its ID.
@@ -30,7 +32,7 @@
 		state[id] = ServerState{
 			Region: s.region, Slots: s.slots, InFlight: s.inflight, Load: s.load(now), Cold: s.cold(now),
 			Down: !s.available(now), Draining: s.draining, Leaving: s.leaving(now), Slowness: s.slowness,
-			Failures: s.failureRate(now), Objects: len(s.objects),
+			Failures: s.failureRate(now), Objects: len(s.objects), Pace: int(s.pacing.limit),
 		}
 	}
 	return state
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -94,7 +94,8 @@
 // Acquire chooses a server for the request or refuses it; no request is queued in
 // the pool. Each grant must be ended with Release.
 func (p *Pool) Acquire(now time.Duration, r Request) Decision {
-	d := p.decide(now, r, p.scarcity.arrived(now, r))
+	p.requested, p.requestedAt = true, now
+	d := p.decideAtPace(now, r, p.scarcity.arrived(now, r))
 	switch {
 	case d.Refused == "":
 		p.scarcity.granted(now, r)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -77,6 +77,7 @@
 	mayHaveRestarted bool // it was marked down as unreachable or by a timeout, not by overdue requests alone
 	unanswered       int  // timeouts and observations of overdue requests since the last Served or Shed one
 	shedUntil        time.Duration
+	pacing           pacing
 
 	slowness          float64 // service time relative to the class
 	slownessAt        time.Duration
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -26,6 +26,7 @@
 		case <-ticker.C:
 		}
 		sel.saveKnowledge(ctx)
+		sel.logPaceEvents()
 		for _, o := range sel.dueDigests() {
 			for _, address := range o.receivers {
 				go sel.sendDigest(ctx, address, o.digest)
@@ -62,7 +63,7 @@
 			continue
 		}
 		g := ps.pool.Digest(now)
-		if len(g.InFlight) == 0 && len(g.RequestedObjects) == 0 && len(g.Leaving) == 0 && now-ps.lastDigest < idleDigestPeriod {
+		if len(g.InFlight) == 0 && len(g.RequestedObjects) == 0 && len(g.Leaving) == 0 && len(g.Pace) == 0 && now-ps.lastDigest < idleDigestPeriod {
 			continue
 		}
 		ps.lastDigest = now
@@ -86,11 +87,15 @@
 	for _, l := range g.Leaving {
 		size += len(l.Server) + leavingOverheadBytes
 	}
+	for id := range g.Pace {
+		size += len(id) + countOverheadBytes
+	}
 	return min(time.Duration(size)*time.Second/digestRate, maxDigestPeriod)
 }
 
 const (
-	// countOverheadBytes is the size of the JSON around an entry of Digest.InFlight.
+	// countOverheadBytes is the size of the JSON around an entry of Digest.InFlight or
+	// Digest.Pace.
 	countOverheadBytes = 6
 	// objectOverheadBytes is the size of the JSON around an entry of
 	// Digest.RequestedObjects.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,11 +66,11 @@
 	Headers     Headers
 	Budget      Budget
 	FleetLimits dispatch.Limits
-	// Scheduled enables dispatch.Options.Scheduled for all pools.
-	Scheduled       bool
-	PeerClient      PeerClient
-	PersistentStore PersistentStore
-	Log             logrus.FieldLogger
+	// Scheduled and Paced enable the dispatch.Options of these names for all pools.
+	Scheduled, Paced bool
+	PeerClient       PeerClient
+	PersistentStore  PersistentStore
+	Log              logrus.FieldLogger
 	// Access takes the log entries of requests that a backend server answered with a
 	// status below 500; Log takes all others that reach Serve. Those that Front answers
 	// itself (400, 408, 413, 431) are neither logged nor counted.
@@ -107,6 +107,9 @@
 	if cfg.Scheduled {
 		selector.Schedule()
 	}
+	if cfg.Paced {
+		selector.Pace()
+	}
 	return &Gateway{
 		cfg: cfg, selector: selector, upstream: newUpstream(cfg.Headers), holds: newServerHolds(selector.Now, cfg.Log),
 		budgets: map[string]*retry.Budget{}, configured: make(chan struct{}),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -103,6 +103,9 @@
 		gauge("dispatcher_self;service="+service, self)
 		gauge("dispatcher_age_ms;service="+service, time.Since(d.Since).Milliseconds())
 	}
+	for service, n := range g.selector.PacedServers() {
+		gauge("servers_paced;service="+service, int64(n))
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, b := range g.budgets {
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -121,6 +121,7 @@
 	self            fleet.Host
 	limits          dispatch.Limits
 	scheduled       bool // the settings call for dispatch.Options.Scheduled
+	paced           bool // the settings call for dispatch.Options.Paced
 	peerClient      PeerClient
 	persistentStore PersistentStore
 	log             logrus.FieldLogger
@@ -177,6 +178,10 @@
 // method.
 func (sel *Selector) Schedule() { sel.scheduled = true }
 
+// Pace lets all pools pace servers that have just started or recovered; see
+// dispatch.Options.Paced. It must be called before any other method.
+func (sel *Selector) Pace() { sel.paced = true }
+
 // SetSnapshot replaces the current snapshot and updates all pools with it.
 func (sel *Selector) SetSnapshot(s *fleet.Snapshot) {
 	if sel.snapshot.Swap(s) == nil {
@@ -229,7 +234,7 @@
 	}
 	ps := pools[service]
 	if ps == nil {
-		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: sel.self.Region, Shared: kind == sharedPool, Limits: sel.limits, Scheduled: sel.scheduled})}
+		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: sel.self.Region, Shared: kind == sharedPool, Limits: sel.limits, Scheduled: sel.scheduled, Paced: sel.paced})}
 		pools[service] = ps
 		if s := sel.snapshot.Load(); s != nil {
 			sel.updatePool(service, ps, s)
