dispatch: test the order of refusals and returns

Trials with single faults put into the code showed that no test failed when returns were not recognized, when shares were not applied, when the least served fraction was 0, or when a workspace was refused beside a free slot. Add tests that fail for each of them. Remove a check of the schedule that the next line made redundant.

--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -100,9 +100,6 @@
 // time less a part that spreads such callers.
 func (t *returns) schedule(now time.Duration, r Request, rates slotRates) time.Duration {
 	limit := time.Duration(float64(r.Deadline-now-returnTransit) * returnTimeFraction)
-	if limit < minReturnDelay {
-		return minReturnDelay
-	}
 	limit = min(limit, maxReturnDelay)
 	earliest := now + minReturnDelay
 	workspace := xxhash.Sum64String(r.Workspace)
@@ -161,7 +158,8 @@
 	t.count++
 }
 
-// waitWithoutPromise spreads callers evenly: the multiples of the golden ratio, without
+// waitWithoutPromise returns a time in the last part of limit, but not less than
+// minReturnDelay. It spreads callers evenly: the multiples of the golden ratio, without
 // their whole part, leave no large gap at any number of callers.
 func (t *returns) waitWithoutPromise(limit time.Duration) time.Duration {
 	t.unpromised++
--- a/internal/dispatch/scarcity_test.go
+++ b/internal/dispatch/scarcity_test.go
@@ -252,6 +252,97 @@
 	}
 }
 
+// fullPool returns a scheduled pool with one server whose class takes 200 ms,
+// and with the given number of requests of the workspace "hot" in flight, sent within the
+// last 200 ms.
+func fullPool(now time.Duration, slots, inFlight int) *Pool {
+	p := New(Options{Region: "r", Shared: true, Limits: DefaultLimits, Scheduled: true})
+	b := backend("a", "r")
+	b.Slots = slots
+	p.Update(0, []*fleet.Backend{b}, nil, 5, 3*time.Second)
+	c := p.class("c", 0)
+	c.missAverage, c.hitAverage, c.missObserved, c.hitObserved = 200*ms, 200*ms, true, true
+	// It ends 20 requests per second.
+	for at := now - 6*time.Second; at < now; at += 50 * ms {
+		r := request(at, "")
+		r.Workspace = "hot"
+		p.scarcity.arrived(at, r)
+		p.scarcity.granted(at, r)
+		p.scarcity.ended(at, Served)
+	}
+	for range inFlight {
+		p.grant(now, request(now, ""), p.servers["a"], estimate{service: 200 * ms})
+	}
+	p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
+	return p
+}
+
+func workspaceRequest(now time.Duration, workspace, key string) Request {
+	r := request(now, key)
+	r.Workspace = workspace
+	return r
+}
+
+// TestAboveShareIsRefusedFirst guards against a small workspace that is refused because
+// another one has filled the slots, and against refusals while there is a free slot.
+func TestAboveShareIsRefusedFirst(t *testing.T) {
+	for _, c := range []struct {
+		desc, workspace string
+		slots, inFlight int
+		want            Reason
+	}{
+		{"small workspace, no free slot", "small", 4, 4, ""},
+		{"hot workspace, no free slot", "hot", 4, 4, Overload},
+		{"hot workspace, slots to spare", "hot", 4, 3, ""},
+		{"hot workspace, one free slot of many", "hot", 20, 19, ""},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			now := 10 * time.Second
+			p := fullPool(now, c.slots, c.inFlight)
+			for range 20 {
+				p.scarcity.arrived(now, workspaceRequest(now, "hot", ""))
+			}
+			p.scarcity.arrived(now, workspaceRequest(now, "small", ""))
+			g.Expect(p.Acquire(now, workspaceRequest(now, c.workspace, "")).Refused).To(Equal(c.want))
+		})
+	}
+}
+
+// TestReturnPassesOverload guards against a caller that comes back at the scheduled time to
+// a full service and is refused again, and against one that then displaces a more urgent
+// rank or is granted too late for its deadline.
+func TestReturnPassesOverload(t *testing.T) {
+	for _, c := range []struct {
+		desc     string
+		change   func(p *Pool, now time.Duration, r *Request)
+		inFlight int
+		want     Reason
+	}{
+		{"returns", nil, 10, ""},
+		{"a new caller", func(_ *Pool, _ time.Duration, r *Request) { r.Key = "other" }, 10, Overload},
+		{"a hedge", func(_ *Pool, _ time.Duration, r *Request) { r.Hedge = true }, 10, Overload},
+		{"slots were lost", nil, 13, Overload},
+		{"a more urgent rank is active", func(p *Pool, now time.Duration, r *Request) { p.lastRequestByRank[0], r.Rank = now, 1 }, 10, Overload},
+		{"its deadline is near", func(_ *Pool, now time.Duration, r *Request) { r.Deadline = now + 250*ms }, 10, Late},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			now := 10 * time.Second
+			p := fullPool(now, 4, c.inFlight)
+			d := p.Acquire(now, workspaceRequest(now, "w", "k"))
+			g.Expect(d.Refused).To(Equal(Overload))
+			now += d.RetryAfter + 5*ms
+			p.occupancyAt = now // all slots are still taken
+			r := workspaceRequest(now, "w", "k")
+			if c.change != nil {
+				c.change(p, now, &r)
+			}
+			g.Expect(p.Acquire(now, r).Refused).To(Equal(c.want))
+		})
+	}
+}
+
 // TestShortRegion guards against workspaces that get nothing in a region with less than
 // half of the slots that its 88 workspaces ask for, of which it then loses a further half.
 func TestShortRegion(t *testing.T) {
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -101,6 +101,31 @@
 	g.Expect(float64(l.granted["hot"])/30).To(BeNumerically("~", 43, 4), "what the others leave")
 }
 
+// TestLargestIsServedToo guards against a workspace far above its rate that is served less
+// than a quarter as often as all: the others ask for all but 2 of 100 requests per second.
+func TestLargestIsServedToo(t *testing.T) {
+	g := NewWithT(t)
+	rates := map[string]float64{"hot": 300}
+	for i := range 49 {
+		rates[fmt.Sprint("w", i)] = 2
+	}
+	l := newLoad(100)
+	l.play(0, 10*time.Second, rates, sameRank)
+	l.arrived, l.granted = map[string]int{}, map[string]int{}
+	l.play(10*time.Second, 30*time.Second, rates, sameRank)
+	arrived, granted := 0, 0
+	for name := range rates {
+		arrived, granted = arrived+l.arrived[name], granted+l.granted[name]
+	}
+	all := float64(granted) / float64(arrived)
+	for name := range rates {
+		g.Expect(float64(l.granted[name])/float64(l.arrived[name])).To(BeNumerically(">=", all/4), name)
+	}
+	// A workspace that sends less than its share for a moment leaves a free slot, which ends
+	// the scarcity in a pool; here it is lost.
+	g.Expect(float64(granted) / 20).To(And(BeNumerically(">=", 80), BeNumerically("<=", 105)))
+}
+
 // TestSmallShares guards against shares below one request per time constant that are
 // exceeded by a multiple or never granted: 100 workspaces share 10 requests per second.
 func TestSmallShares(t *testing.T) {
