--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -23,7 +23,7 @@
 	// returnWindow is the time after its scheduled time within which a caller is
 	// recognized. After it the promise lapses.
 	returnWindow = 300 * time.Millisecond
-	// maxPromises bounds the memory, at about 100 bytes each. It is reached at 1,700
+	// maxPromises bounds the memory. It is reached at 1,700
 	// scheduled returns per second.
 	maxPromises = 4096
 	// promisedFraction is the fraction of the freed slots that is promised. At 1, a queue
