--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -113,6 +113,10 @@
 	p.markStalledServers(now)
 	p.expireGrants(now)
 	p.expireLeavingMarks(now)
+	p.scarcity.expire(now)
+	for _, s := range p.list {
+		p.updatePacing(now, s)
+	}
 }
 
 // A request without an answer is overdue after stallFactor times its expected
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,10 +52,10 @@
 	// Class is the name of the request's route, whose requests have similar service
 	// times.
 	Class string
+	// Workspace is the name of the request's workspace; "" if it has none.
+	Workspace string
 	// Key identifies the object that the request is about; "" if there is none.
 	Key string
-	// Workspace is the name of the request's workspace, "" if it belongs to none.
-	Workspace string `json:"workspace,omitempty"`
 	// Host is the entry host that sends the request, FailureDomain is that host's.
 	Host, FailureDomain string
 	// The rank of the request; 0 is the most urgent.
@@ -72,6 +72,9 @@
 	Exclude []string
 	// Allowed lists the regions that may serve; empty allows all.
 	Allowed []string
+	// Hedge is set for an attempt beside another one. Its refusal reaches no caller, so
+	// that no return is scheduled.
+	Hedge bool
 }
 
 // Decision is a granted server or, if Refused is set, a refusal. Entry hosts send it
@@ -92,8 +95,9 @@
 	Load, Busy float64
 	Refused    Reason
 	// RetryAfter is the delay to ask of the caller of a refused request: a constant
-	// for NoServer, otherwise the expected wait, from 0.7 s to 2 s. It is 0 for a grant,
-	// and if the request ended before a pool could decide.
+	// for NoServer, otherwise the expected wait, from 0.7 s to 2 s, or a time of the
+	// schedule of returns if Options.Scheduled is set. It is 0 for a grant, and if the
+	// request ended before a pool could decide.
 	RetryAfter time.Duration
 }
 
@@ -159,6 +163,12 @@
 	Shared bool
 	// Limits are the operator's, not yet divided between pools.
 	Limits Limits
+	// Scheduled is set if the deployment has workspaces or quotas: scarce slots are then
+	// divided between workspaces, and refused callers return by a schedule.
+	Scheduled bool
+	// Paced is set if servers that have just started or recovered get their requests at a
+	// limited concurrency, which grows with their answers; see also EnablePacing.
+	Paced bool
 }
 
 // Pool chooses among the backend servers of one service in all regions, for the
@@ -190,6 +200,15 @@
 	// knowledgeChanged is set if, since the last call of Export, an object was requested
 	// from a server that was not assumed to hold it.
 	knowledgeChanged bool
+	scarcity         *scarcity // nil unless Options.Scheduled is set
+
+	paced       bool // Options.Paced or EnablePacing
+	requested   bool // a request has arrived, the last one at requestedAt
+	requestedAt time.Duration
+	paceEvents  []PaceEvent
+	// paceSkipped is set if a server was not used for the present request because it is
+	// paced, paceIgnored while the request is decided without regard to that.
+	paceSkipped, paceIgnored bool
 }
 
 type grant struct {
@@ -221,6 +240,7 @@
 		classes: map[string]*class{}, places: map[string]*place{}, leavingMarks: map[string]leavingMark{},
 		shiftLimiter:   shiftLimiter{ownRegion: o.Region, maxGrowth: o.Limits.maxRegionGrowth()},
 		objectCapacity: initialObjectCapacity, lastRequestByRank: map[int]time.Duration{},
+		scarcity: newScarcity(o.Scheduled), paced: o.Paced,
 	}
 }
 
@@ -233,6 +253,7 @@
 func (p *Pool) Update(now time.Duration, list []*fleet.Backend, evacuated map[string]bool, serviceColdRate float64, restartColdTime time.Duration) {
 	p.coldRateShare, p.restartColdTime = p.opts.Limits.poolColdRate(serviceColdRate), restartColdTime
 	seen := make(map[string]bool, len(list))
+	var joined []*server
 	for _, b := range list {
 		seen[b.ID] = true
 		s := p.servers[b.ID]
@@ -240,6 +261,7 @@
 			s = newServer(now, b)
 			p.servers[b.ID] = s
 			p.applyLeavingMark(b.ID)
+			joined = append(joined, s)
 		}
 		s.failureDomain, s.region, s.slots, s.draining = b.FailureDomain, b.Region, max(b.Slots, 1), b.Draining
 		s.evacuated, s.place = evacuated[b.FailureDomain], p.place(b.Region)
@@ -255,11 +277,15 @@
 	}
 	slices.SortFunc(p.list, func(a, b *server) int { return strings.Compare(a.id, b.id) })
 	p.orderForeignServers()
+	for _, s := range joined {
+		p.paceJoinedServer(now, s)
+	}
 }
 
-// Acquire chooses a server for the request or refuses it; no request is queued in
-// the pool. Each grant must be ended with Release.
-func (p *Pool) Acquire(now time.Duration, r Request) Decision {
+// decide chooses a server for the request or refuses it. returned is set for the return
+// of a refused caller at its scheduled time: it is not refused for the load of the servers
+// or the share of its workspace.
+func (p *Pool) decide(now time.Duration, r Request, returned bool) Decision {
 	c := p.class(r.Class, r.Objective-now)
 	if now-p.occupancyAt > maxOccupancyAge {
 		p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
@@ -272,15 +298,23 @@
 	if best != nil && p.yieldsToUrgent(now, r, best) {
 		return p.refuse(now, Overload, best, est)
 	}
+	if best != nil && !returned && p.aboveShare(now, r, best) {
+		return p.refuse(now, Overload, best, est)
+	}
 	if best != nil && p.overloaded(now, best, est) {
 		// While many slots are free, take a server with a free one, even if it has to
 		// fetch the object or the answer will be late. While few are free, a fetch would
 		// take slot time from several requests whose objects are held already.
-		if p.occupancy > spareOccupancy {
+		returned = returned && best.load(now) <= maxReturnLoad*float64(best.slots)
+		if p.occupancy > spareOccupancy && !returned {
 			return p.refuse(now, Overload, best, est)
 		}
-		if best, est = p.choose(now, r, c, freeServers); best == nil {
-			return p.refuse(now, Overload, nil, est)
+		free, freeEst := p.choose(now, r, c, freeServers)
+		switch {
+		case free != nil:
+			best, est = free, freeEst
+		case !returned:
+			return p.refuse(now, Overload, nil, freeEst)
 		}
 	}
 	switch {
@@ -410,6 +444,7 @@
 	delete(p.grants, id)
 	s := g.server
 	s.removeGrant(now, g)
+	p.scarcity.ended(now, r.Result)
 	if r.Leaving && r.StartedAtMillis == s.startedAtMillis {
 		p.markLeaving(s.id, leavingMark{startedAtMillis: s.startedAtMillis, until: now + serverhold.LeavingTime, reported: true})
 	}
@@ -426,6 +461,7 @@
 func (p *Pool) applyReport(now time.Duration, g *grant, r Report) {
 	s := g.server
 	key := objectKey(g.class, g.key)
+	p.observePace(now, g, r)
 	switch r.Result {
 	case Served:
 		wasDown := s.downUntil > 0
@@ -437,6 +473,9 @@
 			s.coldUntil = max(s.coldUntil, now+p.restartColdTime)
 			s.clearObjects()
 		}
+		if wasDown {
+			p.startPacing(now, s, paceRecovered)
+		}
 		p.class(g.class, 0).observeAnswerBytes(r.Bytes)
 		p.observeObjectCapacity(g, p.class(g.class, 0), r.Elapsed-s.place.roundTrip)
 		p.class(g.class, 0).observeServiceTime(g, s, r.Elapsed-s.place.roundTrip)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,13 +62,15 @@
 // Config holds the dependencies and limits of a gateway. Interfaces and functions
 // must be set; Metrics may be nil.
 type Config struct {
-	Self            fleet.Host
-	Headers         Headers
-	Budget          Budget
-	FleetLimits     dispatch.Limits
-	PeerClient      PeerClient
-	PersistentStore PersistentStore
-	Log             logrus.FieldLogger
+	Self        fleet.Host
+	Headers     Headers
+	Budget      Budget
+	FleetLimits dispatch.Limits
+	// Scheduled and Paced enable the dispatch.Options of these names for all pools.
+	Scheduled, Paced bool
+	PeerClient       PeerClient
+	PersistentStore  PersistentStore
+	Log              logrus.FieldLogger
 	// Access takes the log entries of requests that a backend server answered with a
 	// status below 500; Log takes all others that reach Serve. Those that Front answers
 	// itself (400, 408, 413, 431) are neither logged nor counted.
@@ -108,6 +110,12 @@
 		cfg.ChangeDeadline = defaultChangeDeadline
 	}
 	selector := NewSelector(cfg.Self, cfg.FleetLimits, cfg.PeerClient, cfg.PersistentStore, cfg.Log)
+	if cfg.Scheduled {
+		selector.Schedule()
+	}
+	if cfg.Paced {
+		selector.Pace()
+	}
 	return &Gateway{
 		cfg: cfg, selector: selector, upstream: newUpstream(cfg.Headers), holds: newServerHolds(selector.Now, cfg.Log),
 		budgets: map[string]*retry.Budget{}, configured: make(chan struct{}),
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -91,7 +91,6 @@
 	Service         string   `json:"service"`
 	Class           string   `json:"class"`
 	Key             string   `json:"key,omitempty"`
-	Workspace       string   `json:"workspace,omitempty"`
 	Host            string   `json:"host"`
 	FailureDomain   string   `json:"domain"`
 	Rank            int      `json:"priority"`
@@ -100,6 +99,10 @@
 	RemainingMillis float64  `json:"left_ms"`
 	Exclude         []string `json:"exclude,omitempty"`
 	Allowed         []string `json:"allowed,omitempty"`
+	// Workspace is the name of the request's workspace, "" if it has none.
+	Workspace string `json:"workspace,omitempty"`
+	// Hedge is set for an attempt beside another one, whose refusal reaches no caller.
+	Hedge bool `json:"hedge,omitempty"`
 }
 
 // ReleaseParams releases a grant and reports how its request ended.
@@ -127,6 +130,8 @@
 type Selector struct {
 	self            fleet.Host
 	limits          dispatch.Limits
+	scheduled       bool // the settings call for dispatch.Options.Scheduled
+	paced           bool // the settings call for dispatch.Options.Paced
 	peerClient      PeerClient
 	persistentStore PersistentStore
 	log             logrus.FieldLogger
@@ -185,6 +190,15 @@
 	}
 }
 
+// Schedule lets all pools divide scarce slots between workspaces and schedule the returns
+// of refused callers; see dispatch.Options.Scheduled. It must be called before any other
+// method.
+func (sel *Selector) Schedule() { sel.scheduled = true }
+
+// Pace lets all pools pace servers that have just started or recovered; see
+// dispatch.Options.Paced. It must be called before any other method.
+func (sel *Selector) Pace() { sel.paced = true }
+
 // SetSnapshot replaces the current snapshot and updates all pools with it.
 func (sel *Selector) SetSnapshot(s *fleet.Snapshot) {
 	if sel.snapshot.Swap(s) == nil {
@@ -257,7 +271,7 @@
 	}
 	ps := pools[service]
 	if ps == nil {
-		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: sel.self.Region, Shared: kind == sharedPool, Limits: sel.limits})}
+		ps = &poolState{pool: dispatch.New(dispatch.Options{Region: sel.self.Region, Shared: kind == sharedPool, Limits: sel.limits, Scheduled: sel.scheduled, Paced: sel.paced})}
 		pools[service] = ps
 		if s := sel.snapshot.Load(); s != nil {
 			sel.updatePool(service, ps, s)
@@ -282,6 +296,7 @@
 	if s.Table != nil {
 		spec := s.Table.Services[service]
 		rate, restartColdTime = spec.ColdRate, spec.ColdStart
+		ps.pool.SetScheduled(sel.scheduled || s.Table.Workspaces.Len() > 0)
 	}
 	ps.pool.Update(sel.now(), s.BackendsByService[service], s.Evacuated, rate, restartColdTime)
 }
@@ -472,7 +487,7 @@
 	return dispatch.Request{
 		Class: p.Class, Key: p.Key, Workspace: p.Workspace, Host: p.Host, FailureDomain: p.FailureDomain, Rank: p.Rank, Bytes: p.Bytes,
 		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis),
-		Exclude: p.Exclude, Allowed: p.Allowed,
+		Exclude: p.Exclude, Allowed: p.Allowed, Hedge: p.Hedge,
 	}
 }
 
