dispatch: send trials where the service time is not known

Until a service time was observed, an assumption derived from the objective refused requests as late. A class whose objective equals its timeout was refused for good, with all servers idle, as nothing was ever observed. An estimate from a disturbance refused for good as well.

A request that would be refused as late now goes to a free slot as a trial if its time was never observed (at most 0.8 of the slots in flight, halved by each trial that times out), or was not observed for 5 s (one trial a second for each class). Fresh observed estimates decide as before. An observed time is no longer limited by the assumption about the other one.

A host's two pools now adopt each other's observed times.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -14,6 +14,7 @@
 	holdsObject           bool // true also if the request has no object
 	wait, service, finish time.Duration
 	cost                  time.Duration
+	trial                 bool // the request is granted as a trial
 	// countsAsInTime is set if the answer is expected within the objective, or if the
 	// server is preferred as if it were: for its trial request, or to fetch the object
 	// of a large body.
--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -21,7 +21,10 @@
 type class struct {
 	missAverage, hitAverage   time.Duration
 	missObserved, hitObserved bool
-	answerBytes               int64
+	// missConfirmedAt and hitConfirmedAt are the times of the last observations.
+	missConfirmedAt, hitConfirmedAt time.Duration
+	answerBytes                     int64
+	trials                          trialState
 }
 
 // class returns the class of that name and creates it if needed. Until a service
@@ -44,11 +47,23 @@
 	return c
 }
 
-// missTime returns the service time without the object, never below hitTime.
-func (c *class) missTime() time.Duration { return max(c.missAverage, c.hitAverage) }
+// missTime returns the service time without the object, never below hitTime. An observed
+// time takes precedence over an assumed one.
+func (c *class) missTime() time.Duration {
+	if c.missObserved && !c.hitObserved {
+		return c.missAverage
+	}
+	return max(c.missAverage, c.hitAverage)
+}
 
-// hitTime returns the service time with the object, never above missTime.
-func (c *class) hitTime() time.Duration { return min(c.missAverage, c.hitAverage) }
+// hitTime returns the service time with the object, never above missTime. An observed
+// time takes precedence over an assumed one.
+func (c *class) hitTime() time.Duration {
+	if c.hitObserved && !c.missObserved {
+		return c.hitAverage
+	}
+	return min(c.missAverage, c.hitAverage)
+}
 
 // observeServiceTime adds a served request to the moving averages, unless it may have
 // waited in the server's queue: its elapsed time is then not the service time.
@@ -57,15 +72,20 @@
 		return
 	}
 	now := g.sentAt + elapsed
-	if g.expectedService > 0 {
+	if g.expectedService > 0 && !g.trial { // the estimate of a trial is no measure
 		c.observeSlowness(g, s, now, elapsed)
 	}
 	normalized := time.Duration(float64(elapsed) / s.slowness)
+	// A trial replaces the estimate that it was granted against: the moving average would
+	// need many trials to reach the present time.
 	if g.heldObject {
-		c.hitAverage, c.hitObserved = movingAverage(c.hitAverage, normalized, c.hitObserved), true
+		c.hitAverage = movingAverage(c.hitAverage, normalized, c.hitObserved && !g.trial)
+		c.hitObserved, c.hitConfirmedAt = true, now
 	} else {
-		c.missAverage, c.missObserved = movingAverage(c.missAverage, normalized, c.missObserved), true
+		c.missAverage = movingAverage(c.missAverage, normalized, c.missObserved && !g.trial)
+		c.missObserved, c.missConfirmedAt = true, now
 	}
+	c.trials.timeouts = 0
 }
 
 // observeAnswerBytes adds the size of an answer in bytes to the moving average.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,7 +12,8 @@
 //
 // A request is never sent to a server that is draining, leaving, evacuated, excluded,
 // outside the allowed regions or cold with its rate used up, and never granted if the best
-// server is not expected to answer before the deadline. When no other server is
+// server is not expected to answer before the deadline, unless that expectation is an
+// assumption or old and the request serves as a trial; see trialFor. When no other server is
 // usable, the limit on shifts between regions and then the exclusion of servers marked
 // down are ignored; see Limits.
 //
@@ -39,10 +40,11 @@
 	// Overload means that the request would miss its objective at the best server,
 	// that this server is busy, and that few slots of the service are free or no usable
 	// server has one. It also means that the request would queue at a full server while
-	// a more urgent rank is active. It takes precedence over Late.
+	// a more urgent rank is active, or that nothing is observed of its class and that
+	// no slot is free or as many trials are in flight as are allowed. It takes precedence over Late.
 	Overload Reason = "overload"
 	// Late means that the best server is not expected to answer at least 20 ms before
-	// the deadline, or that the request ended before a pool could decide.
+	// the deadline and that the request is no trial, or that the request ended before a pool could decide.
 	Late Reason = "late"
 )
 
@@ -170,6 +172,7 @@
 	list            []*server // sorted by ID
 	grants          map[uint64]*grant
 	lastGrantID     uint64
+	trialsInFlight  int // grants that are trials
 	// occupancy is the result of currentOccupancy as of occupancyAt.
 	occupancy   float64
 	occupancyAt time.Duration
@@ -204,6 +207,7 @@
 	// was last asked for this one.
 	reuseDistance int
 	unqueued      bool // no request waited or ran above the slots when it was sent
+	trial         bool // it was granted although its estimate was late
 }
 
 // RequestedObject is an object that was requested from a server not assumed to hold
@@ -259,6 +263,7 @@
 // the pool. Each grant must be ended with Release.
 func (p *Pool) Acquire(now time.Duration, r Request) Decision {
 	c := p.class(r.Class, r.Objective-now)
+	c.observeTimeLeft(r.Deadline - now)
 	if now-p.occupancyAt > maxOccupancyAge {
 		p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
 	}
@@ -285,7 +290,12 @@
 	case best == nil:
 		return p.refuse(now, NoServer, nil, est)
 	case est.finish > r.Deadline-now-deadlineMargin:
-		return p.refuse(now, Late, best, est)
+		s, trialEst, reason := p.acquireTrial(now, r, c, best, est)
+		if s == nil {
+			return p.refuse(now, reason, best, est)
+		}
+		trialEst.trial = true
+		return p.grant(now, r, s, trialEst)
 	}
 	return p.grant(now, r, best, est)
 }
@@ -343,9 +353,12 @@
 	load := s.load(now)
 	g := &grant{
 		server: s, key: r.Key, class: r.Class, heldObject: est.holdsObject, sentAt: now, wait: est.wait,
-		expectedService: est.service, deadline: r.Deadline, unqueued: load < float64(s.slots),
+		expectedService: est.service, deadline: r.Deadline, unqueued: load < float64(s.slots), trial: est.trial,
 	}
 	p.grants[p.lastGrantID] = g
+	if g.trial {
+		p.trialsInFlight++
+	}
 	s.inflight++
 	s.tried = true
 	if s.place.foreign {
@@ -405,9 +418,8 @@
 	if g == nil {
 		return
 	}
-	delete(p.grants, id)
+	p.removeGrant(now, id, g)
 	s := g.server
-	s.removeGrant(now, g)
 	if r.Leaving && r.StartedAtMillis == s.startedAtMillis {
 		p.markLeaving(s.id, leavingMark{startedAtMillis: s.startedAtMillis, until: now + serverhold.LeavingTime, reported: true})
 	}
@@ -453,6 +465,10 @@
 	case Misdirected:
 		s.replaced = true
 	case TimedOut:
+		if g.trial {
+			p.recordTrialTimeout(now, g)
+			break
+		}
 		s.recordTimeout(now)
 	case Abandoned:
 		if !g.heldObject {
@@ -477,6 +493,15 @@
 	}
 }
 
+// removeGrant takes a grant out of the pool and out of the load of its server.
+func (p *Pool) removeGrant(now time.Duration, id uint64, g *grant) {
+	delete(p.grants, id)
+	if g.trial {
+		p.trialsInFlight--
+	}
+	g.server.removeGrant(now, g)
+}
+
 // Grants returns the number of grants that have not ended.
 func (p *Pool) Grants() int { return len(p.grants) }
 
@@ -485,8 +510,7 @@
 func (p *Pool) expireGrants(now time.Duration) {
 	for id, g := range p.grants {
 		if now > g.deadline+grantExpiryMargin {
-			delete(p.grants, id)
-			g.server.removeGrant(now, g)
+			p.removeGrant(now, id, g)
 		}
 	}
 }
--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -82,9 +82,11 @@
 		c := p.class(t.Class, 0)
 		if !c.missObserved && t.MissMillis > 0 {
 			c.missAverage, c.missObserved = time.Duration(t.MissMillis*float64(time.Millisecond)), true
+			c.missConfirmedAt = now
 		}
 		if !c.hitObserved && t.HitMillis > 0 {
 			c.hitAverage, c.hitObserved = time.Duration(t.HitMillis*float64(time.Millisecond)), true
+			c.hitConfirmedAt = now
 		}
 	}
 	for _, h := range k.Servers {
@@ -102,3 +104,19 @@
 		}
 	}
 }
+
+// AdoptTimes takes over the service times of a class that another pool with the same
+// clock has observed, where this pool has observed none or estimateMaxAge earlier.
+func (p *Pool) AdoptTimes(from *Pool, className string) {
+	other := from.classes[className]
+	if other == nil {
+		return
+	}
+	c := p.class(className, 0)
+	if other.missObserved && (!c.missObserved || other.missConfirmedAt-c.missConfirmedAt >= estimateMaxAge) {
+		c.missAverage, c.missObserved, c.missConfirmedAt = other.missAverage, true, other.missConfirmedAt
+	}
+	if other.hitObserved && (!c.hitObserved || other.hitConfirmedAt-c.hitConfirmedAt >= estimateMaxAge) {
+		c.hitAverage, c.hitObserved, c.hitConfirmedAt = other.hitAverage, true, other.hitConfirmedAt
+	}
+}
--- /dev/null
+++ b/internal/dispatch/trial_test.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/galenabeam/galenabeam/internal/fleet"
+)
+
+// backends returns servers of region r with four slots each.
+func backends(n int) []*fleet.Backend {
+	var list []*fleet.Backend
+	for i := range n {
+		list = append(list, backend(fmt.Sprint("b", i), "r"))
+	}
+	return list
+}
+
+// tightRequest has the same objective and deadline, of 2.5 s, and an object that no
+// server holds.
+func tightRequest(now time.Duration) Request {
+	r := request(now, fmt.Sprint("k", now))
+	r.Objective, r.Deadline = now+2500*ms, now+2500*ms
+	return r
+}
+
+// TestUnknownClassIsServed guards against a class whose requests are all refused as late
+// because nothing is observed, and nothing is observed because all are refused. Load: 230
+// requests a second that take 1.6 s, at 80 idle servers of four slots after a start;
+// objective and timeout are 2.5 s.
+func TestUnknownClassIsServed(t *testing.T) {
+	for _, c := range []struct {
+		desc string
+		key  func(i int) string
+	}{
+		{"a new object each", func(i int) string { return fmt.Sprint("k", i) }},
+		{"500 objects", func(i int) string { return fmt.Sprint("k", i%500) }},
+		{"no objects", func(int) string { return "" }},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			late, served, total, all := startUnknownClass(c.key)
+			g.Expect(late).To(BeZero())
+			g.Expect(float64(served)).To(BeNumerically(">=", 0.95*float64(total)))
+			g.Expect(all).To(BeNumerically(">", 800), "of the 1,200 that the slots can take")
+		})
+	}
+}
+
+// startUnknownClass plays the load of TestUnknownClassIsServed for 6 s. It returns the
+// requests refused as late, those of the first second that were served in time and their
+// total, and all granted ones.
+func startUnknownClass(key func(i int) string) (late, served, total, granted int) {
+	const serviceTime, interval = 1600 * ms, time.Second / 230
+	p := pool("r", backends(80)...)
+	slots := map[string]*modelServer{}
+	for _, s := range p.list {
+		slots[s.id] = &modelServer{slotFreeAt: make([]time.Duration, s.slots), objects: map[string]bool{}}
+	}
+	var completions completionHeap
+	for i := range 6 * 230 {
+		now := time.Duration(i) * interval
+		for len(completions) > 0 && completions[0].at <= now {
+			e := heap.Pop(&completions).(modelCompletion)
+			p.Release(e.at, e.grant, e.report)
+		}
+		first := now < time.Second
+		if first {
+			total++
+		}
+		r := tightRequest(now)
+		r.Key = key(i)
+		d := p.Acquire(now, r)
+		if d.Refused == Late {
+			late++
+		}
+		if d.Refused != "" {
+			continue
+		}
+		end := slots[d.Server].serve(now, "", serviceTime, serviceTime)
+		heap.Push(&completions, modelCompletion{end, d.Grant, Report{Result: Served, Elapsed: end - now + defaultLocalRoundTrip}})
+		granted++
+		if first && end <= r.Objective {
+			served++
+		}
+	}
+	return late, served, total, granted
+}
+
+// TestTrialsAreBounded guards against a class without an observed time that takes all
+// slots of the service, or that keeps many of them after its requests have timed out.
+// Load: 100 requests at once to 10 servers of four slots, none of which is answered.
+func TestTrialsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", backends(10)...)
+	var grants []uint64
+	send := func(now time.Duration, i int) Decision {
+		r := tightRequest(now)
+		r.Key = fmt.Sprint("k", i)
+		return p.Acquire(now, r)
+	}
+	for i := range 100 {
+		if d := send(0, i); d.Refused == "" {
+			grants = append(grants, d.Grant)
+		} else {
+			g.Expect(d.Refused).To(Equal(Overload))
+		}
+	}
+	g.Expect(grants).To(HaveLen(32), "0.8 of 40 slots")
+	known := request(0, "")
+	known.Class = "known"
+	g.Expect(p.Acquire(0, known).Refused).To(BeEmpty())
+	end := 2500 * ms
+	for _, id := range grants {
+		p.Release(end, id, Report{Result: TimedOut, Elapsed: end})
+	}
+	g.Expect(p.trialsInFlight).To(BeZero())
+	granted := 0
+	for i := range 100 {
+		if d := send(end, 100+i); d.Refused == "" {
+			granted++
+		} else {
+			g.Expect(d.Refused).To(Equal(Late))
+		}
+	}
+	g.Expect(granted).To(Equal(1))
+	g.Expect(p.Dump(end)["b0"].Down).To(BeFalse(), "trials that time out do not mark servers down")
+}
+
+// TestOldEstimateIsTried guards against a class that is refused for good because of an
+// estimate that no request can confirm, and against unbounded trials. Load: 100 requests
+// a second of a class that took 4 s in a disturbance and now takes 400 ms again.
+func TestOldEstimateIsTried(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", backends(4)...)
+	d := p.Acquire(0, tightRequest(0))
+	p.Release(4*time.Second, d.Grant, Report{Result: Served, Elapsed: 4 * time.Second})
+	const fresh = 4*time.Second + estimateMaxAge
+	for now := 4 * time.Second; now < fresh; now += 10 * ms {
+		g.Expect(p.Acquire(now, tightRequest(now)).Refused).To(Equal(Late), "at %v", now)
+	}
+	var trial uint64
+	trials := 0
+	for now := fresh; now < fresh+400*ms; now += 10 * ms {
+		if d := p.Acquire(now, tightRequest(now)); d.Refused == "" {
+			trials, trial = trials+1, d.Grant
+		}
+	}
+	g.Expect(trials).To(Equal(1))
+	p.Release(fresh+400*ms, trial, Report{Result: Served, Elapsed: 400 * ms})
+	d = p.Acquire(fresh+500*ms, tightRequest(fresh+500*ms))
+	g.Expect(d.Refused).To(BeEmpty())
+	g.Expect(d.Service).To(BeNumerically("<=", 400*ms))
+}
+
+// TestShortRequestsAreTriedAtTheLowRate guards against a class that is never served
+// because its timeout is far below its objective, whatever the configuration says, and
+// against a burst of requests that have no time left, as before a shutdown.
+func TestShortRequestsAreTriedAtTheLowRate(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", backends(4)...)
+	var grantedAt []time.Duration
+	for now := time.Duration(0); now < 3500*ms; now += 100 * ms {
+		r := request(now, "k")
+		r.Deadline = now + 100*ms
+		if d := p.Acquire(now, r); d.Refused == "" {
+			grantedAt = append(grantedAt, now)
+			p.Release(now+90*ms, d.Grant, Report{Result: TimedOut, Elapsed: 90 * ms})
+		}
+	}
+	g.Expect(grantedAt).To(Equal([]time.Duration{time.Second, 2 * time.Second, 3 * time.Second}))
+}
+
+// TestObservedTimeReplacesAssumption guards against a service time that is observed with
+// the object, or without it, and is then limited by the assumption about the other.
+func TestObservedTimeReplacesAssumption(t *testing.T) {
+	for _, c := range []struct {
+		desc               string
+		hit, miss          time.Duration // 0: not observed
+		wantHit, wantMiss  time.Duration
+		assumedByObjective time.Duration
+	}{
+		{"only hits, long", 3 * time.Second, 0, 3 * time.Second, 3 * time.Second, 500 * ms},
+		{"only hits, short", 50 * ms, 0, 50 * ms, 500 * ms, 500 * ms},
+		{"only misses, short", 0, 50 * ms, 50 * ms, 50 * ms, 500 * ms},
+		{"only misses, long", 0, 3 * time.Second, 175 * ms, 3 * time.Second, 500 * ms},
+		{"both, in the wrong order", 300 * ms, 100 * ms, 100 * ms, 300 * ms, 500 * ms},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			p := pool("r", backend("a", "r"))
+			class := p.class("c", c.assumedByObjective)
+			s := p.servers["a"]
+			if c.hit > 0 {
+				class.observeServiceTime(&grant{unqueued: true, heldObject: true}, s, c.hit)
+			}
+			if c.miss > 0 {
+				class.observeServiceTime(&grant{unqueued: true}, s, c.miss)
+			}
+			g.Expect(class.hitTime()).To(Equal(c.wantHit))
+			g.Expect(class.missTime()).To(Equal(c.wantMiss))
+		})
+	}
+}
+
+// TestAdoptedTimes guards against a host that starts with assumptions each time that it
+// changes between its shared and its fallback pool, and against old times that replace
+// newer ones.
+func TestAdoptedTimes(t *testing.T) {
+	g := NewWithT(t)
+	from, to := pool("r", backend("a", "r")), pool("r", backend("a", "r"))
+	observe := func(p *Pool, at, elapsed time.Duration) {
+		d := p.Acquire(at, tightRequest(at))
+		p.Release(at+elapsed, d.Grant, Report{Result: Served, Elapsed: elapsed + defaultLocalRoundTrip})
+	}
+	observe(from, 0, time.Second)
+	to.AdoptTimes(from, "c")
+	g.Expect(to.classes["c"].missTime()).To(Equal(time.Second))
+	observe(to, time.Second, 500*ms)
+	own := to.classes["c"].missTime()
+	g.Expect(own).To(BeNumerically("<", time.Second))
+	to.AdoptTimes(from, "c")
+	g.Expect(to.classes["c"].missTime()).To(Equal(own))
+	observe(from, 10*time.Second, time.Second)
+	to.AdoptTimes(from, "c")
+	g.Expect(to.classes["c"].missTime()).To(Equal(time.Second))
+}
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -233,6 +233,20 @@
 	return ps
 }
 
+// adoptTimes gives the pool that decides the service times of a class that this host's
+// pool of the other kind observed. A host uses its fallback pool until its snapshot lists
+// it and again after it has left, and would otherwise start with assumptions each time. The
+// caller holds sel.mu.
+func (sel *Selector) adoptTimes(kind poolKind, service, class string) {
+	to, from := sel.sharedPools[service], sel.fallbackPools[service]
+	if kind == fallbackPool {
+		to, from = from, to
+	}
+	if to != nil && from != nil {
+		to.pool.AdoptTimes(from.pool, class)
+	}
+}
+
 // updatePool applies a snapshot to the pool of a service. The caller holds sel.mu.
 func (sel *Selector) updatePool(service string, ps *poolState, s *fleet.Snapshot) {
 	if !changesPool(service, ps.snapshot, s) {
@@ -370,6 +384,7 @@
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	ps := sel.pool(kind, p.Service)
+	sel.adoptTimes(kind, p.Service, p.Class)
 	return decision{Decision: ps.pool.Acquire(sel.now(), sel.poolRequest(p)), service: p.Service, localPool: ps, decidedBy: decidedBy}
 }
 
