dispatch: send no trial from a host that ends before its deadline

A trial may outlast the host, which cuts the answer. Another host can serve the request, so it is refused as late, as before (go test -run TestNoTrialBeforeEnd ./internal/dispatch).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,9 @@
 	// time at which the caller gives up. An answer between them has lost most of its
 	// worth.
 	Objective, Deadline time.Duration
+	// NoTrial is set if the request must not be a trial: its host ends at the deadline
+	// and would cut an answer that takes longer.
+	NoTrial bool
 	// Exclude lists the backend servers that must not be chosen: those of earlier
 	// attempts of the request, and those that the snapshot of its host did not allow.
 	Exclude []string
@@ -263,7 +266,6 @@
 // the pool. Each grant must be ended with Release.
 func (p *Pool) Acquire(now time.Duration, r Request) Decision {
 	c := p.class(r.Class, r.Objective-now)
-	c.observeTimeLeft(r.Deadline - now)
 	if now-p.occupancyAt > maxOccupancyAge {
 		p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
 	}
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -13,7 +13,7 @@
 	maxTrialShare = 0.8
 	// minTrialTimeRatio is the time to the deadline, as a fraction of the time to the
 	// objective, from which such a trial is likely to show the service time. A request
-	// with less time, as before a shutdown, is tried at the rate of trialInterval.
+	// with less time is tried at the rate of trialInterval.
 	minTrialTimeRatio = 0.5
 	// estimateMaxAge is the time since the last observation from which an estimate no
 	// longer refuses a request without a trial. Disturbances of servers last for some
@@ -44,14 +44,15 @@
 	timeouts int
 	// next is the earliest time of a trial at the rate of trialInterval, 0 if not set.
 	next time.Duration
-	// timeLeft is the moving average of the requests' times to their deadlines.
-	timeLeft time.Duration
 }
 
 // acquireTrial returns a server with a free slot to which the late request is sent as a
 // trial, or nil if the estimate decides, and the reason for the refusal then. best is
 // the server with the best estimate est.
 func (p *Pool) acquireTrial(now time.Duration, r Request, c *class, best *server, est estimate) (*server, estimate, Reason) {
+	if r.NoTrial {
+		return nil, est, Late
+	}
 	if best.load(now) >= float64(best.slots) {
 		free, freeEst := p.choose(now, r, c, freeServers)
 		if free == nil && !c.observed(est.holdsObject) {
@@ -81,8 +82,7 @@
 	if holdsObject {
 		confirmedAt = c.hitConfirmedAt
 	}
-	timeLeft := r.Deadline - now
-	if !observed && float64(timeLeft) >= minTrialTimeRatio*float64(r.Objective-now) {
+	if !observed && float64(r.Deadline-now) >= minTrialTimeRatio*float64(r.Objective-now) {
 		switch {
 		case p.trialsInFlight < p.maxTrials(now, c):
 			return trialAllowed
@@ -94,7 +94,7 @@
 	if !observed && c.trials.next == 0 {
 		c.trials.next = now + trialInterval
 	}
-	if observed && now-confirmedAt < estimateMaxAge || now < c.trials.next || 2*timeLeft < c.trials.timeLeft {
+	if observed && now-confirmedAt < estimateMaxAge || now < c.trials.next {
 		return noTrial
 	}
 	c.trials.next = now + trialInterval
@@ -122,11 +122,6 @@
 	return c.missObserved
 }
 
-// observeTimeLeft adds the time that a request has to the moving average of its class.
-func (c *class) observeTimeLeft(timeLeft time.Duration) {
-	c.trials.timeLeft = movingAverage(c.trials.timeLeft, timeLeft, c.trials.timeLeft > 0)
-}
-
 // recordTrialTimeout records a trial that timed out. It says less about the server than
 // the timeout of another request, as the class may take longer, so the server is not
 // marked down.
--- a/internal/dispatch/trial_test.go
+++ b/internal/dispatch/trial_test.go
@@ -157,6 +157,18 @@
 	g.Expect(d.Service).To(BeNumerically("<=", 400*ms))
 }
 
+// TestNoTrialBeforeEnd guards against a request that is tried by a host which ends before
+// its deadline and would cut the answer.
+func TestNoTrialBeforeEnd(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", backends(4)...)
+	for now := time.Duration(0); now < 3*time.Second; now += 100 * ms {
+		r := tightRequest(now)
+		r.Deadline, r.NoTrial = now+2*time.Second, true
+		g.Expect(p.Acquire(now, r).Refused).To(Equal(Late))
+	}
+}
+
 // TestShortRequestsAreTriedAtTheLowRate guards against a class that is never served
 // because its timeout is far below its objective, whatever the configuration says, and
 // against a burst of requests that have no time left, as before a shutdown.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -125,6 +125,7 @@
 			Host: g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
 			Rank: pr.route.Rank, Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
 			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
+			NoTrial: g.endsBefore(pr.deadline),
 			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.route.Regions,
 		})
 		if dec.Refused != "" {
