--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -128,6 +128,7 @@
 			Host:  g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
 			Rank: pr.rank, Workspace: pr.workspaceName(), Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
 			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
+			NoTrial: g.endsBefore(pr.deadline),
 			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.regions,
 		})
 		if dec.Refused != "" {
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -97,6 +97,7 @@
 	Bytes           int64    `json:"bytes,omitempty"`
 	ObjectiveMillis float64  `json:"objective_ms"`
 	RemainingMillis float64  `json:"left_ms"`
+	NoTrial         bool     `json:"no_trial,omitempty"`
 	Exclude         []string `json:"exclude,omitempty"`
 	Allowed         []string `json:"allowed,omitempty"`
 	// Workspace is the name of the request's workspace, "" if it has none.
@@ -285,6 +286,20 @@
 	return ps
 }
 
+// adoptTimes gives the pool that decides the service times of a class that this host's
+// pool of the other kind observed. A host uses its fallback pool until its snapshot lists
+// it and again after it has left, and would otherwise start with assumptions each time. The
+// caller holds sel.mu.
+func (sel *Selector) adoptTimes(kind poolKind, service, class string) {
+	to, from := sel.sharedPools[service], sel.fallbackPools[service]
+	if kind == fallbackPool {
+		to, from = from, to
+	}
+	if to != nil && from != nil {
+		to.pool.AdoptTimes(from.pool, class)
+	}
+}
+
 // updatePool applies a snapshot to the pool of a service. The caller holds sel.mu.
 func (sel *Selector) updatePool(service string, ps *poolState, s *fleet.Snapshot) {
 	if !changesPool(service, ps.snapshot, s) {
@@ -479,6 +494,7 @@
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	ps := sel.pool(kind, p.Service)
+	sel.adoptTimes(kind, p.Service, p.Class)
 	return decision{Decision: ps.pool.Acquire(sel.now(), sel.poolRequest(p)), service: p.Service, localPool: ps, decidedBy: decidedBy}
 }
 
@@ -486,7 +502,7 @@
 	now := sel.now()
 	return dispatch.Request{
 		Class: p.Class, Key: p.Key, Workspace: p.Workspace, Host: p.Host, FailureDomain: p.FailureDomain, Rank: p.Rank, Bytes: p.Bytes,
-		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis),
+		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis), NoTrial: p.NoTrial,
 		Exclude: p.Exclude, Allowed: p.Allowed, Hedge: p.Hedge,
 	}
 }
