--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -82,14 +82,20 @@
 }
 
 // refusal returns a 503 answer with the text as its body. It means that the request
-// has not run, unlike a 503 passed on from a backend server. Retry-After has seconds
-// with three decimals, where RFC 9110 has whole seconds.
+// has not run, unlike a 503 passed on from a backend server.
 func refusal(retryAfter time.Duration, text string) *Answer {
 	a := failure(http.StatusServiceUnavailable, text)
-	a.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	a.Header.Set("Retry-After", formatRetryAfter(retryAfter))
 	return a
 }
 
+// formatRetryAfter returns seconds with three decimals, where RFC 9110 has whole seconds.
+// It rounds up: a caller that returns a fraction of a millisecond early is refused again.
+func formatRetryAfter(d time.Duration) string {
+	const unit = time.Millisecond
+	return strconv.FormatFloat(((d + unit - 1) / unit * unit).Seconds(), 'f', 3, 64)
+}
+
 // failure returns an answer that the gateway generates itself, with the text as its
 // body.
 func failure(status int, text string) *Answer {
