gateway: store idle connections by incarnation of their server

Kept connections to servers were stored by server ID only, so that after a server had started again under its ID at another address, requests were still sent on connections to the old one.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -260,7 +260,7 @@
 			g.holds.endTrial(b)
 		}
 		if a.reply.signals.leaving {
-			g.upstream.closeIdle(b.ID)
+			g.upstream.closeIdle(serverOf(b))
 		}
 	}
 	g.recordBound(a)
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -162,7 +162,7 @@
 	g.Expect(status).To(Equal(200))
 	u := f.g.upstream
 	u.mu.Lock()
-	conn := u.idle["b0"][0]
+	conn := u.idle[serverOf(f.g.Snapshot().Backends["b0"])][0]
 	u.mu.Unlock()
 	call := &upstreamCall{backend: f.g.Snapshot().Backends["b0"], request: &Request{HTTP: &http.Request{Method: "POST", Host: "x", RequestURI: "/post/a"}, Body: []byte("x"), Length: 1},
 		header: http.Header{"X-Id": {"p2"}}, id: "p2", deadline: time.Now().Add(time.Second), maxIdleConns: 1}
--- a/internal/gateway/faulty_test.go
+++ b/internal/gateway/faulty_test.go
@@ -268,7 +268,7 @@
 	g.Expect(<-slow).To(Equal(200))
 	g.Expect(leaving.runs.Load()).To(Equal(int32(2)))
 	f.g.upstream.mu.Lock()
-	g.Expect(f.g.upstream.idle["b0"]).To(BeEmpty())
+	g.Expect(f.g.upstream.idle[serverOf(f.g.Snapshot().Backends["b0"])]).To(BeEmpty())
 	f.g.upstream.mu.Unlock()
 	state := f.g.selector.sharedPools["s"].pool.Dump(f.g.selector.now())
 	g.Expect(state["b0"].Leaving).To(BeTrue(), "the dispatcher knows")
--- a/internal/gateway/shortage_test.go
+++ b/internal/gateway/shortage_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
+	"github.com/galenabeam/galenabeam/internal/serverhold"
 )
 
 // TestNoDescriptorBlamesNoServer guards against a host without free descriptors, memory or
@@ -24,13 +25,14 @@
 			g := NewWithT(t)
 			shortage := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", errno)}
 			const idleConns = 2
+			other := serverhold.Server{ID: "other"}
 			var none atomic.Bool // no connection can be made, whether others are idle or not
 			f := startGatewayWith(t, func(f *fixture) {
 				u := f.g.upstream
 				connect := u.dialContext
 				u.dialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 					u.mu.Lock()
-					idle := len(u.idle["other"])
+					idle := len(u.idle[other])
 					u.mu.Unlock()
 					if none.Load() || idle >= idleConns {
 						return nil, shortage
@@ -40,7 +42,7 @@
 			}, startBackend(t, answerOK))
 			for range idleConns {
 				c, _ := net.Pipe()
-				f.g.upstream.putIdle("other", newUpstreamConn(c), idleConns)
+				f.g.upstream.putIdle(other, newUpstreamConn(c), idleConns)
 			}
 			status, _, _ := f.sendRequest(t, "POST", "/post/1", "first", "x")
 			g.Expect(status).To(Equal(200), "idle connections make room")
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/serverhold"
 )
 
 // Limits of the connections to backend servers.
@@ -85,7 +86,7 @@
 }
 
 // upstream sends requests to backend servers and keeps idle connections to them, by
-// server.
+// incarnation: a server that starts again under its ID may run at another address.
 type upstream struct {
 	headers Headers
 	// dialContext connects to an address.
@@ -93,7 +94,7 @@
 	// bodies is the budget of all buffered answers.
 	bodies memoryBudget
 	mu     sync.Mutex
-	idle   map[string][]*upstreamConn
+	idle   map[serverhold.Server][]*upstreamConn
 }
 
 // upstreamConn is a connection to a backend server. It may be reused while it has
@@ -114,7 +115,7 @@
 
 func newUpstream(h Headers) *upstream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &upstream{headers: h, dialContext: dialer.DialContext, idle: map[string][]*upstreamConn{}}
+	return &upstream{headers: h, dialContext: dialer.DialContext, idle: map[serverhold.Server][]*upstreamConn{}}
 }
 
 // do sends a request and reads the answer. It returns when the answer is complete
@@ -187,15 +188,16 @@
 // takeIdle returns an idle connection that may carry the request, or nil, and closes
 // the unusable ones that it finds.
 func (u *upstream) takeIdle(c *upstreamCall) *upstreamConn {
+	server := serverOf(c.backend)
 	for {
 		u.mu.Lock()
-		list := u.idle[c.backend.ID]
+		list := u.idle[server]
 		if len(list) == 0 {
 			u.mu.Unlock()
 			return nil
 		}
 		conn := list[len(list)-1]
-		u.idle[c.backend.ID] = list[:len(list)-1]
+		u.idle[server] = list[:len(list)-1]
 		u.mu.Unlock()
 		limit := conn.idleTimeout
 		if !c.repeatable {
@@ -234,12 +236,12 @@
 
 // putIdle stores a connection for the next request to the server, or closes it if
 // limit connections are stored.
-func (u *upstream) putIdle(id string, conn *upstreamConn, limit int) {
+func (u *upstream) putIdle(server serverhold.Server, conn *upstreamConn, limit int) {
 	_ = conn.SetDeadline(time.Time{})
 	conn.idleSince, conn.kept = time.Now(), true
 	u.mu.Lock()
-	if len(u.idle[id]) < limit {
-		u.idle[id] = append(u.idle[id], conn)
+	if len(u.idle[server]) < limit {
+		u.idle[server] = append(u.idle[server], conn)
 		conn = nil
 	}
 	u.mu.Unlock()
@@ -248,36 +250,43 @@
 	}
 }
 
-// prune closes idle connections to servers that are not known any more and those
-// whose idle timeout has passed, because the server is about to close them.
+// prune closes idle connections to incarnations of servers that are not known any more
+// and those whose idle timeout has passed, because the server is about to close them.
 func (u *upstream) prune(known map[string]*fleet.Backend) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for id, list := range u.idle {
+	for server, list := range u.idle {
+		b := known[server.ID]
+		isKnown := b != nil && serverOf(b) == server
 		kept := list[:0]
 		for _, c := range list {
-			if known[id] != nil && time.Since(c.idleSince) < c.idleTimeout {
+			if isKnown && time.Since(c.idleSince) < c.idleTimeout {
 				kept = append(kept, c)
 			} else {
 				_ = c.Close()
 			}
 		}
 		if len(kept) == 0 {
-			delete(u.idle, id)
+			delete(u.idle, server)
 			continue
 		}
-		u.idle[id] = kept
+		u.idle[server] = kept
 	}
 }
 
-// closeIdle closes the idle connections to a server.
-func (u *upstream) closeIdle(id string) {
+// closeIdle closes the idle connections to a server and to earlier incarnations of it.
+func (u *upstream) closeIdle(server serverhold.Server) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, c := range u.idle[id] {
-		_ = c.Close()
+	for other, list := range u.idle {
+		if other.ID != server.ID || other.StartedAtMillis > server.StartedAtMillis {
+			continue
+		}
+		for _, c := range list {
+			_ = c.Close()
+		}
+		delete(u.idle, other)
 	}
-	delete(u.idle, id)
 }
 
 // closeAllIdle closes all idle connections and reports whether there were any.
--- a/internal/gateway/upstream_answer.go
+++ b/internal/gateway/upstream_answer.go
@@ -157,7 +157,7 @@
 		_ = conn.Close()
 		return
 	}
-	u.putIdle(c.backend.ID, conn, c.maxIdleConns)
+	u.putIdle(serverOf(c.backend), conn, c.maxIdleConns)
 }
 
 // parseKeepAlive returns the timeout of a Keep-Alive header, if there is one.
