gateway: pass on only answers that are complete

A server that answers an upload at once without a length and resets the connection got the part that had arrived passed on as complete: the failing write consumed the error of the socket, and the reader then saw a proper end. An answer that ends with its connection, also a refusal, is now complete only once its request is written completely; the end of the answer waits for that until the deadline. An error of the connection while a body is streamed closes only the sending side, so that an answer complete by its length is no longer lost if the writer sees the reset first.

A status line is only HTTP/1.x with a status from 100 to 599; before, 600 to 999, HTTP/2.0 and HTTP/0.9 were passed on or taken for interim answers. An answer of HTTP/1.0 with a Transfer-Encoding is a failure of the server, as its chunk headers were passed on as a part of the body.

--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -42,12 +42,21 @@
 	lines  int // complete lines of the head so far
 	// lineLength is the number of bytes of the current line, without CR.
 	lineLength int
-	exceeded   *boundError
+	// field is the beginning of the current line in lower case, to compare with
+	// transferEncodingField.
+	field [len(transferEncodingField)]byte
+	// transferEncoding is set if the head has the field Transfer-Encoding.
+	transferEncoding bool
+	exceeded         *boundError
 }
 
+// transferEncodingField begins the line of a Transfer-Encoding in lower case. A line with a
+// space before the colon is malformed for http.ReadResponse.
+const transferEncodingField = "transfer-encoding:"
+
 // begin starts to count a head. buffered holds the bytes that were read already.
 func (h *headReader) begin(buffered []byte) error {
-	h.inHead, h.bytes, h.lines, h.lineLength = true, 0, 0, 0
+	h.inHead, h.bytes, h.lines, h.lineLength, h.transferEncoding = true, 0, 0, 0, false
 	return h.count(buffered)
 }
 
@@ -65,7 +74,7 @@
 			h.lines++
 			h.lineLength = 0
 		case b != '\r':
-			h.lineLength++
+			h.addToLine(b)
 		}
 	}
 	switch {
@@ -79,6 +88,20 @@
 	return h.exceeded
 }
 
+// addToLine adds a byte to the current line.
+func (h *headReader) addToLine(b byte) {
+	if h.lineLength < len(h.field) {
+		if 'A' <= b && b <= 'Z' {
+			b += 'a' - 'A'
+		}
+		h.field[h.lineLength] = b
+	}
+	h.lineLength++
+	if h.lineLength == len(h.field) && string(h.field[:]) == transferEncodingField {
+		h.transferEncoding = true
+	}
+}
+
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
 	if h.exceeded != nil {
@@ -108,16 +131,36 @@
 			}
 			return nil, err
 		}
+		if err := checkStatusLine(resp); err != nil {
+			return nil, err
+		}
+		if resp.ProtoMinor == 0 && c.head.transferEncoding {
+			return nil, errTransferEncoding
+		}
 		if resp.StatusCode >= 200 {
 			return resp, nil
 		}
-		if resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("unexpected status %d", resp.StatusCode)
-		}
 	}
 	return nil, &boundError{"interim answers"}
 }
 
+// errTransferEncoding is returned for an answer of HTTP/1.0 with a Transfer-Encoding, which
+// net/http ignores: it is not known how the body is delimited (RFC 9112, section 6.1).
+var errTransferEncoding = errors.New("answer of HTTP/1.0 has a Transfer-Encoding")
+
+// checkStatusLine returns an error unless the version is HTTP/1.x and the status has three
+// digits from 100 to 599 and does not switch protocols. http.ReadResponse accepts a status
+// of three characters, and a sign makes its number less than 100.
+func checkStatusLine(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("unexpected version %s", resp.Proto)
+	}
+	if resp.StatusCode < 100 || resp.StatusCode > 599 || resp.StatusCode == http.StatusSwitchingProtocols {
+		return fmt.Errorf("unexpected status %d", resp.StatusCode)
+	}
+	return nil
+}
+
 // discardBody reads the body of an answer that is not passed on, within the bounds.
 func (c *upstreamConn) discardBody(resp *http.Response) error {
 	if err := c.SetReadDeadline(time.Now().Add(maxUnusedBodyTime)); err != nil {
--- a/internal/gateway/faulty_test.go
+++ b/internal/gateway/faulty_test.go
@@ -348,12 +348,19 @@
 // answerOfServer returns the reply to a request that a server answers with some bytes and the
 // end of the connection.
 func answerOfServer(t *testing.T, sent string) reply {
+	t.Helper()
+	return answerOfServerThat(t, sent, func(far net.Conn) { _ = far.Close() })
+}
+
+// answerOfServerThat returns the reply to a request that a server answers with some bytes,
+// after which it calls then.
+func answerOfServerThat(t *testing.T, sent string, then func(far net.Conn)) reply {
 	t.Helper()
 	u := newUpstream(testHeaders)
 	near, far := net.Pipe()
 	u.dialContext = func(context.Context, string, string) (net.Conn, error) { return near, nil }
 	go func() {
-		defer func() { _ = far.Close() }()
+		defer then(far)
 		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
 			_, _ = io.WriteString(far, sent)
 		}
--- a/internal/gateway/upstream_answer.go
+++ b/internal/gateway/upstream_answer.go
@@ -86,12 +86,12 @@
 }
 
 // readAnswer reads the body of an answer, up to maxBufferedAnswer bytes, and classifies
-// the answer. A refusal counts only if it is complete. An answer that ends with the
-// connection is complete unless the connection is reset.
-func (u *upstream) readAnswer(ctx context.Context, conn *upstreamConn, c *upstreamCall, resp *http.Response, verdict attribution.Verdict, writeResult chan error, stop func() bool) reply {
+// the answer. A refusal counts only if it is complete. For an answer that ends with the
+// connection, see requestWrite.
+func (u *upstream) readAnswer(ctx context.Context, conn *upstreamConn, c *upstreamCall, resp *http.Response, verdict attribution.Verdict, write *requestWrite, stop func() bool) reply {
 	r := reply{result: dispatch.Served, mayHaveRun: true, load: parseLoad(resp.Header.Get(u.headers.Load))}
 	if verdict == attribution.Refused || verdict == attribution.Misdirected {
-		if err := conn.discardBody(resp); err != nil {
+		if err := discardRefusal(ctx, conn, resp, write); err != nil {
 			stop()
 			_ = conn.Close()
 			return c.failedReply(ctx, err)
@@ -100,9 +100,10 @@
 		if verdict == attribution.Misdirected {
 			r.result = dispatch.Misdirected
 		}
-		u.releaseConn(conn, c, resp, writeResult, stop)
+		u.releaseConn(conn, c, resp, write, stop)
 		return r
 	}
+	write.checkEnd(ctx, resp)
 	body, ended, reserved, err := u.bodies.readUpTo(resp.Body, resp.ContentLength, maxBufferedAnswer)
 	if err != nil {
 		u.bodies.give(reserved)
@@ -117,7 +118,7 @@
 	stripHopByHop(header)
 	r.answer = &Answer{Status: resp.StatusCode, Header: header, Body: body}
 	if ended {
-		u.releaseConn(conn, c, resp, writeResult, stop)
+		u.releaseConn(conn, c, resp, write, stop)
 		if reserved > 0 {
 			r.answer.Done = func(bool) { u.bodies.give(reserved) }
 		}
@@ -127,7 +128,7 @@
 	r.answer.Done = func(complete bool) {
 		u.bodies.give(reserved)
 		if complete {
-			u.releaseConn(conn, c, resp, writeResult, stop)
+			u.releaseConn(conn, c, resp, write, stop)
 			return
 		}
 		stop()
@@ -136,16 +137,18 @@
 	return r
 }
 
+// discardRefusal reads the body of a refusal within the bounds.
+func discardRefusal(ctx context.Context, conn *upstreamConn, resp *http.Response, write *requestWrite) error {
+	ctx, cancel := context.WithTimeout(ctx, maxUnusedBodyTime)
+	defer cancel()
+	write.checkEnd(ctx, resp)
+	return conn.discardBody(resp)
+}
+
 // releaseConn stores the connection for reuse if the request was written completely
 // and the server keeps the connection open, and otherwise closes it.
-func (u *upstream) releaseConn(conn *upstreamConn, c *upstreamCall, resp *http.Response, writeResult chan error, stop func() bool) {
-	bodySent := false
-	select {
-	case err := <-writeResult:
-		bodySent = err == nil
-	default:
-	}
-	if !stop() || !bodySent || resp.Close || endsWithConnection(resp) || conn.br.Buffered() > 0 {
+func (u *upstream) releaseConn(conn *upstreamConn, c *upstreamCall, resp *http.Response, write *requestWrite, stop func() bool) {
+	if !stop() || !write.succeeded() || resp.Close || endsWithConnection(resp) || conn.br.Buffered() > 0 {
 		_ = conn.Close()
 		return
 	}
--- a/internal/gateway/upstream_request.go
+++ b/internal/gateway/upstream_request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +19,7 @@
 // closes the connection, at the latest when the answer is done.
 func (u *upstream) roundTrip(ctx context.Context, conn *upstreamConn, c *upstreamCall) reply {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	writeResult := make(chan error, 1)
+	write := newRequestWrite()
 	requestHead, err := u.requestHead(c)
 	if err != nil {
 		stop()
@@ -34,12 +35,12 @@
 			r.mayHaveRun = false
 			return r
 		}
-		writeResult <- err
+		write.end(err)
 	} else {
 		// In the background, as a server may answer before it has read a long body.
 		go func() {
 			_, err := writeRequest(conn, requestHead, c.request)
-			writeResult <- err
+			write.end(err)
 		}()
 	}
 	var signals serverSignals
@@ -51,7 +52,7 @@
 		r.signals = signals
 		return r
 	}
-	r := u.readAnswer(ctx, conn, c, resp, verdict, writeResult, stop)
+	r := u.readAnswer(ctx, conn, c, resp, verdict, write, stop)
 	r.signals = signals
 	return r
 }
@@ -107,36 +108,52 @@
 }
 
 // writeRequest writes the request and returns the number of bytes written of a request
-// without Rest. It closes the connection if a streamed body cannot be forwarded
-// completely, also when the caller broke off. An error alone does not end the attempt:
-// the server may have answered already.
+// without Rest. An error of the connection does not end the attempt, as the server may
+// have answered already; see requestWrite.
 func writeRequest(conn net.Conn, head []byte, r *Request) (int64, error) {
+	if r.Rest != nil {
+		return 0, writeStreamed(conn, head, r)
+	}
 	buffers := net.Buffers{head}
-	if r.Rest == nil {
-		if len(r.Body) > 0 {
-			buffers = append(buffers, r.Body)
-		}
-		return buffers.WriteTo(conn)
+	if len(r.Body) > 0 {
+		buffers = append(buffers, r.Body)
+	}
+	return buffers.WriteTo(conn)
+}
+
+// writeStreamed writes a request with Rest. If the caller's body breaks off, it closes the
+// connection. After an error of the connection it closes only the sending side, so that
+// the server does not wait for the body, and the answer that has arrived can be read.
+func writeStreamed(conn net.Conn, head []byte, r *Request) error {
+	err := writeBody(conn, head, r)
+	if err == nil {
+		return nil
+	}
+	half, ok := conn.(interface{ CloseWrite() error })
+	switch {
+	case errors.Is(err, errBody) || r.Rest.failure() != nil:
+		_ = conn.Close()
+	case ok:
+		_ = half.CloseWrite()
 	}
+	return err
+}
+
+// writeBody writes the head and the body of a request with Rest. It returns errBody if the
+// body is shorter than its length.
+func writeBody(conn net.Conn, head []byte, r *Request) error {
 	if _, err := conn.Write(head); err != nil {
-		return 0, err
+		return err
 	}
 	body := io.MultiReader(bytes.NewReader(r.Body), r.Rest)
 	if r.Length < 0 {
-		err := writeChunks(conn, body)
-		if err != nil {
-			_ = conn.Close()
-		}
-		return 0, err
+		return writeChunks(conn, body)
 	}
 	n, err := io.Copy(conn, body)
 	if err == nil && n != r.Length {
-		err = io.ErrUnexpectedEOF
-	}
-	if err != nil {
-		_ = conn.Close()
+		return errBody
 	}
-	return 0, err
+	return err
 }
 
 func writeChunks(conn net.Conn, body io.Reader) error {
