gateway: cut off an unread answer that ends with its connection

A server that closes the connection of an answer that is not read for some seconds ends it properly, so that the part that fitted into the buffers reached a slow caller as complete. An answer that ends with its connection now counts as complete only if it was not left unread for 1.5 s. Answers with a length or chunks, and resets, were found incomplete already.

--- a/internal/gateway/requestwrite.go
+++ b/internal/gateway/requestwrite.go
@@ -6,8 +6,17 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
+// maxUnreadTime is how long an answer that ends with its connection may be left unread,
+// because the caller reads slowly, and still count as complete. Servers close the
+// connection of an answer that is not read for some seconds, and its end then looks proper.
+const maxUnreadTime = 1500 * time.Millisecond
+
+// errUnread is returned at the end of an answer that was left unread for maxUnreadTime.
+var errUnread = errors.New("answer was left unread and ended with its connection")
+
 // errUnsent is returned for an answer that ended with its connection before the request
 // was written completely.
 var errUnsent = errors.New("connection ended before the request was written")
@@ -54,26 +63,35 @@
 }
 
 // checkEnd makes the body of an answer that ends with its connection end only after the
-// request was written completely, and otherwise fail, at the latest when ctx is done.
-func (w *requestWrite) checkEnd(ctx context.Context, resp *http.Response) {
+// request was written completely, and otherwise fail, at the latest when ctx is done. It
+// also fails if it was left unread for maxUnreadTime.
+func (w *requestWrite) checkEnd(ctx context.Context, resp *http.Response, now func() time.Time) {
 	if endsWithConnection(resp) && resp.Body != http.NoBody {
-		resp.Body = &checkedBody{ReadCloser: resp.Body, ctx: ctx, write: w}
+		resp.Body = &checkedBody{ReadCloser: resp.Body, ctx: ctx, write: w, now: now, lastRead: now()}
 	}
 }
 
 // checkedBody is the body of an answer that ends with its connection.
 type checkedBody struct {
 	io.ReadCloser
-	ctx   context.Context
-	write *requestWrite
+	ctx      context.Context
+	write    *requestWrite
+	now      func() time.Time
+	lastRead time.Time // the end of the latest read
+	unread   bool      // maxUnreadTime passed between two reads
 }
 
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
+	b.unread = b.unread || b.now().Sub(b.lastRead) >= maxUnreadTime
 	n, err := b.ReadCloser.Read(p)
+	b.lastRead = b.now()
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
+	if b.unread {
+		return n, errUnread
+	}
 	if werr := b.write.wait(b.ctx); werr != nil {
 		return n, werr
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -91,6 +91,8 @@
 	headers Headers
 	// dialContext connects to an address.
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// now returns the time by which answers are left unread; see maxUnreadTime.
+	now func() time.Time
 	// bodies is the budget of all buffered answers.
 	bodies memoryBudget
 	mu     sync.Mutex
@@ -115,7 +117,7 @@
 
 func newUpstream(h Headers) *upstream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &upstream{headers: h, dialContext: dialer.DialContext, idle: map[serverhold.Server][]*upstreamConn{}}
+	return &upstream{headers: h, dialContext: dialer.DialContext, now: time.Now, idle: map[serverhold.Server][]*upstreamConn{}}
 }
 
 // do sends a request and reads the answer. It returns when the answer is complete
--- a/internal/gateway/upstream_answer.go
+++ b/internal/gateway/upstream_answer.go
@@ -91,7 +91,7 @@
 func (u *upstream) readAnswer(ctx context.Context, conn *upstreamConn, c *upstreamCall, resp *http.Response, verdict attribution.Verdict, write *requestWrite, stop func() bool) reply {
 	r := reply{result: dispatch.Served, mayHaveRun: true, load: parseLoad(resp.Header.Get(u.headers.Load))}
 	if verdict == attribution.Refused || verdict == attribution.Misdirected {
-		if err := discardRefusal(ctx, conn, resp, write); err != nil {
+		if err := u.discardRefusal(ctx, conn, resp, write); err != nil {
 			stop()
 			_ = conn.Close()
 			return c.failedReply(ctx, err)
@@ -103,7 +103,7 @@
 		u.releaseConn(conn, c, resp, write, stop)
 		return r
 	}
-	write.checkEnd(ctx, resp)
+	write.checkEnd(ctx, resp, u.now)
 	body, ended, reserved, err := u.bodies.readUpTo(resp.Body, resp.ContentLength, maxBufferedAnswer)
 	if err != nil {
 		u.bodies.give(reserved)
@@ -138,10 +138,10 @@
 }
 
 // discardRefusal reads the body of a refusal within the bounds.
-func discardRefusal(ctx context.Context, conn *upstreamConn, resp *http.Response, write *requestWrite) error {
+func (u *upstream) discardRefusal(ctx context.Context, conn *upstreamConn, resp *http.Response, write *requestWrite) error {
 	ctx, cancel := context.WithTimeout(ctx, maxUnusedBodyTime)
 	defer cancel()
-	write.checkEnd(ctx, resp)
+	write.checkEnd(ctx, resp, u.now)
 	return conn.discardBody(resp)
 }
 
