dispatch: use the service times that servers report

Backend servers that share their machines report, as a fourth value of their load, how long work takes at the moment in percent of the usual time. Such reports were discarded as malformed.

The expected service time of a server is multiplied by its reported factor, from 0.85 to 8, which returns to 1 with a time constant of 0.5 s. Observed times are divided by the factor first, and by the slowness of the server then, so that nothing counts twice. For servers that report it, single samples are bounded and the slowness follows more slowly.

The delay of a hedge is learned for each class: the 0.95 quantile of actual to expected times, from 1.2 to 3. Attempts that were cut count as lower bounds. Requests that cannot be hedged weigh the expected time twice.

Without a fourth value, the choice of servers and the delay stay as they were.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -125,12 +125,14 @@
 	if est.holdsObject {
 		est.service = typical
 	}
-	est.service = time.Duration(float64(est.service) * s.slowness)
+	factor := s.reportedFactor.expected(now)
+	queueFactor := s.slowness * factor
 	if s.cold(now) {
-		est.service *= 2 // requests take longer at a cold server
+		factor = max(factor, coldTimeFactor) // the report may include that it is cold
 	}
+	est.service = time.Duration(float64(est.service) * s.slowness * factor)
 	load := s.load(now)
-	est.wait = s.queueTime(load, time.Duration(float64(typical)*s.slowness))
+	est.wait = s.queueTime(load, time.Duration(float64(typical)*queueFactor))
 	roundTripTime := s.place.roundTrip
 	est.finish = roundTripTime + est.wait + est.service
 	foreign := s.place.foreign
@@ -142,6 +144,9 @@
 	}
 	est.countsAsInTime = now+est.finish <= r.Objective
 	est.cost = est.finish + time.Duration((slotTimeWeight+busySlotTimeWeight*p.occupancy)*float64(est.service))
+	if r.NoHedge && p.percentReported(now) {
+		est.cost += time.Duration(unhedgedTimeWeight * float64(est.finish))
+	}
 	est.cost += time.Duration(s.utilizationForLoad(now, load) * float64(utilizationCost))
 	est.cost += time.Duration(s.failureRate(now) * float64(failureCost))
 	spreadLimit := maxSpreadCost
--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -25,6 +25,7 @@
 	missConfirmedAt, hitConfirmedAt time.Duration
 	answerBytes                     int64
 	trials                          trialState
+	hedge                           hedgeState
 }
 
 // class returns the class of that name and creates it if needed. Until a service
@@ -66,16 +67,23 @@
 }
 
 // observeServiceTime adds a served request to the moving averages, unless it may have
-// waited in the server's queue: its elapsed time is then not the service time.
-func (c *class) observeServiceTime(g *grant, s *server, elapsed time.Duration) {
+// waited in the server's queue: its elapsed time is then not the service time. What the
+// server's reported percentage explains is left out first, and then its slowness, so that
+// the averages hold for a server at 100 percent and nothing counts twice. answer is the
+// report that came with the answer.
+func (c *class) observeServiceTime(g *grant, s *server, elapsed time.Duration, answer timeFactor) {
 	if !g.unqueued || elapsed <= 0 {
 		return
 	}
 	now := g.sentAt + elapsed
+	elapsed = g.usualTime(elapsed, answer)
 	if g.expectedService > 0 && !g.trial { // the estimate of a trial is no measure
 		c.observeSlowness(g, s, now, elapsed)
 	}
 	normalized := time.Duration(float64(elapsed) / s.slowness)
+	if typical := c.observedTime(g.heldObject); g.reportsPercent() && typical > 0 && !g.trial {
+		normalized = min(normalized, time.Duration(maxSampleRatio*float64(typical)))
+	}
 	// A trial replaces the estimate that it was granted against: the moving average would
 	// need many trials to reach the present time.
 	if g.heldObject {
@@ -88,6 +96,18 @@
 	c.trials.timeouts = 0
 }
 
+// observedTime returns the observed service time with or without the object, 0 if there
+// is none.
+func (c *class) observedTime(holdsObject bool) time.Duration {
+	switch {
+	case !c.observed(holdsObject):
+		return 0
+	case holdsObject:
+		return c.hitTime()
+	}
+	return c.missTime()
+}
+
 // observeAnswerBytes adds the size of an answer in bytes to the moving average.
 func (c *class) observeAnswerBytes(n int64) {
 	if c.answerBytes == 0 {
@@ -108,8 +128,12 @@
 	if typical <= 0 {
 		return
 	}
-	ratio := min(max(float64(elapsed)/float64(typical), minSlowness), maxSlowness)
-	s.slowness += (ratio - s.slowness) * slownessGain
+	limit, gain := maxSlowness, slownessGain
+	if g.reportsPercent() {
+		limit, gain = maxSampleRatio, reportedSlownessGain
+	}
+	ratio := min(max(float64(elapsed)/float64(typical), minSlowness), limit)
+	s.slowness += (ratio - s.slowness) * gain
 	s.slownessAt = now
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,8 @@
 	// time at which the caller gives up. An answer between them has lost most of its
 	// worth.
 	Objective, Deadline time.Duration
+	// NoHedge is set if no hedge can be sent, as the request must not run twice.
+	NoHedge bool
 	// NoTrial is set if the request must not be a trial: its host ends at the deadline
 	// and would cut an answer that takes longer.
 	NoTrial bool
@@ -98,6 +100,9 @@
 	// for NoServer, otherwise the expected wait, from 0.7 s to 2 s. It is 0 for a grant,
 	// and if the request ended before a pool could decide.
 	RetryAfter time.Duration
+	// HedgeDelay is the time from sending the request to its hedge. It is 0 if the pool
+	// has learned none or the servers do not report percentages.
+	HedgeDelay time.Duration `json:",omitempty"`
 }
 
 // Result is how a granted request ended.
@@ -131,6 +136,9 @@
 // it runs, those that wait in its queue, and its slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Percent is the time that work now takes on its machine, in percent of the usual
+	// time; 0 if not reported. Values outside 1 to 10,000 are ignored.
+	Percent int `json:",omitempty"`
 }
 
 // Report describes how a granted request ended. Entry hosts send it as JSON under
@@ -176,6 +184,9 @@
 	grants          map[uint64]*grant
 	lastGrantID     uint64
 	trialsInFlight  int // grants that are trials
+	// lastPercentAt is when a server last reported a percentage, if percentSeen.
+	lastPercentAt time.Duration
+	percentSeen   bool
 	// occupancy is the result of currentOccupancy as of occupancyAt.
 	occupancy   float64
 	occupancyAt time.Duration
@@ -209,8 +220,9 @@
 	// reuseDistance is the number of objects that the server was asked for since it
 	// was last asked for this one.
 	reuseDistance int
-	unqueued      bool // no request waited or ran above the slots when it was sent
-	trial         bool // it was granted although its estimate was late
+	unqueued      bool       // no request waited or ran above the slots when it was sent
+	factor        timeFactor // reported by the server before the request was sent
+	trial         bool       // it was granted although its estimate was late
 }
 
 // RequestedObject is an object that was requested from a server not assumed to hold
@@ -355,7 +367,7 @@
 	load := s.load(now)
 	g := &grant{
 		server: s, key: r.Key, class: r.Class, heldObject: est.holdsObject, sentAt: now, wait: est.wait,
-		expectedService: est.service, deadline: r.Deadline, unqueued: load < float64(s.slots), trial: est.trial,
+		expectedService: est.service, deadline: r.Deadline, unqueued: load < float64(s.slots), trial: est.trial, factor: s.reportedFactor,
 	}
 	p.grants[p.lastGrantID] = g
 	if g.trial {
@@ -379,7 +391,10 @@
 		}
 	}
 	p.shiftLimiter.record(now, s.region)
-	return Decision{Grant: p.lastGrantID, Server: s.id, HoldsObject: est.holdsObject, Wait: est.wait, Service: est.service, Load: load, Busy: p.occupancy}
+	return Decision{
+		Grant: p.lastGrantID, Server: s.id, HoldsObject: est.holdsObject, Wait: est.wait, Service: est.service, Load: load, Busy: p.occupancy,
+		HedgeDelay: p.hedgeDelay(now, r, s, est),
+	}
 }
 
 // objectKey returns the key of an object that is unique among all classes, "" if
@@ -430,6 +445,7 @@
 	}
 	if r.Load != nil {
 		s.reportedLoad, s.reportedAt = r.Load.Running+r.Load.Waiting, now
+		p.recordFactor(now, s, answerFactor(now, r.Load))
 	}
 	p.applyReport(now, g, r)
 }
@@ -438,6 +454,7 @@
 func (p *Pool) applyReport(now time.Duration, g *grant, r Report) {
 	s := g.server
 	key := objectKey(g.class, g.key)
+	p.class(g.class, 0).observeHedgeRatio(g, r)
 	switch r.Result {
 	case Served:
 		wasDown := s.downUntil > 0
@@ -450,8 +467,9 @@
 			s.clearObjects()
 		}
 		p.class(g.class, 0).observeAnswerBytes(r.Bytes)
-		p.observeObjectCapacity(g, p.class(g.class, 0), r.Elapsed-s.place.roundTrip)
-		p.class(g.class, 0).observeServiceTime(g, s, r.Elapsed-s.place.roundTrip)
+		elapsed, answer := r.Elapsed-s.place.roundTrip, answerFactor(now, r.Load)
+		p.observeObjectCapacity(g, p.class(g.class, 0), g.usualTime(elapsed, answer))
+		p.class(g.class, 0).observeServiceTime(g, s, elapsed, answer)
 	case Failed:
 		s.recordFailure(now, false)
 		s.removeObject(key)
--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -21,16 +21,23 @@
 	Slowness float64 `json:"slowness"`
 	Failures float64 `json:"failure_rate"`
 	Objects  int     `json:"objects"`
+	// TimeFactor is the service time relative to the server's usual one that its reports
+	// let expect now, 0 if it reports none.
+	TimeFactor float64 `json:"time_factor,omitempty"`
 }
 
 // Dump returns the state of each backend server by its ID.
 func (p *Pool) Dump(now time.Duration) map[string]ServerState {
 	state := make(map[string]ServerState, len(p.servers))
 	for id, s := range p.servers {
+		timeFactor := 0.0
+		if s.reportedFactor.factor != 0 {
+			timeFactor = s.reportedFactor.expected(now)
+		}
 		state[id] = ServerState{
 			Region: s.region, Slots: s.slots, InFlight: s.inflight, Load: s.load(now), Cold: s.cold(now),
 			Down: !s.available(now), Draining: s.draining, Leaving: s.leaving(now), Slowness: s.slowness,
-			Failures: s.failureRate(now), Objects: len(s.objects),
+			Failures: s.failureRate(now), Objects: len(s.objects), TimeFactor: timeFactor,
 		}
 	}
 	return state
--- a/internal/dispatch/params.go
+++ b/internal/dispatch/params.go
@@ -37,6 +37,8 @@
 	assumedMissRatio = 1.0
 	// assumedHitRatio is the same for the service time with the object.
 	assumedHitRatio = 0.35
+	// coldTimeFactor is the service time of a cold server relative to its usual one.
+	coldTimeFactor = 2.0
 	// slotTimeWeight is the cost of slot time relative to the caller's time while all
 	// slots of the service are free.
 	slotTimeWeight = 0.5
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -67,6 +67,7 @@
 	foreignCounts     []foreignCount // one for each other region that sends digests
 	reportedLoad      int
 	reportedAt        time.Duration
+	reportedFactor    timeFactor
 
 	coldUntil    time.Duration
 	coldTokens   float64
--- a/internal/dispatch/trial_test.go
+++ b/internal/dispatch/trial_test.go
@@ -208,10 +208,10 @@
 			class := p.class("c", c.assumedByObjective)
 			s := p.servers["a"]
 			if c.hit > 0 {
-				class.observeServiceTime(&grant{unqueued: true, heldObject: true}, s, c.hit)
+				class.observeServiceTime(&grant{unqueued: true, heldObject: true, server: s}, s, c.hit, timeFactor{})
 			}
 			if c.miss > 0 {
-				class.observeServiceTime(&grant{unqueued: true}, s, c.miss)
+				class.observeServiceTime(&grant{unqueued: true, server: s}, s, c.miss, timeFactor{})
 			}
 			g.Expect(class.hitTime()).To(Equal(c.wantHit))
 			g.Expect(class.missTime()).To(Equal(c.wantMiss))
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -70,7 +70,7 @@
 				startAttempt(second)
 			} else if !lateHedge {
 				lateHedge = true
-				hedge.Reset(time.Duration((lateHedgeFactor - hedgeFactor) * float64(dec.expectedTime())))
+				hedge.Reset(lateHedgeDelay(dec))
 			}
 		case a := <-results:
 			running--
@@ -125,7 +125,7 @@
 			Host: g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
 			Rank: pr.route.Rank, Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
 			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
-			NoTrial: g.endsBefore(pr.deadline),
+			NoTrial: g.endsBefore(pr.deadline), NoHedge: !mayHedge(pr),
 			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.route.Regions,
 		})
 		if dec.Refused != "" {
@@ -287,12 +287,29 @@
 	}).Warn("answer of a backend server exceeds a bound; connection closed")
 }
 
-// hedgeDelay returns the time from the first attempt to the hedge, which is after the
+// mayHedge reports whether a second attempt may be sent while the first one runs.
+func mayHedge(pr *pendingRequest) bool {
+	return pr.route.Kind.Repeatable() && pr.route.MaxAttempts >= 2 && pr.request.Rest == nil
+}
+
+// lateHedgeDelay returns the time from a hedge that was not sent to the next try.
+func lateHedgeDelay(dec decision) time.Duration {
+	if dec.HedgeDelay > 0 {
+		return max(time.Duration(lateHedgeFactor*float64(dec.expectedTime()))-dec.HedgeDelay, hedgeBaseDelay)
+	}
+	return time.Duration((lateHedgeFactor - hedgeFactor) * float64(dec.expectedTime()))
+}
+
+// hedgeDelay returns the time from the first attempt to the hedge, learned by the
+// dispatcher or a fixed multiple of the expected time, which is after the
 // deadline if the request must not be hedged.
 func (g *Gateway) hedgeDelay(pr *pendingRequest, dec decision) time.Duration {
-	if !pr.route.Kind.Repeatable() || pr.route.MaxAttempts < 2 || pr.request.Rest != nil {
+	if !mayHedge(pr) {
 		return time.Until(pr.deadline) + time.Second
 	}
+	if dec.HedgeDelay > 0 {
+		return dec.HedgeDelay
+	}
 	return time.Duration(hedgeFactor*float64(dec.expectedTime())) + hedgeBaseDelay
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -388,7 +388,12 @@
 func TestParseServerHeaders(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(parseLoad("3, 1,8")).To(Equal(&dispatch.Load{Running: 3, Waiting: 1, Slots: 8}))
-	for _, bad := range []string{"", "1,2", "1,2,x", "-1,0,4", "1,2,3,4"} {
+	g.Expect(parseLoad("3,1,8, 250")).To(Equal(&dispatch.Load{Running: 3, Waiting: 1, Slots: 8, Percent: 250}))
+	g.Expect(parseLoad("3,1,8,99.6")).To(Equal(&dispatch.Load{Running: 3, Waiting: 1, Slots: 8, Percent: 100}))
+	for _, absurd := range []string{"0", "-5", "10001", "1e300", "NaN", "+Inf"} {
+		g.Expect(parseLoad("3,1,8,"+absurd)).To(Equal(&dispatch.Load{Running: 3, Waiting: 1, Slots: 8}), absurd)
+	}
+	for _, bad := range []string{"", "1,2", "1,2,x", "-1,0,4", "1,2,3,", "1,2,3,x", "x,2,3,4", "1,2,-3,4", "1,2,3,4,5"} {
 		g.Expect(parseLoad(bad)).To(BeNil(), bad)
 	}
 	d, found := parseKeepAlive("max=5, timeout=10")
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -91,6 +91,7 @@
 	ObjectiveMillis float64  `json:"objective_ms"`
 	RemainingMillis float64  `json:"left_ms"`
 	NoTrial         bool     `json:"no_trial,omitempty"`
+	NoHedge         bool     `json:"no_hedge,omitempty"`
 	Exclude         []string `json:"exclude,omitempty"`
 	Allowed         []string `json:"allowed,omitempty"`
 }
@@ -393,7 +394,7 @@
 	now := sel.now()
 	return dispatch.Request{
 		Class: p.Class, Key: p.Key, Host: p.Host, FailureDomain: p.FailureDomain, Rank: p.Rank, Bytes: p.Bytes,
-		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis), NoTrial: p.NoTrial,
+		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis), NoTrial: p.NoTrial, NoHedge: p.NoHedge,
 		Exclude: p.Exclude, Allowed: p.Allowed,
 	}
 }
--- a/internal/gateway/upstream_answer.go
+++ b/internal/gateway/upstream_answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -175,19 +176,30 @@
 	return 0, false
 }
 
-// parseLoad parses "running,waiting,slots". It returns nil for malformed values.
+// parseLoad parses "running,waiting,slots" or "running,waiting,slots,percent". It returns
+// nil for malformed values. A percentage that no pool uses counts as not reported.
 func parseLoad(value string) *dispatch.Load {
 	parts := strings.Split(value, ",")
-	if len(parts) != 3 {
+	if len(parts) != 3 && len(parts) != 4 {
 		return nil
 	}
+	percent := 0.0
+	if len(parts) == 4 {
+		var err error
+		if percent, err = strconv.ParseFloat(strings.TrimSpace(parts[3]), 64); err != nil {
+			return nil
+		}
+		if !(percent >= dispatch.MinPercent && percent <= dispatch.MaxPercent) {
+			percent = 0
+		}
+	}
 	var n [3]int
-	for i, p := range parts {
+	for i, p := range parts[:3] {
 		v, err := strconv.Atoi(strings.TrimSpace(p))
 		if err != nil || v < 0 {
 			return nil
 		}
 		n[i] = v
 	}
-	return &dispatch.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &dispatch.Load{Running: n[0], Waiting: n[1], Slots: n[2], Percent: int(math.Round(percent))}
 }
