--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -54,12 +54,12 @@
 		return nil, est, Late
 	}
 	if best.load(now) >= float64(best.slots) {
-		free, freeEst := p.choose(now, r, c, freeServers)
-		if free == nil && !c.observed(est.holdsObject) {
-			return nil, est, Overload // what is known is that no slot is free
+		if c.observed(est.holdsObject) {
+			return nil, est, Late // because of its queue, whatever the age of the estimate
 		}
+		free, freeEst := p.choose(now, r, c, freeServers)
 		if free == nil {
-			return nil, est, Late
+			return nil, est, Overload // what is known is that no slot is free
 		}
 		best, est = free, freeEst
 	}
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,7 +53,11 @@
 	// tailShare is the share of requests that take seven times their time.
 	tailShare float64
 	noHedge   bool
-	latencies []time.Duration
+	// hedgeDelay returns the delay of the hedge; nil: no hedges are sent.
+	hedgeDelay       func(Decision) time.Duration
+	events           unevenEvents
+	requests, hedges int
+	latencies        []time.Duration
 }
 
 const unevenWork = 200 * ms
@@ -75,34 +80,102 @@
 	return m
 }
 
+// unevenEvent is something that happens in an unevenModel.
+type unevenEvent struct {
+	at time.Duration
+	do func(now time.Duration)
+}
+
+type unevenEvents []unevenEvent
+
+func (h unevenEvents) Len() int           { return len(h) }
+func (h unevenEvents) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h unevenEvents) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *unevenEvents) Push(x any)        { *h = append(*h, x.(unevenEvent)) }
+func (h *unevenEvents) Pop() any          { o := *h; x := o[len(o)-1]; *h = o[:len(o)-1]; return x }
+
+func (m *unevenModel) schedule(at time.Duration, do func(now time.Duration)) {
+	heap.Push(&m.events, unevenEvent{at, do})
+}
+
 // play sends requests for a time and records the latencies of those after the first 5 s.
 func (m *unevenModel) play(length time.Duration, rate float64) {
-	var completions completionHeap
 	for now := time.Duration(0); now < length; now += time.Duration(m.rng.ExpFloat64() / rate * float64(time.Second)) {
-		for len(completions) > 0 && completions[0].at <= now {
-			e := heap.Pop(&completions).(modelCompletion)
-			m.pool.Release(e.at, e.grant, e.report)
+		for len(m.events) > 0 && m.events[0].at <= now {
+			e := heap.Pop(&m.events).(unevenEvent)
+			e.do(e.at)
 		}
+		m.requests++
 		r := request(now, "")
 		r.NoHedge = m.noHedge
-		d := m.pool.Acquire(now, r)
-		if d.Refused != "" {
-			continue
-		}
-		work := time.Duration(float64(unevenWork) * (0.8 + 0.4*m.rng.Float64()))
-		if m.rng.Float64() < m.tailShare {
-			work *= 7
-		}
-		s := m.servers[d.Server]
-		end := s.serve(now, work) + defaultLocalRoundTrip
-		load := &Load{Slots: 4}
-		if m.report {
-			load.Percent = int(100 * s.factor(end))
+		if d := m.pool.Acquire(now, r); d.Refused == "" {
+			m.start(now, &unevenRequest{request: r, startedAt: now}, d)
 		}
-		heap.Push(&completions, modelCompletion{end, d.Grant, Report{Result: Served, Elapsed: end - now, Load: load}})
-		if now >= 5*time.Second {
-			m.latencies = append(m.latencies, end-now)
+	}
+}
+
+// unevenRequest is a request of an unevenModel with its running attempts.
+type unevenRequest struct {
+	request   Request
+	startedAt time.Duration
+	done      bool
+	running   []unevenAttempt
+}
+
+type unevenAttempt struct {
+	grant  uint64
+	sentAt time.Duration
+}
+
+// start sends an attempt to the server of a grant, and schedules its end and, for the
+// first one, the hedge. A cancelled attempt still takes its slot at the model server.
+func (m *unevenModel) start(now time.Duration, q *unevenRequest, d Decision) {
+	work := time.Duration(float64(unevenWork) * (0.8 + 0.4*m.rng.Float64()))
+	if m.rng.Float64() < m.tailShare {
+		work *= 7
+	}
+	s := m.servers[d.Server]
+	q.running = append(q.running, unevenAttempt{d.Grant, now})
+	m.schedule(s.serve(now, work)+defaultLocalRoundTrip, func(end time.Duration) { m.end(end, q, d.Grant, s) })
+	if m.hedgeDelay != nil && len(q.running) == 1 {
+		m.schedule(now+m.hedgeDelay(d), func(at time.Duration) { m.hedge(at, q, d.Server) })
+	}
+}
+
+// hedge sends a second attempt if the first one still runs, within a budget of one in
+// ten requests.
+func (m *unevenModel) hedge(now time.Duration, q *unevenRequest, first string) {
+	if q.done || 10*m.hedges >= m.requests {
+		return
+	}
+	r := q.request
+	r.Exclude = []string{first}
+	d := m.pool.Acquire(now, r)
+	if d.Refused != "" {
+		return
+	}
+	m.hedges++
+	m.start(now, q, d)
+}
+
+// end ends a request with the answer to one attempt and cancels the other one.
+func (m *unevenModel) end(now time.Duration, q *unevenRequest, grant uint64, s *unevenServer) {
+	if q.done {
+		return
+	}
+	q.done = true
+	for _, a := range q.running {
+		report := Report{Result: Abandoned, Elapsed: now - a.sentAt}
+		if a.grant == grant {
+			report.Result, report.Load = Served, &Load{Slots: 4}
+			if m.report {
+				report.Load.Percent = int(100 * s.factor(now))
+			}
 		}
+		m.pool.Release(now, a.grant, report)
+	}
+	if q.startedAt >= 5*time.Second {
+		m.latencies = append(m.latencies, now-q.startedAt)
 	}
 }
 
@@ -159,3 +232,53 @@
 		}
 	}
 }
+
+// fixedHedgeDelay is the delay that the entry hosts use without a learned one.
+func fixedHedgeDelay(d Decision) time.Duration {
+	return time.Duration(1.5*float64(d.Wait+d.Service)) + 40*ms
+}
+
+func learnedHedgeDelay(d Decision) time.Duration {
+	if d.HedgeDelay > 0 {
+		return d.HedgeDelay
+	}
+	return fixedHedgeDelay(d)
+}
+
+// playHedges plays the load of TestUnevenServers with a tail and returns the 0.99
+// quantile of the latencies in seconds and the hedges per request.
+func playHedges(seed int64, delay func(Decision) time.Duration) (q99, hedgeShare float64) {
+	m := newUnevenModel(40, seed, true)
+	m.tailShare, m.hedgeDelay = 0.03, delay
+	m.play(25*time.Second, 250)
+	slices.Sort(m.latencies)
+	return m.latencies[len(m.latencies)*99/100].Seconds(), float64(m.hedges) / float64(m.requests)
+}
+
+// TestLearnedHedgesHelp guards against hedges with a learned delay that do not help
+// requests which take seven times their time, or that are sent for many others.
+func TestLearnedHedgesHelp(t *testing.T) {
+	g := NewWithT(t)
+	without, _ := playHedges(1, nil)
+	with, hedgeShare := playHedges(1, learnedHedgeDelay)
+	g.Expect(with).To(BeNumerically("<", 0.9*without))
+	g.Expect(hedgeShare).To(BeNumerically("<", 0.09))
+}
+
+// BenchmarkHedges reports the 0.99 quantile of the latencies and the hedges per request.
+func BenchmarkHedges(b *testing.B) {
+	for _, c := range []struct {
+		desc  string
+		delay func(Decision) time.Duration
+	}{{"none", nil}, {"fixed", fixedHedgeDelay}, {"learned", learnedHedgeDelay}} {
+		b.Run(c.desc, func(b *testing.B) {
+			q99, hedges, n := 0.0, 0.0, 0
+			for b.Loop() {
+				q, h := playHedges(int64(n), c.delay)
+				q99, hedges, n = q99+q, hedges+h, n+1
+			}
+			b.ReportMetric(1000*q99/float64(n), "q99-ms")
+			b.ReportMetric(hedges/float64(n), "hedges/request")
+		})
+	}
+}
