--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -23,16 +23,23 @@
 	Objects  int     `json:"objects"`
 	// Pace is the limit of a paced server, 0 of others.
 	Pace int `json:"pace,omitempty"`
+	// TimeFactor is the service time relative to the server's usual one that its reports
+	// let expect now, 0 if it reports none.
+	TimeFactor float64 `json:"time_factor,omitempty"`
 }
 
 // Dump returns the state of each backend server by its ID.
 func (p *Pool) Dump(now time.Duration) map[string]ServerState {
 	state := make(map[string]ServerState, len(p.servers))
 	for id, s := range p.servers {
+		timeFactor := 0.0
+		if s.reportedFactor.factor != 0 {
+			timeFactor = s.reportedFactor.expected(now)
+		}
 		state[id] = ServerState{
 			Region: s.region, Slots: s.slots, InFlight: s.inflight, Load: s.load(now), Cold: s.cold(now),
 			Down: !s.available(now), Draining: s.draining, Leaving: s.leaving(now), Slowness: s.slowness,
-			Failures: s.failureRate(now), Objects: len(s.objects), Pace: int(s.pacing.limit),
+			Failures: s.failureRate(now), Objects: len(s.objects), Pace: int(s.pacing.limit), TimeFactor: timeFactor,
 		}
 	}
 	return state
