quota: add issuers, wallets and tenures as state machines

An issuer per region mints and lends the tokens that attempts need. The sum that holds over all hosts is in the package comment.

--- /dev/null
+++ b/internal/quota/client.go
@@ -0,0 +1,326 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MaxWait bounds the time for which a request waits for a token.
+	MaxWait = 150 * time.Millisecond
+	// earlyElsewhere is the time without an answer after which waiting requests also ask
+	// another region: with a round trip of 110 ms, the answer comes within MaxWait.
+	earlyElsewhere = 30 * time.Millisecond
+	// urgentSpacing is the shortest time between two messages for waiting requests.
+	urgentSpacing = 10 * time.Millisecond
+	// unreachableTime is the time for which an issuer is not asked after it did not answer.
+	unreachableTime = time.Second
+	// notIssuerTime replaces it after an answer that the host is not the issuer.
+	notIssuerTime = 200 * time.Millisecond
+)
+
+// Verdict is the decision about one request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Waiting means that the decision follows, as a Resolution.
+	Waiting Verdict = iota
+	// Granted means that an attempt may start.
+	Granted
+	// UsedUp means that the workspace's quota is used up.
+	UsedUp
+	// NoIssuer means that no issuer answered and there is no safe share left.
+	NoIssuer
+)
+
+// Resolution is the decision about a request that waited.
+type Resolution struct {
+	ID         uint64
+	Verdict    Verdict
+	Token      Token
+	RetryAfter time.Duration
+}
+
+// Message is a request to the issuer of a region.
+type Message struct {
+	ID     uint64
+	Region string
+	Wants  []Want
+	Tenure uint64
+	kind   messageKind
+	sentAt time.Duration
+}
+
+type messageKind int
+
+const (
+	periodic messageKind = iota
+	urgent
+	elsewhere
+)
+
+// waiter is a request that waits for a token.
+type waiter struct {
+	id        uint64
+	workspace string
+	limit     Limit
+	deadline  time.Duration
+}
+
+// Client decides which messages a host sends to issuers, and about its requests.
+type Client struct {
+	region  string
+	regions []string // with a known issuer
+	wallet  *Wallet
+	safe    *SafeShares
+
+	waiters              []waiter
+	resolved             []Resolution
+	messages             map[uint64]*Message
+	lastID               uint64
+	rotation             int
+	suspected            map[string]time.Duration // until when a region is not asked
+	nextTick, nextUrgent time.Duration
+	// early is the urgent message beside which another region was asked.
+	early uint64
+	// SafeShareStarts is called when a request of a workspace runs on the safe share.
+	SafeShareStarts func(workspace string)
+}
+
+// NewClient returns a client of a host in a region.
+func NewClient(region string, safe *SafeShares) *Client {
+	return &Client{region: region, wallet: NewWallet(), safe: safe, messages: map[uint64]*Message{}, suspected: map[string]time.Duration{}}
+}
+
+// SetIssuers sets the regions that have an issuer.
+func (c *Client) SetIssuers(regions []string) {
+	if !slices.Equal(c.regions, regions) {
+		c.regions = slices.Clone(regions)
+	}
+}
+
+// SetHosts sets the number of known hosts.
+func (c *Client) SetHosts(n int) { c.safe.SetHosts(n) }
+
+// Request asks for a token for an attempt. If the verdict is Waiting, the decision is
+// among the results of Resolved by the deadline; Messages must be called now.
+func (c *Client) Request(now time.Duration, id uint64, workspace string, l Limit, deadline time.Duration) Resolution {
+	if token, ok := c.wallet.Take(now, workspace); ok {
+		return Resolution{ID: id, Verdict: Granted, Token: token}
+	}
+	if retryAfter, usedUp := c.wallet.UsedUp(now, workspace); usedUp {
+		return Resolution{ID: id, Verdict: UsedUp, RetryAfter: retryAfter}
+	}
+	c.wallet.Wait(now, workspace, 1)
+	c.waiters = append(c.waiters, waiter{id: id, workspace: workspace, limit: l, deadline: min(deadline, now+MaxWait)})
+	return Resolution{ID: id}
+}
+
+// TryTake takes a token without waiting, for a hedged request.
+func (c *Client) TryTake(now time.Duration, workspace string) (Token, bool) {
+	return c.wallet.Take(now, workspace)
+}
+
+// Untake returns the token of an attempt that did not run.
+func (c *Client) Untake(now time.Duration, t Token) { c.wallet.Untake(now, t) }
+
+// Reuse reports whether the next attempt of a request may use the token of one that did
+// not run.
+func (c *Client) Reuse(now time.Duration, t Token) bool { return c.wallet.Reuse(now, t) }
+
+// Cancel ends the wait of a request whose caller has left.
+func (c *Client) Cancel(now time.Duration, id uint64) {
+	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool {
+		if w.id == id {
+			c.wallet.Wait(now, w.workspace, -1)
+		}
+		return w.id == id
+	})
+}
+
+// Resolved returns the decisions since its last call.
+func (c *Client) Resolved() []Resolution {
+	list := c.resolved
+	c.resolved = nil
+	return list
+}
+
+// resolve decides about the requests that wait, as far as possible.
+func (c *Client) resolve(now time.Duration) {
+	if len(c.waiters) == 0 {
+		return
+	}
+	unreachable := c.allSuspected(now)
+	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool {
+		r := Resolution{ID: w.id}
+		if token, ok := c.wallet.TakeAgain(now, w.workspace); ok {
+			r.Verdict, r.Token = Granted, token
+		} else if retryAfter, usedUp := c.wallet.UsedUp(now, w.workspace); usedUp {
+			r.Verdict, r.RetryAfter = UsedUp, retryAfter
+		} else if !unreachable && now < w.deadline {
+			return false
+		} else if c.safe.Take(now, w.workspace, w.limit) {
+			r.Verdict = Granted
+			if c.SafeShareStarts != nil {
+				c.SafeShareStarts(w.workspace)
+			}
+		} else {
+			r.Verdict = NoIssuer
+		}
+		c.wallet.Wait(now, w.workspace, -1)
+		c.resolved = append(c.resolved, r)
+		return true
+	})
+}
+
+// allSuspected reports whether issuers are known and none of them has answered lately.
+func (c *Client) allSuspected(now time.Duration) bool {
+	for _, region := range c.regions {
+		if !c.isSuspected(now, region) {
+			return false
+		}
+	}
+	return len(c.regions) > 0
+}
+
+func (c *Client) isSuspected(now time.Duration, region string) bool {
+	until, ok := c.suspected[region]
+	return ok && now < until
+}
+
+// target returns the region to ask: the own one, or else another.
+func (c *Client) target(now time.Duration) string {
+	if slices.Contains(c.regions, c.region) && !c.isSuspected(now, c.region) {
+		return c.region
+	}
+	return c.other(now)
+}
+
+// other returns another region than the own one, each in turn, "" if there is none.
+func (c *Client) other(now time.Duration) string {
+	for range c.regions {
+		c.rotation++
+		region := c.regions[c.rotation%len(c.regions)]
+		if region != c.region && !c.isSuspected(now, region) {
+			return region
+		}
+	}
+	return ""
+}
+
+// Messages returns the messages to send now.
+func (c *Client) Messages(now time.Duration) []Message {
+	c.resolve(now)
+	var list []Message
+	target := c.target(now)
+	if now >= c.nextTick && c.wallet.Active() {
+		c.nextTick = now + FetchPeriod
+		wants := c.wallet.Wants(now, target)
+		if target != "" && len(wants) > 0 {
+			list = append(list, c.message(now, periodic, target, wants))
+		} else {
+			c.wallet.Failed(LendRequest{Wants: wants})
+		}
+	}
+	if len(c.waiters) == 0 {
+		return list
+	}
+	if target != "" && now >= c.nextUrgent && !c.urgentInFlight() {
+		if wants := c.wallet.UrgentWants(now, target); len(wants) > 0 {
+			c.nextUrgent = now + urgentSpacing
+			list = append(list, c.message(now, urgent, target, wants))
+		}
+	}
+	return c.askElsewhere(now, list)
+}
+
+// askElsewhere appends the message to another region for what the own one lacks.
+func (c *Client) askElsewhere(now time.Duration, list []Message) []Message {
+	wants := c.wallet.ElsewhereWants(now)
+	for id, m := range c.messages {
+		if m.kind == urgent && m.Region == c.region && now-m.sentAt >= earlyElsewhere && c.early < id {
+			c.early = id
+			wants = append(wants, c.wallet.MissingWants(now)...)
+		}
+	}
+	if len(wants) == 0 {
+		return list
+	}
+	region := c.other(now)
+	if region == "" {
+		c.wallet.Failed(LendRequest{Wants: wants})
+		c.wallet.SetUsedUp(now, wants)
+		c.resolve(now)
+		return list
+	}
+	return append(list, c.message(now, elsewhere, region, wants))
+}
+
+func (c *Client) urgentInFlight() bool {
+	for _, m := range c.messages {
+		if m.kind == urgent {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Client) message(now time.Duration, kind messageKind, region string, wants []Want) Message {
+	c.lastID++
+	m := Message{ID: c.lastID, Region: region, Wants: wants, Tenure: c.wallet.tenures[region], kind: kind, sentAt: now}
+	c.messages[m.ID] = &m
+	return m
+}
+
+// Answered processes the answer to a message. Messages must be called next.
+func (c *Client) Answered(now time.Duration, id uint64, reply LendReply) {
+	m := c.messages[id]
+	if m == nil {
+		return
+	}
+	delete(c.messages, id)
+	delete(c.suspected, m.Region)
+	c.wallet.Receive(now, m.sentAt, m.Region, m.kind != elsewhere, LendRequest{Wants: m.Wants}, reply)
+	c.resolve(now)
+}
+
+// Failed processes that a message was not answered, or that its receiver is not the
+// issuer. Messages must be called next.
+func (c *Client) Failed(now time.Duration, id uint64, notIssuer bool) {
+	m := c.messages[id]
+	if m == nil {
+		return
+	}
+	delete(c.messages, id)
+	pause := unreachableTime
+	if notIssuer {
+		pause = notIssuerTime
+	}
+	c.suspected[m.Region] = now + pause
+	c.wallet.Failed(LendRequest{Wants: m.Wants})
+	if m.kind == elsewhere && !c.isSuspected(now, c.region) {
+		c.wallet.SetUsedUp(now, m.Wants)
+	}
+	c.nextUrgent = now
+	c.resolve(now)
+}
+
+// NextAt returns the time at which Messages is to be called again, false if only further
+// requests make it necessary.
+func (c *Client) NextAt(now time.Duration) (time.Duration, bool) {
+	if !c.wallet.Active() {
+		return 0, false
+	}
+	next := c.nextTick
+	if len(c.waiters) > 0 {
+		next = min(next, max(c.nextUrgent, now+urgentSpacing))
+		for _, w := range c.waiters {
+			next = min(next, w.deadline)
+		}
+	}
+	return next, true
+}
+
+// Left returns the tokens of a workspace that this host holds.
+func (c *Client) Left(now time.Duration, workspace string) int { return c.wallet.Left(now, workspace) }
--- /dev/null
+++ b/internal/quota/fetch.go
@@ -0,0 +1,154 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Wants returns the message to a region's issuer that is due every FetchPeriod: what to
+// fetch ahead and what to return. Reports alone cause no message, because loans expire
+// without them. It also forgets workspaces without demand.
+func (w *Wallet) Wants(now time.Duration, region string) []Want {
+	var wants []Want
+	for name, a := range w.accounts {
+		a.dropExpired(now)
+		if a.waiting == 0 && a.requested == 0 && len(a.loans) == 0 && now-a.lastUsed > accountIdle {
+			delete(w.accounts, name)
+			continue
+		}
+		a.count(now)
+		if want := w.want(now, name, a, region); want.Tokens > 0 || len(want.Uses) > 0 {
+			wants = append(wants, want)
+		}
+	}
+	return sorted(wants)
+}
+
+// UrgentWants returns the message for the requests that wait for tokens, if there are any.
+func (w *Wallet) UrgentWants(now time.Duration, region string) []Want {
+	var wants []Want
+	for name, a := range w.accounts {
+		if a.waiting == 0 {
+			continue
+		}
+		a.dropExpired(now)
+		a.count(now)
+		if want := w.want(now, name, a, region); want.Tokens > 0 {
+			wants = append(wants, want)
+		}
+	}
+	return sorted(wants)
+}
+
+// count updates the estimate of the demand.
+func (a *account) count(now time.Duration) {
+	a.demand.add(now, a.uncounted)
+	a.uncounted = 0
+}
+
+// want returns the message part of a workspace, which is sent if it wants or returns
+// tokens. Counts since the last message are only reset then.
+func (w *Wallet) want(now time.Duration, name string, a *account, region string) Want {
+	want := Want{Workspace: name}
+	a.fill(now, &want)
+	returned := w.returns(now, a, region)
+	if want.Tokens == 0 && !returned {
+		return want
+	}
+	want.Demand, want.Refused = a.taken, a.refused
+	a.taken, a.refused = 0, 0
+	want.Uses = w.uses(a, region)
+	return want
+}
+
+// ElsewhereWants returns what waiting requests lack of workspaces for which the region's
+// issuer has no tokens, but others may.
+func (w *Wallet) ElsewhereWants(now time.Duration) []Want {
+	var wants []Want
+	for name, a := range w.accounts {
+		if a.waiting == 0 || !a.elsewhere {
+			continue
+		}
+		a.elsewhere = false
+		if missing := a.waiting - a.left() - a.requested; missing > 0 {
+			a.requested += missing
+			wants = append(wants, Want{Workspace: name, Tokens: missing, Urgent: missing})
+		}
+	}
+	return sorted(wants)
+}
+
+// MissingWants returns what waiting requests lack, without what was requested.
+func (w *Wallet) MissingWants(now time.Duration) []Want {
+	var wants []Want
+	for name, a := range w.accounts {
+		a.dropExpired(now)
+		if missing := a.waiting - a.left(); missing > 0 {
+			a.requested += missing
+			wants = append(wants, Want{Workspace: name, Tokens: missing, Urgent: missing})
+		}
+	}
+	return sorted(wants)
+}
+
+// fill sets the tokens of a want and counts them as requested.
+func (a *account) fill(now time.Duration, want *Want) {
+	have := a.requested
+	for _, l := range a.loans {
+		if l.expires > now+renewTime-FetchPeriod {
+			have += l.left
+		}
+	}
+	want.Urgent = max(a.waiting-have, 0)
+	want.Tokens = max(a.waiting+a.expectedUses(now, aheadTime)-have, 0)
+	a.requested += want.Tokens
+}
+
+// returns marks the tokens of a region's issuer to return: those that are probably not
+// used before they expire, and those beyond the demand of twice aheadTime. It reports
+// whether there are any.
+func (w *Wallet) returns(now time.Duration, a *account, region string) bool {
+	any := false
+	keep := a.waiting + a.expectedUses(now, 2*aheadTime)
+	for _, l := range a.loans {
+		if !w.reportable(l, region) {
+			keep -= l.left
+			continue
+		}
+		kept := max(keep, 0)
+		if l.expires-now < renewTime {
+			kept = min(kept, a.waiting+a.expectedUses(now, l.expires-now))
+		}
+		returned := max(l.left-kept, 0)
+		l.left -= returned
+		l.returned += returned
+		keep -= l.left
+		any = any || returned > 0
+	}
+	return any
+}
+
+// reportable reports whether a loan is of the current tenure of a region's issuer.
+func (w *Wallet) reportable(l *held, region string) bool {
+	return l.region == region && l.tenure == w.tenures[region]
+}
+
+// uses returns the report on the loans of a region's issuer.
+func (w *Wallet) uses(a *account, region string) []Use {
+	var uses []Use
+	for _, l := range a.loans {
+		if !w.reportable(l, region) || l.spent == 0 && l.returned == 0 {
+			continue
+		}
+		uses = append(uses, Use{Loan: l.id, Spent: l.spent, Returned: l.returned})
+		l.spent, l.returned = 0, 0
+	}
+	return uses
+}
+
+// sorted sorts wants by workspace, so that the same events have the same results.
+func sorted(wants []Want) []Want {
+	slices.SortFunc(wants, func(a, b Want) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return wants
+}
--- /dev/null
+++ b/internal/quota/issuer.go
@@ -0,0 +1,232 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// prefetchReserve is the number of tokens that are kept for waiting requests when hosts
+// fetch tokens ahead, at most half of the cap. Without it, the hosts of a workspace with
+// few tokens could hold all of them while a request at another host is refused.
+const prefetchReserve = 2.0
+
+// Issuer mints and lends the tokens of one region. A new one has no tokens: it does not
+// know what an earlier issuer lent. It may be used only while Tenure.Holds.
+type Issuer struct {
+	bounds     Bounds
+	regions    int
+	index      int
+	tenure     uint64
+	nextLoan   uint64
+	workspaces map[string]*mint
+	// short holds the workspaces with demand that the own supply may not cover.
+	short map[string]*mint
+}
+
+// mint is the state of one workspace at an issuer.
+type mint struct {
+	limit Limit
+	cap   float64
+	rate  float64 // tokens per second
+	// level is the number of minted tokens that are not lent.
+	level    float64
+	mintedAt time.Duration
+	ledger   ledger
+	// borrowed are tokens of other regions' issuers. They keep their expiry.
+	borrowed []borrowed
+	demand   demand
+	promised time.Duration // see promise
+	rotation int           // of the regions asked for the remainder of a division
+	// emptyAt holds, by region, when its issuer last had nothing to give.
+	emptyAt map[string]time.Duration
+}
+
+// IssuerOptions identify an issuer.
+type IssuerOptions struct {
+	Bounds Bounds
+	// Regions is the number of regions, Index the position of this one in their order by
+	// name.
+	Regions, Index int
+	// Tenure differs between all issuers that the region has had.
+	Tenure uint64
+}
+
+// NewIssuer returns an issuer without limits and tokens.
+func NewIssuer(o IssuerOptions) *Issuer {
+	return &Issuer{bounds: o.Bounds, regions: max(o.Regions, 1), index: o.Index, tenure: o.Tenure, workspaces: map[string]*mint{}, short: map[string]*mint{}}
+}
+
+// SetLimits replaces the limits of all workspaces; those with a rate of 0 have none. Lower
+// limits take effect immediately. A workspace without a limit before starts without
+// tokens.
+func (i *Issuer) SetLimits(now time.Duration, limits map[string]Limit) {
+	for name := range i.workspaces {
+		if limits[name].RatePerSecond <= 0 {
+			delete(i.workspaces, name)
+			delete(i.short, name)
+		}
+	}
+	for name, l := range limits {
+		if l.RatePerSecond <= 0 {
+			continue
+		}
+		m := i.workspaces[name]
+		if m == nil {
+			m = &mint{mintedAt: now}
+			i.workspaces[name] = m
+		}
+		m.advance(now)
+		m.limit, m.cap, m.rate = l, i.bounds.regionCap(l, i.regions, i.index), mintRate(l, i.regions)
+		if m.cap == 0 {
+			m.rate = 0
+		}
+		m.level = min(m.level, max(m.cap-float64(m.ledger.outstanding), 0))
+	}
+}
+
+// advance mints tokens and expires loans up to now. It mints separately up to each
+// expiry: what could not be minted while the cap was reached is not made up for.
+func (m *mint) advance(now time.Duration) {
+	for {
+		at, ok := m.ledger.next()
+		if !ok || at > now {
+			break
+		}
+		m.mintUntil(at)
+		m.ledger.expire()
+	}
+	m.mintUntil(now)
+	m.dropExpired(now)
+}
+
+func (m *mint) mintUntil(t time.Duration) {
+	if t <= m.mintedAt {
+		return
+	}
+	minted := m.rate * (t - m.mintedAt).Seconds()
+	m.mintedAt = t
+	if room := m.cap - m.level - float64(m.ledger.outstanding); room > 0 {
+		m.level += min(minted, room)
+	}
+}
+
+// Lend answers the message of a host.
+func (i *Issuer) Lend(now time.Duration, r LendRequest) LendReply {
+	reply := LendReply{Tenure: i.tenure, Loans: make([]Loan, 0, len(r.Wants))}
+	for _, w := range r.Wants {
+		m := i.workspaces[w.Workspace]
+		if m == nil {
+			// This host's configuration does not limit the workspace: it may be older.
+			reply.Loans = append(reply.Loans, Loan{Workspace: w.Workspace, Empty: w.Urgent > 0, Elsewhere: true})
+			continue
+		}
+		m.advance(now)
+		if r.Tenure == i.tenure {
+			m.settle(now, w.Uses)
+		}
+		m.demand.add(now, w.Demand)
+		reply.Loans = i.lend(now, m, w, reply.Loans)
+		i.noteShortage(now, w.Workspace, m)
+	}
+	return reply
+}
+
+// settle processes a host's report. Reports on expired loans have no effect.
+func (m *mint) settle(now time.Duration, uses []Use) {
+	for _, u := range uses {
+		loan := m.ledger.find(u.Loan)
+		if loan == nil {
+			continue
+		}
+		m.ledger.settle(loan, u.Spent)
+		returned := m.ledger.settle(loan, u.Returned)
+		switch {
+		case returned == 0:
+		case !loan.borrowed:
+			m.level += float64(returned)
+		case loan.expires > now:
+			m.borrowed = append(m.borrowed, borrowed{tokens: returned, expires: loan.expires})
+		}
+	}
+	// After a limit was reduced, loans from before may exceed the cap.
+	m.level = min(m.level, max(m.cap-float64(m.ledger.outstanding), 0))
+}
+
+// lend appends the loans for a want. Borrowed tokens are lent first, as they expire.
+func (i *Issuer) lend(now time.Duration, m *mint, w Want, loans []Loan) []Loan {
+	urgent := max(min(w.Urgent, w.Tokens), 0)
+	available := m.available()
+	granted := min(urgent, available)
+	reserve := min(prefetchReserve, m.cap/2)
+	if ahead := available - granted - int(math.Ceil(reserve)); ahead > 0 && w.Tokens > urgent {
+		granted += min(w.Tokens-urgent, ahead)
+	}
+	before := len(loans)
+	left := granted
+	for left > 0 && len(m.borrowed) > 0 {
+		b := m.takeBorrowed(left)
+		left -= b.tokens
+		loans = append(loans, i.record(now, m, w.Workspace, b.tokens, &b))
+	}
+	if left > 0 {
+		m.level -= float64(left)
+		loans = append(loans, i.record(now, m, w.Workspace, left, nil))
+	}
+	if granted >= urgent {
+		return loans
+	}
+	if len(loans) == before {
+		loans = append(loans, Loan{Workspace: w.Workspace})
+	}
+	last := &loans[len(loans)-1]
+	last.Empty, last.Elsewhere = true, !m.othersEmpty(now, i.regions)
+	wait, step := m.promise(now, urgent-granted+max(w.Refused, 0))
+	last.RetryMillis, last.StepMicros = max(wait.Milliseconds(), 1), step.Microseconds()
+	return loans
+}
+
+// available returns the number of whole tokens that can be lent.
+func (m *mint) available() int {
+	n := int(m.level)
+	for _, b := range m.borrowed {
+		n += b.tokens
+	}
+	return n
+}
+
+// record adds a loan of own tokens or, if b is not nil, of borrowed ones.
+func (i *Issuer) record(now time.Duration, m *mint, workspace string, tokens int, b *borrowed) Loan {
+	i.nextLoan++
+	t := i.bounds.Validity()
+	loan := lentLoan{id: i.nextLoan, left: tokens, countedUntil: now + t}
+	valid := t
+	if b != nil {
+		loan.borrowed, loan.expires = true, b.expires
+		valid = b.expires - now
+	}
+	m.ledger.add(loan)
+	return Loan{Workspace: workspace, ID: loan.id, Tokens: tokens, ValidMicros: valid.Microseconds()}
+}
+
+// Levels returns the tokens that can be lent, by workspace, up to a number of workspaces.
+func (i *Issuer) Levels(now time.Duration, limit int) map[string]int {
+	levels := map[string]int{}
+	for name, m := range i.workspaces {
+		if len(levels) >= limit {
+			break
+		}
+		m.advance(now)
+		levels[name] = m.available()
+	}
+	return levels
+}
+
+// Level returns the tokens of a workspace that can be lent and its cap.
+func (i *Issuer) Level(now time.Duration, workspace string) (level int, limit float64, known bool) {
+	m := i.workspaces[workspace]
+	if m == nil {
+		return 0, 0, false
+	}
+	m.advance(now)
+	return m.available(), m.cap, true
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,113 @@
+// Package quota limits the requests of each workspace over all hosts together. It holds
+// pure state machines: time, events and store answers are arguments.
+//
+// An issuer per region mints tokens and lends them to hosts; every attempt at a server
+// needs one. Each token is counted by the issuer that minted it, from its minting until
+// it has been reported as spent or has expired everywhere:
+//
+//   - An issuer mints r/R per second, and only while its level and its outstanding tokens
+//     together are below its cap. The caps of all regions add up to C.
+//   - A lent token expires at its holder no later than t after it was lent, so the
+//     tokens usable at a time A were lent after A - t. The issuers of time A - t had at
+//     most C in their levels, and at most r x t was minted since, however many issuers
+//     followed each other: a new one starts with level 0.
+//   - From A on at most r x W is minted in a window W.
+//
+// So at most C + r x t + r x W attempts use tokens in a window. What is left of the limit
+// is divided among the hosts as safe shares. This needs at most one issuer per region at
+// a time, which Tenure ensures, and clocks whose rates differ from real time by at most
+// maxClockError.
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxClockError is the relative error of a clock's rate that the limit allows for:
+	// issuers mint slower by it, and holders use tokens for a shorter time.
+	maxClockError = 0.01
+	// maxValidity bounds t, the time for which a lent token is valid.
+	maxValidity = 500 * time.Millisecond
+	// holderFraction is the part of a token's validity for which its holder uses it. By
+	// then the lender, whose clock may run faster than the holder's, still counts it:
+	// (1 - maxClockError) / (1 + maxClockError) is 0.98.
+	holderFraction = 0.97
+	// capSurplusFraction is the part of the surplus that issuers may accumulate if the rest
+	// is for safe shares.
+	capSurplusFraction = 0.2
+	// minSafeSurplus is the surplus below which there are no safe shares and issuers may
+	// accumulate all of it: with 33 hosts or more, each one's share would be 0. The
+	// requests of a small workspace come in bursts that exceed its rate and burst.
+	minSafeSurplus = 41
+)
+
+// Limit is the quota of a workspace. A rate of 0 means no limit.
+type Limit struct{ RatePerSecond, Burst float64 }
+
+// Bounds are the bounds of the rule for all workspaces: in any window, at most
+// (rate x Window + burst) x (1 + Overage) + Slack requests reach servers.
+type Bounds struct {
+	Window         time.Duration
+	Overage, Slack float64
+}
+
+// Max returns the greatest number of requests in any window.
+func (b Bounds) Max(l Limit) float64 {
+	return (l.RatePerSecond*b.Window.Seconds()+l.Burst)*(1+b.Overage) + b.Slack
+}
+
+// Validity returns t, the time for which a lent token counts as outstanding.
+func (b Bounds) Validity() time.Duration {
+	return min(maxValidity, time.Duration(b.Overage*float64(b.Window)))
+}
+
+// surplus returns what the limit leaves beyond rate, burst and tokens of earlier issuers.
+// It is not negative, because Validity is at most Overage x Window.
+func (b Bounds) surplus(l Limit) float64 {
+	r := l.RatePerSecond
+	return max(b.Max(l)-r*b.Window.Seconds()-l.Burst-r*b.Validity().Seconds(), 0)
+}
+
+// allCaps returns the greatest sum of the caps of all regions: what is not minted in the
+// window or lent by earlier issuers.
+func (b Bounds) allCaps(l Limit) float64 { return l.Burst + b.surplus(l) }
+
+// regionCap returns the cap of a region's issuer, which is at least 1 so that it can lend
+// at all. If the limit is so small that the caps would exceed it, only the first
+// regions have a cap, and the others borrow from them.
+func (b Bounds) regionCap(l Limit, regions, index int) float64 {
+	surplus := b.surplus(l)
+	if surplus >= minSafeSurplus {
+		surplus *= capSurplusFraction
+	}
+	share := (l.Burst + surplus) / float64(regions)
+	if share >= 1 {
+		return share
+	}
+	if float64(index) < math.Floor(b.allCaps(l)) {
+		return 1
+	}
+	return 0
+}
+
+// SafeShare returns the number of requests per window that each of the given number of
+// hosts may send without tokens.
+func (b Bounds) SafeShare(l Limit, regions, hosts int) int {
+	left := b.allCaps(l)
+	for index := range regions {
+		left -= b.regionCap(l, regions, index)
+	}
+	return int(max(left, 0) / float64(max(hosts, 1)))
+}
+
+// mintRate returns the tokens per second of one region's issuer, by its clock.
+func mintRate(l Limit, regions int) float64 {
+	return l.RatePerSecond / (1 + maxClockError) / float64(regions)
+}
+
+// holderTime returns the time for which a holder uses tokens of a given validity.
+func holderTime(validity time.Duration) time.Duration {
+	return time.Duration(holderFraction * float64(validity))
+}
--- /dev/null
+++ b/internal/quota/safeshare.go
@@ -0,0 +1,52 @@
+package quota
+
+import "time"
+
+const (
+	// safeShareSettle is the time after the start of a process before its safe share
+	// fills. After a restart of all hosts it must first know how many there are.
+	safeShareSettle = 10 * time.Second
+	// safeShareSpacing stretches the time between two requests, so that also by a fast
+	// clock no more than the share fit into a closed window.
+	safeShareSpacing = 1.02
+)
+
+// SafeShares admits requests of a host that reaches no issuer. Each workspace has a
+// bucket that holds at most one request, so requests are at least W/n apart, also across
+// restarts: a bucket is empty at the start of the process. With at most Bounds.SafeShare
+// requests in any window for each of the hosts, their sum is within the limit.
+type SafeShares struct {
+	bounds  Bounds
+	regions int
+	started time.Duration
+	// hosts is the greatest number of hosts known so far: a host that others no longer
+	// list may still use its share.
+	hosts int
+	last  map[string]time.Duration
+}
+
+// NewSafeShares returns the safe shares of a process that starts now.
+func NewSafeShares(now time.Duration, b Bounds, regions int) *SafeShares {
+	return &SafeShares{bounds: b, regions: max(regions, 1), started: now, last: map[string]time.Duration{}}
+}
+
+// SetHosts sets the number of known hosts.
+func (s *SafeShares) SetHosts(n int) { s.hosts = max(s.hosts, n) }
+
+// Take reports whether a request of a workspace may run without a token, and counts it.
+func (s *SafeShares) Take(now time.Duration, workspace string, l Limit) bool {
+	n := s.bounds.SafeShare(l, s.regions, s.hosts)
+	if n < 1 || s.hosts == 0 {
+		return false
+	}
+	last, ok := s.last[workspace]
+	if !ok {
+		last = s.started + safeShareSettle
+	}
+	spacing := time.Duration(safeShareSpacing * float64(s.bounds.Window) / float64(n))
+	if now-last < spacing {
+		return false
+	}
+	s.last[workspace] = now
+	return true
+}
--- /dev/null
+++ b/internal/quota/tenure.go
@@ -0,0 +1,262 @@
+package quota
+
+import "time"
+
+// Timing of an issuer's tenure.
+const (
+	// LeaseTTL is the time to live of the lease of an issuer's item.
+	LeaseTTL = 12 * time.Second
+	// leaseUse is the time after the last successful renewal was sent for which an issuer
+	// lends. By a clock that is slow by maxClockError, it ends before the lease.
+	leaseUse = 11750 * time.Millisecond
+	// renewPeriod is the time between renewals. An issuer lends through an outage of the
+	// store of leaseUse - renewPeriod: 9.75 s.
+	renewPeriod = 2 * time.Second
+	// retryPeriod is the time between two calls after one has failed.
+	retryPeriod = 250 * time.Millisecond
+	// rankDelay is how much longer each host in the order of candidates waits than the one
+	// before.
+	rankDelay = 300 * time.Millisecond
+	// maxRankDelay bounds that: hosts late in the order of a large region try together.
+	maxRankDelay = 6 * time.Second
+	// eraWait is the time after a host first saw a later era for which another host may
+	// still lend under a lease of the earlier one.
+	eraWait = 12200 * time.Millisecond
+)
+
+// Item is the store item that names a region's issuer.
+type Item struct {
+	Host        string
+	Incarnation int64
+	// Era is the era of the store in which the item was written. In a restored store it
+	// is below that of the store, and the item may be out of date.
+	Era uint64
+	// Revision is that of the item.
+	Revision uint64
+}
+
+// Action is what a Tenure asks its adapter to do.
+type Action int
+
+// Actions of a Tenure. Each but None is followed by a call of Done.
+const (
+	None Action = iota
+	// Write asks to create a lease and to write the item under it, on condition of
+	// Call.Revision and in Call.Era. If that fails, the lease must be ended.
+	Write
+	// Renew asks to renew the lease.
+	Renew
+	// Release asks to end the lease.
+	Release
+)
+
+// Call is an action with its arguments.
+type Call struct {
+	Action Action
+	// Revision is the revision that the item must have, 0 if it must not exist.
+	Revision uint64
+	// Era is the era in which the call must take effect.
+	Era uint64
+}
+
+// Result is the result of a call.
+type Result int
+
+// Results of a call.
+const (
+	// Succeeded means that the store has confirmed the call in its era.
+	Succeeded Result = iota
+	// Conflict means that the item has another revision, or that the lease has ended in
+	// its era.
+	Conflict
+	// Unknown means that the store did not answer, or is of a later era: the tenure then
+	// goes on until it ends by itself or the copy of the store shows more.
+	Unknown
+)
+
+// Tenure decides whether this process may be the issuer of its region. At most one
+// process of a region holds at a time: a holder has a lease, and writes the item only if
+// it is absent, if it names an earlier process of the same host, or if the process holds
+// already and the store was restored.
+type Tenure struct {
+	host        string
+	incarnation int64
+
+	item      *Item
+	era       uint64
+	eraSeenAt time.Duration
+	known     bool // the store's content is known
+	// absentSince is when the item was first seen to be missing or out of date.
+	absentSince time.Duration
+	rank        int // position among the candidates, below 0 if this host is none
+
+	// holdsUntil is the end of the tenure unless the lease is renewed; 0 if there is none.
+	holdsUntil time.Duration
+	heldEra    uint64
+	// confirmed is set when the item of this tenure was seen.
+	confirmed bool
+	epoch     uint64
+	calling   Action
+	sentAt    time.Duration
+	callEra   uint64
+	nextCall  time.Duration
+	closing   bool
+	released  bool
+}
+
+// NewTenure returns the tenure of a process that does not hold.
+func NewTenure(host string, incarnation int64) *Tenure {
+	return &Tenure{host: host, incarnation: incarnation, rank: -1}
+}
+
+// Holds reports whether this process may lend.
+func (t *Tenure) Holds(now time.Duration) bool { return !t.closing && now < t.holdsUntil }
+
+// Epoch identifies the uninterrupted tenures of this process. A new one needs a new Issuer,
+// because what the earlier one lent after its end is not known.
+func (t *Tenure) Epoch() uint64 { return t.epoch }
+
+// SetRank sets the position of this host among the candidates of its region, -1 if it is
+// none.
+func (t *Tenure) SetRank(rank int) { t.rank = rank }
+
+// Observe records the state of the item in a copy of the store; item is nil if it is
+// absent.
+func (t *Tenure) Observe(now time.Duration, era uint64, item *Item) {
+	if !t.known || era > t.era {
+		// Also a process that has just started does not know when the era began.
+		t.era, t.eraSeenAt = era, now
+		t.absentSince = now
+	}
+	if era < t.era {
+		return
+	}
+	t.known = true
+	wasPresent := t.item != nil && t.item.Era == t.era
+	t.item = item
+	present := item != nil && item.Era == t.era
+	if !present && wasPresent {
+		t.absentSince = now
+	}
+	if t.holdsUntil == 0 || t.heldEra != t.era {
+		return
+	}
+	own := present && t.isOwn(item)
+	switch {
+	case own:
+		t.confirmed = true
+	case t.confirmed:
+		// The item was removed or taken over.
+		t.stop()
+	}
+}
+
+func (t *Tenure) isOwn(i *Item) bool {
+	return i.Host == t.host && i.Incarnation == t.incarnation
+}
+
+// stop ends the tenure without a call.
+func (t *Tenure) stop() { t.holdsUntil, t.confirmed = 0, false }
+
+// Close ends the tenure: the process shuts down. Released reports when its lease is ended.
+func (t *Tenure) Close() { t.closing = true }
+
+// Released reports whether a closed tenure needs no further calls.
+func (t *Tenure) Released() bool {
+	return t.closing && t.calling == None && (t.released || t.holdsUntil == 0)
+}
+
+// Next returns the call that is due, if any. The adapter must report its result with Done
+// before it asks again.
+func (t *Tenure) Next(now time.Duration) Call {
+	if t.calling != None {
+		return Call{}
+	}
+	c := t.due(now)
+	if c.Action != None {
+		t.calling, t.sentAt, t.callEra = c.Action, now, c.Era
+	}
+	return c
+}
+
+func (t *Tenure) due(now time.Duration) Call {
+	if t.closing {
+		if t.holdsUntil == 0 || t.released {
+			return Call{}
+		}
+		return Call{Action: Release, Era: t.heldEra}
+	}
+	if t.holdsUntil != 0 && now >= t.holdsUntil {
+		t.stop()
+	}
+	if now < t.nextCall || !t.known {
+		return Call{}
+	}
+	if t.holdsUntil != 0 && t.heldEra == t.era {
+		return Call{Action: Renew, Era: t.heldEra}
+	}
+	if !t.mayWrite(now) {
+		return Call{}
+	}
+	c := Call{Action: Write, Era: t.era}
+	if t.item != nil {
+		c.Revision = t.item.Revision
+	}
+	return c
+}
+
+// mayWrite reports whether this process may write the item.
+func (t *Tenure) mayWrite(now time.Duration) bool {
+	if t.item != nil && t.item.Era == t.era {
+		// Only an earlier process of this host, or an earlier tenure of this process.
+		return t.item.Host == t.host && t.item.Incarnation <= t.incarnation
+	}
+	if t.holdsUntil != 0 {
+		// The store was restored. This process holds, so no other does.
+		return true
+	}
+	if t.rank < 0 || now-t.absentSince < min(time.Duration(t.rank)*rankDelay, maxRankDelay) {
+		return false
+	}
+	return t.era == 0 || now-t.eraSeenAt >= eraWait
+}
+
+// Done reports the result of the call that Next returned.
+func (t *Tenure) Done(now time.Duration, r Result) {
+	action := t.calling
+	t.calling = None
+	switch {
+	case action == Release:
+		t.released = true
+	case r == Succeeded:
+		t.extend(now, action)
+	default:
+		if action == Renew && r == Conflict {
+			t.stop()
+		}
+		t.nextCall = now + retryPeriod
+	}
+}
+
+// extend records a call that the store confirmed: the lease runs from after it was sent.
+func (t *Tenure) extend(now time.Duration, action Action) {
+	if action == Renew && t.holdsUntil == 0 {
+		return // the tenure ended during the call
+	}
+	if action == Write {
+		if t.holdsUntil == 0 || now >= t.holdsUntil {
+			t.epoch++
+		}
+		t.confirmed, t.heldEra = false, t.callEra
+	}
+	t.holdsUntil = t.sentAt + leaseUse
+	t.nextCall = t.sentAt + renewPeriod
+}
+
+// NextAt returns the time at which Next is to be called again unless something changes.
+func (t *Tenure) NextAt(now time.Duration) time.Duration {
+	if t.calling != None {
+		return now + renewPeriod
+	}
+	return max(t.nextCall, now+retryPeriod)
+}
--- /dev/null
+++ b/internal/quota/wallet.go
@@ -0,0 +1,241 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// FetchPeriod is the time between two messages of a host that fetch tokens ahead.
+	FetchPeriod = 100 * time.Millisecond
+	// aheadTime is the time for whose demand tokens are fetched: FetchPeriod and a round
+	// trip within the region.
+	aheadTime = FetchPeriod + 30*time.Millisecond
+	// renewTime is the validity below which tokens that are probably not needed before
+	// they expire are returned.
+	renewTime = FetchPeriod + 50*time.Millisecond
+	// usedUpTime is the time for which requests are refused without asking again after
+	// the issuer reported that the quota is used up.
+	usedUpTime = FetchPeriod
+	// accountIdle is the time after the last request for which a workspace is kept.
+	accountIdle = 2 * time.Second
+)
+
+// Token is the right to one attempt. It is spent, unless Untake or Reuse takes it back.
+type Token struct {
+	loan    *held
+	account *account
+}
+
+// Valid reports whether an attempt may start with the token.
+func (t Token) Valid(now time.Duration) bool {
+	return t.loan == nil || now < t.loan.expires
+}
+
+// held is a loan as its holder records it.
+type held struct {
+	region string
+	tenure uint64
+	id     uint64
+	left   int
+	// spent and returned count tokens since the last report.
+	spent, returned int
+	expires         time.Duration
+}
+
+// account is the state of one workspace at a host.
+type account struct {
+	loans  []*held // by expiry
+	demand demand
+	// taken and refused count requests since the last message, uncounted those since the
+	// last update of demand.
+	taken, refused, uncounted int
+	// waiting is the number of requests that wait for a token, requested the number of
+	// tokens in messages without an answer.
+	waiting, requested int
+	lastUsed           time.Duration
+	usedUpUntil        time.Duration
+	elsewhere          bool
+	retryAt            time.Duration
+	retryStep          time.Duration
+}
+
+// Wallet holds the tokens of one host. Every token is used until holderFraction of its
+// validity has passed since the message that asked for it was sent, so never after its
+// issuer has stopped counting it.
+type Wallet struct {
+	accounts map[string]*account
+	tenures  map[string]uint64 // latest known, by region
+}
+
+// NewWallet returns a wallet without tokens.
+func NewWallet() *Wallet {
+	return &Wallet{accounts: map[string]*account{}, tenures: map[string]uint64{}}
+}
+
+func (w *Wallet) account(now time.Duration, workspace string) *account {
+	a := w.accounts[workspace]
+	if a == nil {
+		a = &account{}
+		w.accounts[workspace] = a
+	}
+	a.lastUsed = now
+	return a
+}
+
+// Take spends a token of a workspace for an attempt that needs one, and counts the demand.
+func (w *Wallet) Take(now time.Duration, workspace string) (Token, bool) {
+	a := w.account(now, workspace)
+	a.taken++
+	a.uncounted++
+	return a.take(now)
+}
+
+// TakeAgain is Take for an attempt whose demand is counted.
+func (w *Wallet) TakeAgain(now time.Duration, workspace string) (Token, bool) {
+	return w.account(now, workspace).take(now)
+}
+
+func (a *account) take(now time.Duration) (Token, bool) {
+	a.dropExpired(now)
+	for _, l := range a.loans {
+		if l.left > 0 {
+			l.left--
+			l.spent++
+			return Token{loan: l, account: a}, true
+		}
+	}
+	return Token{}, false
+}
+
+// Untake returns the token of an attempt that did not run. If it was reported as spent or
+// has expired, it is lost.
+func (w *Wallet) Untake(now time.Duration, t Token) {
+	if t.loan != nil && t.loan.spent > 0 && now < t.loan.expires {
+		t.loan.spent--
+		t.loan.left++
+	}
+}
+
+// Reuse reports whether the token of an attempt that did not run may be spent again: it
+// is valid and its issuer does not take it to be spent.
+func (w *Wallet) Reuse(now time.Duration, t Token) bool {
+	return t.loan == nil || t.loan.spent > 0 && now < t.loan.expires
+}
+
+// Wait changes the number of requests that wait for a token of a workspace.
+func (w *Wallet) Wait(now time.Duration, workspace string, by int) {
+	w.account(now, workspace).waiting += by
+}
+
+// Waiting reports whether requests wait for tokens.
+func (w *Wallet) Waiting() bool {
+	for _, a := range w.accounts {
+		if a.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Active reports whether the wallet may have something to fetch, report or return.
+func (w *Wallet) Active() bool { return len(w.accounts) > 0 }
+
+// Left returns the tokens of a workspace.
+func (w *Wallet) Left(now time.Duration, workspace string) int {
+	a := w.accounts[workspace]
+	if a == nil {
+		return 0
+	}
+	a.dropExpired(now)
+	return a.left()
+}
+
+func (a *account) left() int {
+	n := 0
+	for _, l := range a.loans {
+		n += l.left
+	}
+	return n
+}
+
+func (a *account) dropExpired(now time.Duration) {
+	if len(a.loans) > 0 && a.loans[0].expires <= now {
+		a.loans = slices.DeleteFunc(a.loans, func(l *held) bool { return l.expires <= now })
+	}
+}
+
+// UsedUp reports whether the issuer said that the quota is used up, and so a request
+// without a token is to be refused, and counts it. The k-th such request gets the time at
+// which the k-th token that is not yet promised is minted.
+func (w *Wallet) UsedUp(now time.Duration, workspace string) (retryAfter time.Duration, usedUp bool) {
+	a := w.accounts[workspace]
+	if a == nil || now >= a.usedUpUntil {
+		return 0, false
+	}
+	a.refused++
+	retryAfter = a.retryAt - now
+	if retryAfter <= 0 || retryAfter > retryHorizon {
+		// All times up to the horizon are given out.
+		a.retryAt = now + a.retryStep
+		retryAfter = a.retryStep
+	}
+	a.retryAt += a.retryStep
+	return min(max(retryAfter, time.Millisecond), retryHorizon), true
+}
+
+// Receive adds the loans of a region's issuer, in answer to a request sent at sentAt. own
+// is set unless another region was asked for what the own one lacked.
+func (w *Wallet) Receive(now, sentAt time.Duration, region string, own bool, r LendRequest, reply LendReply) {
+	w.forget(r)
+	w.tenures[region] = reply.Tenure
+	for _, l := range reply.Loans {
+		a := w.accounts[l.Workspace]
+		if a == nil {
+			continue
+		}
+		if expires := sentAt + holderTime(l.valid()); l.Tokens > 0 && expires > now {
+			a.add(&held{region: region, tenure: reply.Tenure, id: l.ID, left: l.Tokens, expires: expires})
+		}
+		if !l.Empty {
+			continue
+		}
+		if own {
+			a.retryAt, a.retryStep = now+time.Duration(l.RetryMillis)*time.Millisecond, time.Duration(l.StepMicros)*time.Microsecond
+		}
+		if a.elsewhere = own && l.Elsewhere; !a.elsewhere {
+			a.usedUpUntil = now + usedUpTime
+		}
+	}
+}
+
+// SetUsedUp records that no other region has tokens either.
+func (w *Wallet) SetUsedUp(now time.Duration, wants []Want) {
+	for _, want := range wants {
+		if a := w.accounts[want.Workspace]; a != nil && a.retryStep > 0 {
+			a.usedUpUntil = now + usedUpTime
+		}
+	}
+}
+
+// Failed records that a request was not answered. The tokens that it returned are lost.
+func (w *Wallet) Failed(r LendRequest) { w.forget(r) }
+
+func (w *Wallet) forget(r LendRequest) {
+	for _, want := range r.Wants {
+		if a := w.accounts[want.Workspace]; a != nil {
+			a.requested = max(a.requested-want.Tokens, 0)
+		}
+	}
+}
+
+func (a *account) add(l *held) {
+	at, _ := slices.BinarySearchFunc(a.loans, l, func(x, y *held) int { return int(x.expires - y.expires) })
+	a.loans = slices.Insert(a.loans, at, l)
+}
+
+// expectedUses returns the number of tokens that are probably needed within a time.
+func (a *account) expectedUses(now, within time.Duration) int {
+	return int(math.Round(a.demand.expect(now, within)))
+}
