--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,15 @@
 	Cores float64
 }
 
+// Issuer is the process that issues the tokens of a region, by its item in the store.
+type Issuer struct {
+	// Host is the name of its host, PeerAddress the address for other entry hosts.
+	Host, PeerAddress string
+	Incarnation       int64
+	// Era is that of the store in which the item was written, Revision the item's.
+	Era, Revision uint64
+}
+
 // Snapshot is what a host knows of the deployment at one moment. Its exported fields
 // must not be changed.
 type Snapshot struct {
@@ -63,6 +72,8 @@
 	BackendsByService map[string][]*Backend
 	// Hosts are the entry hosts by name.
 	Hosts map[string]*Host
+	// Issuers are the issuers of tokens by region.
+	Issuers map[string]*Issuer
 	// Evacuated contains the failure domains whose backend servers get no new requests.
 	// Their entry hosts stay in use.
 	Evacuated map[string]bool
@@ -111,6 +122,8 @@
 	// Backends and Hosts are the new values by ID or name; nil removes one.
 	Backends map[string]*Backend
 	Hosts    map[string]*Host
+	// Issuers are the new values by region; nil removes one.
+	Issuers map[string]*Issuer
 	// Evacuated says of failure domains whether they are evacuated from now on.
 	Evacuated map[string]bool
 }
@@ -121,7 +134,7 @@
 func (s *Snapshot) Apply(revision uint64, c Changes) *Snapshot {
 	n := &Snapshot{
 		Revision: revision, Table: c.Table, Backends: s.Backends, BackendsByService: s.BackendsByService,
-		Hosts: s.Hosts, Evacuated: s.Evacuated, Domains: s.Domains, index: s.index,
+		Hosts: s.Hosts, Issuers: s.Issuers, Evacuated: s.Evacuated, Domains: s.Domains, index: s.index,
 	}
 	if len(c.Backends) > 0 || s.Backends == nil {
 		n.setBackends(s, c.Backends)
@@ -137,6 +150,16 @@
 		}
 		n.index = newHostIndex(n.Hosts)
 	}
+	if len(c.Issuers) > 0 {
+		n.Issuers = cloneMap(s.Issuers)
+		for region, i := range c.Issuers {
+			if i == nil {
+				delete(n.Issuers, region)
+				continue
+			}
+			n.Issuers[region] = i
+		}
+	}
 	if len(c.Evacuated) > 0 {
 		n.Evacuated = cloneMap(s.Evacuated)
 		for domain, evacuated := range c.Evacuated {
@@ -220,6 +243,12 @@
 	return s.hostOrder("read/", region)
 }
 
+// IssuerCandidates returns the hosts of a region in their order as issuers of its tokens.
+// The result must not be changed.
+func (s *Snapshot) IssuerCandidates(region string) []*Host {
+	return s.hostOrder("quota/", region)
+}
+
 // Regions returns the regions that have entry hosts, sorted by name. The result must not
 // be changed.
 func (s *Snapshot) Regions() []string { return s.index.regions }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/quota"
 	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/routetable"
 )
@@ -19,6 +20,7 @@
 // are set at its end.
 type attempt struct {
 	decision  decision
+	token     quota.Token
 	backend   *fleet.Backend // nil if the snapshot does not list the server
 	reply     reply
 	startTime time.Time
@@ -47,12 +49,14 @@
 	}()
 	startAttempt := func(dec decision) {
 		a := g.startAttempt(ctx, pr, dec, results)
+		a.token, pr.hasToken = pr.token, false
 		active = append(active, a)
 		running++
 	}
-	dec := g.acquire(ctx, pr)
-	if dec.Refused != "" {
-		return g.answerRefused(ctx, pr, dec)
+	defer g.returnToken(pr)
+	dec, answer, outcome := g.begin(ctx, pr)
+	if answer != nil {
+		return answer, outcome
 	}
 	startAttempt(dec)
 	hedge := time.NewTimer(g.hedgeDelay(pr, dec))
@@ -101,6 +105,25 @@
 	}
 }
 
+// begin takes a token and selects a backend server for the first attempt. It returns an
+// answer if one of them is lacking.
+func (g *Gateway) begin(ctx context.Context, pr *pendingRequest) (decision, *Answer, string) {
+	if answer, outcome := g.takeToken(ctx, pr); answer != nil {
+		return decision{}, answer, outcome
+	}
+	dec := g.acquire(ctx, pr)
+	if dec.Refused != "" {
+		answer, outcome := g.answerRefused(ctx, pr, dec)
+		return dec, answer, outcome
+	}
+	if !g.renewToken(pr) {
+		g.releaseUnused(dec)
+		answer, outcome := refusalWithoutIssuer(0)
+		return dec, answer, outcome
+	}
+	return dec, nil, ""
+}
+
 // collectAbandoned reports, in the background, the results of the attempts that are
 // still running. A server that did not answer before the deadline is reported as
 // timed out; one whose attempt was cancelled is not.
@@ -242,6 +265,7 @@
 	} else {
 		pr.unsentAttempts++
 	}
+	g.keepToken(pr, a)
 	g.recordAttempt(pr, a, resultText(a.reply))
 	region := ""
 	if b := g.snapshot.Load().Backends[a.decision.Server]; b != nil {
@@ -299,22 +323,24 @@
 
 // hedge selects a server for a second attempt while the first one runs. It reports
 // false if attempts or retry budget are used up, no server is granted, or the answer
-// is not expected before the objective. A late hedge has until the deadline, but needs
-// an occupancy of at most lateHedgeMaxOccupancy.
+// is not expected before the objective, or the workspace has no token. A late hedge has
+// until the deadline, but needs an occupancy of at most lateHedgeMaxOccupancy.
 func (g *Gateway) hedge(ctx context.Context, pr *pendingRequest, budget *retry.Budget, late bool) (decision, bool) {
-	if pr.sentAttempts+1 >= pr.route.MaxAttempts || g.keyRevoked(pr) {
+	if pr.sentAttempts+1 >= pr.route.MaxAttempts || g.keyRevoked(pr) || !g.tryToken(pr) {
 		return decision{}, false
 	}
 	dec := g.acquire(ctx, pr)
 	if dec.Refused != "" {
+		g.returnToken(pr)
 		return dec, false
 	}
 	remaining := time.Until(pr.objective)
 	if late {
 		remaining = time.Until(pr.deadline)
 	}
-	if dec.expectedTime() > remaining || late && dec.Busy > lateHedgeMaxOccupancy || !g.takeBudget(pr.service, budget) {
+	if dec.expectedTime() > remaining || late && dec.Busy > lateHedgeMaxOccupancy || !g.renewToken(pr) || !g.takeBudget(pr.service, budget) {
 		g.releaseUnused(dec)
+		g.returnToken(pr)
 		return dec, false
 	}
 	return dec, true
@@ -344,11 +370,20 @@
 	if pr.sentAttempts >= pr.route.MaxAttempts || pr.unsentAttempts > maxUnsentAttempts || g.keyRevoked(pr) {
 		return decision{}, false
 	}
+	if !pr.hasToken {
+		if answer, _ := g.takeToken(ctx, pr); answer != nil {
+			return decision{}, false
+		}
+	}
 	if pr.sentAttempts > 0 && !g.takeBudget(pr.service, budget) {
 		pr.budgetEmpty = true
 		return decision{}, false
 	}
 	dec := g.acquire(ctx, pr)
+	if dec.Refused == "" && !g.renewToken(pr) {
+		g.releaseUnused(dec)
+		return dec, false
+	}
 	return dec, dec.Refused == ""
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/quota"
 	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/routetable"
 	"github.com/galenabeam/galenabeam/internal/workspace"
@@ -79,7 +80,9 @@
 	// ChangeDeadline is the time within which a new configuration takes effect, 0 for
 	// 2.5 s. Unknown keys are not rejected while Age is above it.
 	ChangeDeadline time.Duration
-	Metrics        *Metrics
+	// Quota enables quotas of workspaces, nil disables them.
+	Quota   *QuotaConfig
+	Metrics *Metrics
 }
 
 // Gateway forwards callers' requests to backend servers. It implements Handler.
@@ -88,6 +91,7 @@
 	selector *Selector
 	upstream *upstream
 	holds    *serverHolds
+	quotas   *Quotas // nil without quotas
 	snapshot atomic.Pointer[fleet.Snapshot]
 	refusing atomic.Bool
 	endsAt   atomic.Pointer[time.Time] // see EndBy, nil unless it was called
@@ -108,12 +112,19 @@
 		cfg.ChangeDeadline = defaultChangeDeadline
 	}
 	selector := NewSelector(cfg.Self, cfg.FleetLimits, cfg.PeerClient, cfg.PersistentStore, cfg.Log)
-	return &Gateway{
+	g := &Gateway{
 		cfg: cfg, selector: selector, upstream: newUpstream(cfg.Headers), holds: newServerHolds(selector.Now, cfg.Log),
 		budgets: map[string]*retry.Budget{}, configured: make(chan struct{}),
 	}
+	if cfg.Quota != nil {
+		g.quotas = NewQuotas(*cfg.Quota, cfg.Self, cfg.PeerClient, cfg.Metrics, cfg.Log)
+	}
+	return g
 }
 
+// Quotas returns the component that limits the requests of workspaces, nil if there is none.
+func (g *Gateway) Quotas() *Quotas { return g.quotas }
+
 // Selector returns the component that selects a backend server for each request.
 func (g *Gateway) Selector() *Selector { return g.selector }
 
@@ -131,6 +142,9 @@
 		g.configuredAt.Store(int64(g.selector.Now()))
 	}
 	g.selector.SetSnapshot(s)
+	if g.quotas != nil {
+		g.quotas.setSnapshot(s)
+	}
 	g.snapshot.Store(s)
 	if s.Table != nil && (old == nil || old.Table == nil) {
 		close(g.configured)
@@ -186,6 +200,9 @@
 	apiKey string
 	// workspace is the holder of apiKey, nil if the request belongs to no workspace.
 	workspace *workspace.Workspace
+	// token is that of the next attempt if hasToken is set.
+	token    quota.Token
+	hasToken bool
 	// rank and regions are the route's, changed by those of the workspace. Empty regions
 	// allow all.
 	rank           int
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -97,6 +97,9 @@
 			gauge("config_age_ms", (g.selector.Now() - time.Duration(g.configuredAt.Load())).Milliseconds())
 		}
 	}
+	if g.quotas != nil {
+		g.quotas.updateGauges(m.registry)
+	}
 	for service, d := range g.selector.ActiveDispatchers() {
 		self := int64(0)
 		if d.Self {
--- /dev/null
+++ b/internal/gateway/quota_report.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenabeam/galenabeam/internal/fleet"
+)
+
+const (
+	// quotaLogPeriod is the shortest time between two log lines about a workspace.
+	quotaLogPeriod = 10 * time.Second
+	// withinQuotaTime is the time without a refusal after which a workspace is within its
+	// quota again.
+	withinQuotaTime = 2 * time.Second
+	// maxQuotaLabels bounds the workspaces in metrics. Others are counted as otherLabel.
+	maxQuotaLabels = 100
+	otherLabel     = "other"
+)
+
+// overState is the state of a workspace that is or was over its quota.
+type overState struct {
+	refusedAt time.Duration
+	refused   int // since the last log line
+}
+
+// noteRefused logs and counts a request that was refused because the quota is used up.
+func (q *Quotas) noteRefused(workspace string) {
+	q.mu.Lock()
+	label := workspace
+	if !q.refusedNames[workspace] {
+		if len(q.refusedNames) < maxQuotaLabels {
+			q.refusedNames[workspace] = true
+		} else {
+			label = otherLabel
+		}
+	}
+	state := q.over[workspace]
+	starts := state == nil
+	if starts {
+		state = &overState{}
+		q.over[workspace] = state
+	}
+	state.refusedAt = q.now()
+	state.refused++
+	q.mu.Unlock()
+	q.metrics.quotaRefused(label)
+	if starts {
+		q.log.WithField("workspace", workspace).Warn("workspace is over its quota")
+		time.AfterFunc(quotaLogPeriod, func() { q.checkOver(workspace) })
+	}
+}
+
+// checkOver logs whether a workspace is within its quota again, quotaLogPeriod after the last
+// line about it.
+func (q *Quotas) checkOver(workspace string) {
+	q.mu.Lock()
+	state := q.over[workspace]
+	within := q.now()-state.refusedAt >= withinQuotaTime
+	refused := state.refused
+	if within {
+		delete(q.over, workspace)
+	}
+	q.mu.Unlock()
+	if !within {
+		time.AfterFunc(quotaLogPeriod, func() { q.checkOver(workspace) })
+		return
+	}
+	q.log.WithFields(logrus.Fields{"workspace": workspace, "refused": refused}).Info("workspace is within its quota again")
+}
+
+// logSafeShare logs the use of the safe share. The caller holds q.mu.
+func (q *Quotas) logSafeShare(workspace string) {
+	now := q.now()
+	if last, ok := q.safeShareLogged[workspace]; ok && now-last < quotaLogPeriod {
+		return
+	}
+	q.safeShareLogged[workspace] = now
+	q.log.WithField("workspace", workspace).Warn("no issuer answers; requests run on the safe share")
+}
+
+// logIssuer logs a change of a region's issuer; before and i are nil if there is none.
+func (q *Quotas) logIssuer(region string, before, i *fleet.Issuer) {
+	fields := logrus.Fields{"region": region, "issuer": "", "before": ""}
+	if i != nil {
+		fields["issuer"], fields["incarnation"] = i.Host, i.Incarnation
+	}
+	if before != nil {
+		fields["before"] = before.Host
+	}
+	q.log.WithFields(fields).Info("issuer changed")
+}
+
+func (q *Quotas) logTenure(holds bool) {
+	message := "this host is no longer its region's issuer"
+	if holds {
+		message = "this host is its region's issuer"
+	}
+	q.log.WithField("region", q.self.Region).Info(message)
+}
+
+// quotaRefused counts a request that was refused because the quota is used up.
+func (m *Metrics) quotaRefused(workspace string) {
+	if m != nil {
+		m.increment("quota_refused;workspace=" + workspace)
+	}
+}
+
+// quotaMessage counts a message about quotas.
+func (m *Metrics) quotaMessage(method string) {
+	if m != nil {
+		m.increment("quota_messages;method=" + method)
+	}
+}
+
+// updateGauges updates the gauges of quotas in a registry. Those of workspaces are removed
+// when this host is no longer the issuer.
+func (q *Quotas) updateGauges(r metrics.Registry) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	issuer, is := q.currentIssuer(now), int64(0)
+	levels := map[string]int{}
+	if issuer != nil {
+		is = 1
+		levels = issuer.Levels(now, maxQuotaLabels)
+	}
+	metrics.GetOrRegisterGauge("quota_issuer", r).Update(is)
+	for name := range q.shownTokens {
+		if _, ok := levels[name]; !ok {
+			r.Unregister("quota_tokens;workspace=" + name)
+			delete(q.shownTokens, name)
+		}
+	}
+	for name, level := range levels {
+		q.shownTokens[name] = true
+		metrics.GetOrRegisterGauge("quota_tokens;workspace="+name, r).Update(int64(level))
+	}
+}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -30,7 +30,8 @@
 	Granted
 	// UsedUp means that the workspace's quota is used up.
 	UsedUp
-	// NoIssuer means that no issuer answered and there is no safe share left.
+	// NoIssuer means that no issuer answered and there is no safe share left, or that the
+	// issuer has just started without tokens. The caller is not to blame.
 	NoIssuer
 )
 
@@ -39,7 +40,7 @@
 	ID         uint64
 	Verdict    Verdict
 	Token      Token
-	RetryAfter time.Duration
+	RetryAfter time.Duration // 0 if it is not known
 }
 
 // Message is a request to the issuer of a region.
@@ -55,8 +56,10 @@
 type messageKind int
 
 const (
+	// periodic messages fetch ahead, urgent ones for waiting requests too.
 	periodic messageKind = iota
 	urgent
+	// elsewhere messages go to another region for what the own issuer lacks.
 	elsewhere
 )
 
@@ -109,8 +112,8 @@
 	if token, ok := c.wallet.Take(now, workspace); ok {
 		return Resolution{ID: id, Verdict: Granted, Token: token}
 	}
-	if retryAfter, usedUp := c.wallet.UsedUp(now, workspace); usedUp {
-		return Resolution{ID: id, Verdict: UsedUp, RetryAfter: retryAfter}
+	if verdict, retryAfter := c.wallet.UsedUp(now, workspace); verdict != Waiting {
+		return Resolution{ID: id, Verdict: verdict, RetryAfter: retryAfter}
 	}
 	c.wallet.Wait(now, workspace, 1)
 	c.waiters = append(c.waiters, waiter{id: id, workspace: workspace, limit: l, deadline: min(deadline, now+MaxWait)})
@@ -156,8 +159,8 @@
 		r := Resolution{ID: w.id}
 		if token, ok := c.wallet.TakeAgain(now, w.workspace); ok {
 			r.Verdict, r.Token = Granted, token
-		} else if retryAfter, usedUp := c.wallet.UsedUp(now, w.workspace); usedUp {
-			r.Verdict, r.RetryAfter = UsedUp, retryAfter
+		} else if verdict, retryAfter := c.wallet.UsedUp(now, w.workspace); verdict != Waiting {
+			r.Verdict, r.RetryAfter = verdict, retryAfter
 		} else if !unreachable && now < w.deadline {
 			return false
 		} else if c.safe.Take(now, w.workspace, w.limit) {
@@ -267,6 +270,9 @@
 }
 
 func (c *Client) message(now time.Duration, kind messageKind, region string, wants []Want) Message {
+	if kind == periodic && slices.ContainsFunc(wants, func(w Want) bool { return w.Urgent > 0 }) {
+		kind = urgent
+	}
 	c.lastID++
 	m := Message{ID: c.lastID, Region: region, Wants: wants, Tenure: c.wallet.tenures[region], kind: kind, sentAt: now}
 	c.messages[m.ID] = &m
--- a/internal/quota/gift.go
+++ b/internal/quota/gift.go
@@ -58,6 +58,7 @@
 			own := m.demand.expect(now, ownDemandTime)
 			if n := min(w.Tokens, int(math.Floor(m.level-own))); n > 0 {
 				m.level -= float64(n)
+				m.fullLevel -= float64(n)
 				gift = i.record(now, m, w.Workspace, n, nil)
 				gift.ID = 0
 			}
@@ -74,6 +75,9 @@
 	}
 }
 
+// MayBeShort reports whether Shortages may return something.
+func (i *Issuer) MayBeShort() bool { return len(i.short) > 0 }
+
 // Shortages returns what to ask each of the other regions' issuers for. It is empty while
 // the supply suffices.
 func (i *Issuer) Shortages(now time.Duration, regions []string) map[string][]Want {
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -29,9 +31,11 @@
 	cap   float64
 	rate  float64 // tokens per second
 	// level is the number of minted tokens that are not lent.
-	level    float64
-	mintedAt time.Duration
-	ledger   ledger
+	level float64
+	// fullLevel is what the level would be if the issuer had started with a full one.
+	fullLevel float64
+	mintedAt  time.Duration
+	ledger    ledger
 	// borrowed are tokens of other regions' issuers. They keep their expiry.
 	borrowed []borrowed
 	demand   demand
@@ -72,7 +76,7 @@
 		}
 		m := i.workspaces[name]
 		if m == nil {
-			m = &mint{mintedAt: now}
+			m = &mint{mintedAt: now, fullLevel: math.Inf(1)}
 			i.workspaces[name] = m
 		}
 		m.advance(now)
@@ -80,10 +84,16 @@
 		if m.cap == 0 {
 			m.rate = 0
 		}
-		m.level = min(m.level, max(m.cap-float64(m.ledger.outstanding), 0))
+		m.clamp()
 	}
 }
 
+// clamp reduces the level to what the cap leaves.
+func (m *mint) clamp() {
+	room := max(m.cap-float64(m.ledger.outstanding), 0)
+	m.level, m.fullLevel = min(m.level, room), min(m.fullLevel, room)
+}
+
 // advance mints tokens and expires loans up to now. It mints separately up to each
 // expiry: what could not be minted while the cap was reached is not made up for.
 func (m *mint) advance(now time.Duration) {
@@ -105,9 +115,9 @@
 	}
 	minted := m.rate * (t - m.mintedAt).Seconds()
 	m.mintedAt = t
-	if room := m.cap - m.level - float64(m.ledger.outstanding); room > 0 {
-		m.level += min(minted, room)
-	}
+	room := m.cap - float64(m.ledger.outstanding)
+	m.level = max(m.level, min(m.level+minted, room))
+	m.fullLevel = max(m.fullLevel, min(m.fullLevel+minted, room))
 }
 
 // Lend answers the message of a host.
@@ -144,12 +154,13 @@
 		case returned == 0:
 		case !loan.borrowed:
 			m.level += float64(returned)
+			m.fullLevel += float64(returned)
 		case loan.expires > now:
 			m.borrowed = append(m.borrowed, borrowed{tokens: returned, expires: loan.expires})
 		}
 	}
 	// After a limit was reduced, loans from before may exceed the cap.
-	m.level = min(m.level, max(m.cap-float64(m.ledger.outstanding), 0))
+	m.clamp()
 }
 
 // lend appends the loans for a want. Borrowed tokens are lent first, as they expire.
@@ -170,6 +181,7 @@
 	}
 	if left > 0 {
 		m.level -= float64(left)
+		m.fullLevel -= float64(left)
 		loans = append(loans, i.record(now, m, w.Workspace, left, nil))
 	}
 	if granted >= urgent {
@@ -179,7 +191,8 @@
 		loans = append(loans, Loan{Workspace: w.Workspace})
 	}
 	last := &loans[len(loans)-1]
-	last.Empty, last.Elsewhere = true, !m.othersEmpty(now, i.regions)
+	last.Empty, last.Elsewhere, last.Fresh = true, !m.othersEmpty(now, i.regions), m.fullLevel >= 1
+	m.fullLevel = max(m.fullLevel-float64(urgent-granted), min(m.level, m.fullLevel))
 	wait, step := m.promise(now, urgent-granted+max(w.Refused, 0))
 	last.RetryMillis, last.StepMicros = max(wait.Milliseconds(), 1), step.Microseconds()
 	return loans
@@ -208,13 +221,13 @@
 	return Loan{Workspace: workspace, ID: loan.id, Tokens: tokens, ValidMicros: valid.Microseconds()}
 }
 
-// Levels returns the tokens that can be lent, by workspace, up to a number of workspaces.
+// Levels returns the tokens that can be lent, by workspace, of the first ones by name up
+// to a number.
 func (i *Issuer) Levels(now time.Duration, limit int) map[string]int {
+	names := slices.Sorted(maps.Keys(i.workspaces))
 	levels := map[string]int{}
-	for name, m := range i.workspaces {
-		if len(levels) >= limit {
-			break
-		}
+	for _, name := range names[:min(len(names), limit)] {
+		m := i.workspaces[name]
 		m.advance(now)
 		levels[name] = m.available()
 	}
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -37,6 +37,9 @@
 	// if other regions' issuers may have some.
 	Empty     bool `json:"e,omitempty"`
 	Elsewhere bool `json:"o,omitempty"`
+	// Fresh is set if Empty is, but only because the issuer has started without tokens. The
+	// quota is not used up then.
+	Fresh bool `json:"f,omitempty"`
 	// RetryMillis is the time after which the first refused caller may retry, StepMicros
 	// the time from each one to the next.
 	RetryMillis int64 `json:"a,omitempty"`
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -136,6 +136,7 @@
 func TestPromises(t *testing.T) {
 	g := NewWithT(t)
 	i := newTestIssuer(Limit{30, 30})
+	i.workspaces["w"].fullLevel = 0
 	w := NewWallet()
 	w.Take(0, "w")
 	reply := i.Lend(0, LendRequest{Wants: []Want{{Workspace: "w", Tokens: 2, Urgent: 2}}})
@@ -144,18 +145,33 @@
 	w.SetUsedUp(0, []Want{{Workspace: "w"}})
 	last := time.Duration(0)
 	for range 20 {
-		after, usedUp := w.UsedUp(0, "w")
-		g.Expect(usedUp).To(BeTrue())
+		verdict, after := w.UsedUp(0, "w")
+		g.Expect(verdict).To(Equal(UsedUp))
 		g.Expect(after).To(BeNumerically(">=", 100*time.Millisecond))
 		g.Expect(after - last).To(BeNumerically("~", 101*time.Millisecond, 2*time.Millisecond))
 		last = after
 	}
 	for range 100 {
-		after, _ := w.UsedUp(0, "w")
+		_, after := w.UsedUp(0, "w")
 		g.Expect(after).To(BeNumerically("<=", retryHorizon))
 	}
 }
 
+// TestFreshIssuer guards against a caller within its quota that is told that it is used up,
+// and against one above it that is not told, after an issuer has started without tokens.
+func TestFreshIssuer(t *testing.T) {
+	g := NewWithT(t)
+	i := newTestIssuer(Limit{30, 30})
+	limit := i.workspaces["w"].cap
+	for k := range 100 {
+		loan := lendOne(i, time.Duration(k)*time.Millisecond, Want{Tokens: 1, Urgent: 1, Demand: 1})[0]
+		if loan.Tokens == 0 {
+			g.Expect(loan.Empty).To(BeTrue())
+			g.Expect(loan.Fresh).To(Equal(float64(k) < limit-1), "request %d with a cap of %v", k, limit)
+		}
+	}
+}
+
 // TestTokensOfAttempts guards against a token that two attempts use, and one that is used
 // again although its issuer takes it to be spent.
 func TestTokensOfAttempts(t *testing.T) {
--- a/internal/quota/tenure.go
+++ b/internal/quota/tenure.go
@@ -10,8 +10,9 @@
 	// lends. By a clock that is slow by maxClockError, it ends before the lease.
 	leaseUse = 11750 * time.Millisecond
 	// renewPeriod is the time between renewals. An issuer lends through an outage of the
-	// store of leaseUse - renewPeriod: 9.75 s.
-	renewPeriod = 2 * time.Second
+	// store of 9 s, also if a call at its end hangs: leaseUse exceeds the sum of both by
+	// 1.25 s.
+	renewPeriod = 1500 * time.Millisecond
 	// retryPeriod is the time between two calls after one has failed.
 	retryPeriod = 250 * time.Millisecond
 	// rankDelay is how much longer each host in the order of candidates waits than the one
@@ -26,6 +27,7 @@
 
 // Item is the store item that names a region's issuer.
 type Item struct {
+	// Host is empty if the item cannot be decoded.
 	Host        string
 	Incarnation int64
 	// Era is the era of the store in which the item was written. In a restored store it
@@ -131,11 +133,14 @@
 	if era < t.era {
 		return
 	}
+	if item != nil && item.Era > era {
+		return // the copy of the store has changed in between
+	}
 	t.known = true
-	wasPresent := t.item != nil && t.item.Era == t.era
+	before := t.item
 	t.item = item
-	present := item != nil && item.Era == t.era
-	if !present && wasPresent {
+	present := t.present()
+	if !present && revisionOf(before) != revisionOf(item) {
 		t.absentSince = now
 	}
 	if t.holdsUntil == 0 || t.heldEra != t.era {
@@ -151,6 +156,18 @@
 	}
 }
 
+// present reports whether the item names a process that may be the issuer.
+func (t *Tenure) present() bool {
+	return t.item != nil && t.item.Host != "" && t.item.Era == t.era
+}
+
+func revisionOf(i *Item) uint64 {
+	if i == nil {
+		return 0
+	}
+	return i.Revision
+}
+
 func (t *Tenure) isOwn(i *Item) bool {
 	return i.Host == t.host && i.Incarnation == t.incarnation
 }
@@ -207,7 +224,7 @@
 
 // mayWrite reports whether this process may write the item.
 func (t *Tenure) mayWrite(now time.Duration) bool {
-	if t.item != nil && t.item.Era == t.era {
+	if t.present() {
 		// Only an earlier process of this host, or an earlier tenure of this process.
 		return t.item.Host == t.host && t.item.Incarnation <= t.incarnation
 	}
@@ -218,6 +235,9 @@
 	if t.rank < 0 || now-t.absentSince < min(time.Duration(t.rank)*rankDelay, maxRankDelay) {
 		return false
 	}
+	if t.item != nil && t.item.Host == "" && now-t.absentSince < eraWait {
+		return false // the item that it replaced may have named a process that lends
+	}
 	return t.era == 0 || now-t.eraSeenAt >= eraWait
 }
 
--- a/internal/quota/tenure_test.go
+++ b/internal/quota/tenure_test.go
@@ -49,6 +49,8 @@
 		{"an item of an earlier era", 0, 2, &Item{Host: "b", Era: 1, Revision: 3}, eraWait - 1, None},
 		{"an own item of an earlier era", 0, 2, &Item{Host: "a", Incarnation: 4, Era: 1, Revision: 3}, eraWait - 1, None},
 		{"an old item of an earlier era", 0, 2, &Item{Host: "b", Era: 1, Revision: 3}, eraWait, Write},
+		{"an item that cannot be decoded", 0, 0, &Item{Revision: 3}, eraWait - 1, None},
+		{"an old item that cannot be decoded", 0, 0, &Item{Revision: 3}, eraWait, Write},
 		{"an earlier process in this era", 0, 2, &Item{Host: "a", Incarnation: 4, Era: 2, Revision: 3}, 0, Write},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -56,7 +56,7 @@
 	waiting, requested int
 	lastUsed           time.Duration
 	usedUpUntil        time.Duration
-	elsewhere          bool
+	elsewhere, fresh   bool // see Loan
 	retryAt            time.Duration
 	retryStep          time.Duration
 }
@@ -166,23 +166,28 @@
 	}
 }
 
-// UsedUp reports whether the issuer said that the quota is used up, and so a request
-// without a token is to be refused, and counts it. The k-th such request gets the time at
-// which the k-th token that is not yet promised is minted.
-func (w *Wallet) UsedUp(now time.Duration, workspace string) (retryAfter time.Duration, usedUp bool) {
+// UsedUp returns the verdict about a request without a token if the issuer said that it has
+// none: UsedUp, or NoIssuer if that one has just started. Otherwise the verdict is Waiting.
+// It counts the request. The k-th such request gets the time at which the k-th token that
+// is not yet promised is minted.
+func (w *Wallet) UsedUp(now time.Duration, workspace string) (Verdict, time.Duration) {
 	a := w.accounts[workspace]
 	if a == nil || now >= a.usedUpUntil {
-		return 0, false
+		return Waiting, 0
+	}
+	verdict := UsedUp
+	if a.fresh {
+		verdict = NoIssuer
 	}
 	a.refused++
-	retryAfter = a.retryAt - now
+	retryAfter := a.retryAt - now
 	if retryAfter <= 0 || retryAfter > retryHorizon {
 		// All times up to the horizon are given out.
 		a.retryAt = now + a.retryStep
 		retryAfter = a.retryStep
 	}
 	a.retryAt += a.retryStep
-	return min(max(retryAfter, time.Millisecond), retryHorizon), true
+	return verdict, min(max(retryAfter, time.Millisecond), retryHorizon)
 }
 
 // Receive adds the loans of a region's issuer, in answer to a request sent at sentAt. own
@@ -202,6 +207,7 @@
 			continue
 		}
 		if own {
+			a.fresh = l.Fresh
 			a.retryAt, a.retryStep = now+time.Duration(l.RetryMillis)*time.Millisecond, time.Duration(l.StepMicros)*time.Microsecond
 		}
 		if a.elsewhere = own && l.Elsewhere; !a.elsewhere {
