--- a/internal/quota/broken_test.go
+++ b/internal/quota/broken_test.go
@@ -80,7 +80,7 @@
 		from := 5*time.Second + time.Duration(k)*600*time.Millisecond
 		s.at(from, func() {
 			s.request(h, "w")
-			h.proc.client.wallet.accounts["w"].demand = demand{fast: 1e12, slow: 1e12, at: h.clock()}
+			h.proc.client.wallet.accounts["w"].demand = demand{fast: 1000, at: h.clock() + time.Hour} // it does not decay
 		})
 		s.at(from+500*time.Millisecond, func() { h.group = k + 1 })
 	}
--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -40,8 +40,10 @@
 }
 
 // expect returns the number of requests expected in the time after now. The fast estimate
-// counts less one request: a single one does not mean that more follow.
+// counts less one request, because a single one does not mean that more follow. The slow
+// one counts up to that request: above, it would go on after demand has moved away.
 func (d *demand) expect(now, within time.Duration) float64 {
 	d.decay(now)
-	return max(d.fast-1/fastTime.Seconds(), d.slow) * within.Seconds()
+	const one = float64(time.Second) / float64(fastTime)
+	return max(d.fast-one, min(d.slow, one)) * within.Seconds()
 }
--- a/internal/quota/gift.go
+++ b/internal/quota/gift.go
@@ -29,13 +29,13 @@
 	expires time.Duration
 }
 
-// takeBorrowed removes up to n tokens of the first entry, which must exist.
-func (m *mint) takeBorrowed(n int) borrowed {
-	b := &m.borrowed[0]
+// takeBorrowed removes up to n tokens of an entry.
+func (m *mint) takeBorrowed(k, n int) borrowed {
+	b := &m.borrowed[k]
 	taken := borrowed{tokens: min(n, b.tokens), expires: b.expires}
 	b.tokens -= taken.tokens
 	if b.tokens == 0 {
-		m.borrowed = slices.Delete(m.borrowed, 0, 1)
+		m.borrowed = slices.Delete(m.borrowed, k, k+1)
 	}
 	return taken
 }
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -12,6 +12,10 @@
 // few tokens could hold all of them while a request at another host is refused.
 const prefetchReserve = 2.0
 
+// minAheadValidity is the validity of borrowed tokens below which they are lent to waiting
+// requests only. Hosts fetch ahead for aheadTime, and tokens that they do not use are lost.
+const minAheadValidity = 200 * time.Millisecond
+
 // Issuer mints and lends the tokens of one region. A new one has no tokens: it does not
 // know what an earlier issuer lent. It may be used only while Tenure.Holds.
 type Issuer struct {
@@ -163,41 +167,62 @@
 	m.clamp()
 }
 
-// lend appends the loans for a want. Borrowed tokens are lent first, as they expire.
+// lend appends the loans for a want. Waiting requests get borrowed tokens first, as they
+// expire soon; what is fetched ahead is lent from the own ones first.
 func (i *Issuer) lend(now time.Duration, m *mint, w Want, loans []Loan) []Loan {
 	urgent := max(min(w.Urgent, w.Tokens), 0)
-	available := m.available()
-	granted := min(urgent, available)
-	reserve := min(prefetchReserve, m.cap/2)
-	if ahead := available - granted - int(math.Ceil(reserve)); ahead > 0 && w.Tokens > urgent {
-		granted += min(w.Tokens-urgent, ahead)
-	}
 	before := len(loans)
-	left := granted
-	for left > 0 && len(m.borrowed) > 0 {
-		b := m.takeBorrowed(left)
-		left -= b.tokens
-		loans = append(loans, i.record(now, m, w.Workspace, b.tokens, &b))
+	granted, loans := i.lendBorrowed(now, m, w.Workspace, urgent, 0, loans)
+	own := min(urgent-granted, int(m.level))
+	granted += own
+	ahead := max(w.Tokens-urgent, 0)
+	if spare := int(m.level) - own - int(math.Ceil(min(prefetchReserve, m.cap/2))); granted == urgent && spare > 0 {
+		spare = min(spare, ahead)
+		own += spare
+		ahead -= spare
 	}
-	if left > 0 {
-		m.level -= float64(left)
-		m.fullLevel -= float64(left)
-		loans = append(loans, i.record(now, m, w.Workspace, left, nil))
+	if own > 0 {
+		m.level -= float64(own)
+		m.fullLevel -= float64(own)
+		loans = append(loans, i.record(now, m, w.Workspace, own, nil))
 	}
-	if granted >= urgent {
+	if granted == urgent {
+		_, loans = i.lendBorrowed(now, m, w.Workspace, ahead, minAheadValidity, loans)
 		return loans
 	}
 	if len(loans) == before {
 		loans = append(loans, Loan{Workspace: w.Workspace})
 	}
-	last := &loans[len(loans)-1]
-	last.Empty, last.Elsewhere, last.Fresh = true, !m.othersEmpty(now, i.regions), m.fullLevel >= 1
-	m.fullLevel = max(m.fullLevel-float64(urgent-granted), min(m.level, m.fullLevel))
-	wait, step := m.promise(now, urgent-granted+max(w.Refused, 0))
-	last.RetryMillis, last.StepMicros = max(wait.Milliseconds(), 1), step.Microseconds()
+	i.refuse(now, m, &loans[len(loans)-1], urgent-granted, max(w.Refused, 0))
 	return loans
 }
 
+// lendBorrowed lends up to n borrowed tokens that are valid for a time, and returns their
+// number.
+func (i *Issuer) lendBorrowed(now time.Duration, m *mint, workspace string, n int, valid time.Duration, loans []Loan) (int, []Loan) {
+	lent := 0
+	for k := 0; k < len(m.borrowed) && lent < n; {
+		if m.borrowed[k].expires-now < valid {
+			k++
+			continue
+		}
+		b := m.takeBorrowed(k, n-lent)
+		lent += b.tokens
+		loans = append(loans, i.record(now, m, workspace, b.tokens, &b))
+	}
+	return lent, loans
+}
+
+// refuse marks the answer to a want for which tokens are missing. refused is the number of
+// requests that the host has refused since its last message: it probably refuses as many
+// until the next one.
+func (i *Issuer) refuse(now time.Duration, m *mint, l *Loan, missing, refused int) {
+	l.Empty, l.Elsewhere, l.Fresh = true, !m.othersEmpty(now, i.regions), m.fullLevel >= 1
+	m.fullLevel = max(m.fullLevel-float64(missing), min(m.level, m.fullLevel))
+	wait, step := m.promise(now, missing+refused)
+	l.RetryMillis, l.StepMicros = max(wait.Milliseconds(), 1), step.Microseconds()
+}
+
 // available returns the number of whole tokens that can be lent.
 func (m *mint) available() int {
 	n := int(m.level)
