--- /dev/null
+++ b/internal/quota/bench_test.go
@@ -0,0 +1,141 @@
+package quota
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchWorkspaces is the number of workspaces of the larger installation.
+const benchWorkspaces = 88
+
+// fullRequest returns a message of a host that wants and reports tokens of n workspaces,
+// and an issuer that answers it.
+func fullRequest(n int) (*Issuer, LendRequest) {
+	i := NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 3, Tenure: 1796601600000001})
+	limits := map[string]Limit{}
+	for k := range n {
+		limits[fmt.Sprintf("kaje%02d", k)] = Limit{50, 50}
+	}
+	i.SetLimits(0, limits)
+	r := LendRequest{Host: "front-a-12", Tenure: 1796601600000001}
+	for name := range limits {
+		r.Wants = append(r.Wants, Want{Workspace: name, Tokens: 4, Demand: 4, Uses: []Use{{Loan: 1234567, Spent: 3, Returned: 1}}})
+	}
+	return i, r
+}
+
+// BenchmarkLend measures an issuer's work for one message of a host with demand of n
+// workspaces: decoding, lending and encoding, and the bytes of both messages.
+func BenchmarkLend(b *testing.B) {
+	for _, n := range []int{1, benchWorkspaces} {
+		b.Run(fmt.Sprint(n, " workspaces"), func(b *testing.B) {
+			i, r := fullRequest(n)
+			raw, err := json.Marshal(r)
+			if err != nil {
+				b.Fatal(err)
+			}
+			answer := 0
+			b.ReportAllocs()
+			now := time.Minute
+			for b.Loop() {
+				var got LendRequest
+				if err := json.Unmarshal(raw, &got); err != nil {
+					b.Fatal(err)
+				}
+				now += FetchPeriod
+				out, err := json.Marshal(i.Lend(now, got))
+				if err != nil {
+					b.Fatal(err)
+				}
+				answer = len(out)
+			}
+			b.ReportMetric(float64(len(raw)), "request-B")
+			b.ReportMetric(float64(answer), "answer-B")
+		})
+	}
+}
+
+// BenchmarkInstallation measures the messages and bytes per second at the busiest issuer of
+// 144 hosts with 88 workspaces and 2,000 requests per second, a third of them of one
+// workspace, and the messages per request.
+func BenchmarkInstallation(b *testing.B) {
+	const hosts, perSecond, seconds = 144, 2000.0, 20
+	for _, c := range []struct {
+		desc    string
+		callers int // hosts that get requests
+	}{{"callers at 12 hosts", 12}, {"callers at all hosts", hosts}} {
+		b.Run(c.desc, func(b *testing.B) {
+			limits := map[string]Limit{"kaje00": {perSecond / 3, perSecond / 3}}
+			for k := 1; k < benchWorkspaces; k++ {
+				rate := perSecond * 2 / 3 / (benchWorkspaces - 1)
+				limits[fmt.Sprintf("kaje%02d", k)] = Limit{rate, rate}
+			}
+			for b.Loop() {
+				s := newSim(1, hosts, limits)
+				s.runUntil(5 * time.Second)
+				for name, l := range limits {
+					s.load(name, (5+seconds)*time.Second, func() (float64, *simHost) {
+						return 0.8 * l.RatePerSecond, s.hosts[s.rng.IntN(c.callers)]
+					})
+				}
+				s.runUntil(10 * time.Second)
+				s.traffic = map[string]*traffic{}
+				before := s.asked["kaje00"]
+				s.runUntil((5 + seconds) * time.Second)
+				busiest := &traffic{}
+				for _, t := range s.traffic {
+					if t.received > busiest.received {
+						busiest = t
+					}
+				}
+				const measured = float64(seconds - 5)
+				b.ReportMetric(float64(busiest.messages)/measured, "messages/s")
+				b.ReportMetric(float64(busiest.wants)/measured, "wants/s")
+				b.ReportMetric(float64(busiest.received)/measured/1000, "received-kB/s")
+				b.ReportMetric(float64(busiest.sent)/measured/1000, "sent-kB/s")
+				b.ReportMetric(float64(s.asked["kaje00"]-before)/measured, "requests-of-largest/s")
+				if v := s.violation(); v != "" {
+					b.Fatal(v)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRequest measures a host's work for one request that finds a token, with its
+// share of the messages of the host.
+func BenchmarkRequest(b *testing.B) {
+	i, _ := fullRequest(benchWorkspaces)
+	c := NewClient("r", NewSafeShares(0, testBounds, 3))
+	c.SetIssuers([]string{"r"})
+	names := make([]string, 0, benchWorkspaces)
+	for name := range i.workspaces {
+		names = append(names, name)
+	}
+	now, k := time.Minute, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		k++
+		now += 2 * time.Millisecond
+		c.Request(now, uint64(k), names[k%len(names)], Limit{50, 50}, now+time.Second)
+		for _, m := range c.Messages(now) {
+			c.Answered(now, m.ID, i.Lend(now, LendRequest{Tenure: m.Tenure, Wants: m.Wants}))
+		}
+		c.Resolved()
+	}
+}
+
+// BenchmarkSetLimits measures an issuer's work for a new configuration of 50,000
+// workspaces, and its memory.
+func BenchmarkSetLimits(b *testing.B) {
+	limits := map[string]Limit{}
+	for k := range 50_000 {
+		limits[fmt.Sprintf("w%05d", k)] = Limit{5, 5}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 35}).SetLimits(time.Minute, limits)
+	}
+}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -74,8 +74,14 @@
 	verdicts map[Verdict]int
 	messages int
 	wants    int
+	// traffic is measured by host if it is not nil.
+	traffic map[string]*traffic
 }
 
+// traffic counts the messages that a host got as an issuer, and their bytes with those of
+// its answers.
+type traffic struct{ messages, wants, received, sent int }
+
 // simHost is a host with its clock; proc is its process, nil while there is none.
 type simHost struct {
 	sim         *sim
--- a/internal/quota/simproc_test.go
+++ b/internal/quota/simproc_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -250,6 +251,9 @@
 	s.wants += len(m.Wants)
 	p.call(m.Region, func(i *Issuer, now time.Duration) any {
 		reply := i.Lend(now, LendRequest{Host: h.name, Tenure: m.Tenure, Wants: m.Wants})
+		if s.traffic != nil {
+			s.measure(p.view[m.Region].Host, m, reply)
+		}
 		if s.fault == tokensDoNotExpire {
 			for k := range reply.Loans {
 				reply.Loans[k].ValidMicros *= 100
@@ -266,6 +270,21 @@
 	})
 }
 
+// measure counts a message and its answer as JSON at the issuer's host.
+func (s *sim) measure(host string, m Message, reply LendReply) {
+	t := s.traffic[host]
+	if t == nil {
+		t = &traffic{}
+		s.traffic[host] = t
+	}
+	request, _ := json.Marshal(LendRequest{Host: "front-a-12", Tenure: m.Tenure, Wants: m.Wants})
+	answer, _ := json.Marshal(reply)
+	t.messages++
+	t.wants += len(m.Wants)
+	t.received += len(request)
+	t.sent += len(answer)
+}
+
 // ask asks the other regions' issuers.
 func (p *simProc) ask() {
 	h, s := p.host, p.host.sim
