dispatch: keep promises to less urgent ranks

Returns were scheduled at the rate of all freed slots, of which more urgent ranks took most, and new callers took the free ones before a return. A rank is now scheduled at what the demand of more urgent ranks leaves, and gets no promise if that is less than a tenth. A return takes any server with a free slot, and new requests wait for returns that are due.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -315,9 +315,13 @@
 		best, est = p.choose(now, r, c, anyServer)
 	}
 	if best != nil && p.yieldsToUrgent(now, r, best) {
-		return p.refuse(now, Overload, best, est)
+		free, freeEst := p.freeServerForReturn(now, r, c, returned)
+		if free == nil {
+			return p.refuse(now, Overload, best, est)
+		}
+		best, est = free, freeEst
 	}
-	if best != nil && !returned && p.aboveShare(now, r, best) {
+	if best != nil && !returned && (p.yieldsToReturns(now, r) || p.aboveShare(now, r, best)) {
 		return p.refuse(now, Overload, best, est)
 	}
 	if best != nil && p.overloaded(now, best, est) {
@@ -354,12 +358,18 @@
 // ones: the service is nearly full, the server has no free slot, and a more urgent
 // rank has sent requests lately. It records the rank of the request.
 func (p *Pool) yieldsToUrgent(now time.Duration, r Request, s *server) bool {
-	urgent := false
-	for rank, at := range p.lastRequestByRank {
-		urgent = urgent || rank < r.Rank && now-at <= rankActiveTime
-	}
 	p.lastRequestByRank[r.Rank] = now
-	return urgent && p.occupancy > yieldOccupancy && s.load(now) >= float64(s.slots)
+	return p.occupancy > yieldOccupancy && s.load(now) >= float64(s.slots) && p.moreUrgentActive(now, r.Rank)
+}
+
+// moreUrgentActive reports whether a more urgent rank has sent requests lately.
+func (p *Pool) moreUrgentActive(now time.Duration, rank int) bool {
+	for other, at := range p.lastRequestByRank {
+		if other < rank && now-at <= rankActiveTime {
+			return true
+		}
+	}
+	return false
 }
 
 // overloaded reports whether a request does not count as in time at a server whose
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -23,6 +23,12 @@
 	// returnWindow is the time after its scheduled time within which a caller is
 	// recognized. After it the promise lapses.
 	returnWindow = 300 * time.Millisecond
+	// duePeriod is the resolution at which due promises are counted.
+	duePeriod = 10 * time.Millisecond
+	// dueBefore and dueAfter are the times before and after its scheduled time for which a
+	// caller is expected. A slot must become free before it arrives; most callers arrive
+	// within some milliseconds, and one that does not come must not hold the slot for long.
+	dueBefore, dueAfter = 20 * time.Millisecond, 50 * time.Millisecond
 	// maxPromises bounds the memory. It is reached at 1,700
 	// scheduled returns per second.
 	maxPromises = 4096
@@ -32,6 +38,9 @@
 	// minReturnRate is the rate, in slots per second, that is assumed at least. The pool
 	// has measured none at its start.
 	minReturnRate = 2.0
+	// minRankFraction is the fraction of the freed slots that more urgent ranks must leave
+	// for a promise to a rank. Their demand varies by more than a smaller rest.
+	minRankFraction = 0.1
 	// unpromisedSpread is the fraction of the time that a caller can wait over which the
 	// callers without a promise are spread, so that a burst of them does not return as one.
 	unpromisedSpread = 1.0 / 3
@@ -43,6 +52,7 @@
 type returns struct {
 	promises map[uint64][]time.Duration // times of return by returnKey, ascending
 	count    int
+	due      map[time.Duration]int // promises by their time in units of duePeriod
 	// nextByRank is the time of the next slot that is not promised to the rank or a more
 	// urgent one.
 	nextByRank map[int]time.Duration
@@ -53,7 +63,7 @@
 }
 
 func newReturns() *returns {
-	return &returns{promises: map[uint64][]time.Duration{}, nextByRank: map[int]time.Duration{}, nextByWorkspace: map[uint64]time.Duration{}}
+	return &returns{promises: map[uint64][]time.Duration{}, due: map[time.Duration]int{}, nextByRank: map[int]time.Duration{}, nextByWorkspace: map[uint64]time.Duration{}}
 }
 
 // returnKey is a hash, because object keys may be long.
@@ -72,7 +82,25 @@
 		}
 		if now <= at+returnWindow {
 			t.set(k, slices.Delete(list, i, i+1))
-			t.count--
+			t.remove(at)
+			return true
+		}
+	}
+	return false
+}
+
+// remove takes a promise out of the counts.
+func (t *returns) remove(at time.Duration) {
+	t.count--
+	if t.due[at/duePeriod]--; t.due[at/duePeriod] <= 0 {
+		delete(t.due, at/duePeriod)
+	}
+}
+
+// anyDue reports whether a caller is expected to return about now.
+func (t *returns) anyDue(now time.Duration) bool {
+	for period := max(now-dueAfter, 0) / duePeriod; period <= (now+dueBefore)/duePeriod; period++ {
+		if t.due[period] > 0 {
 			return true
 		}
 	}
@@ -91,6 +119,8 @@
 type slotRates struct {
 	// freed is the rate at which slots become free.
 	freed float64
+	// urgent is the part of it that the demand of more urgent ranks takes.
+	urgent float64
 	// share is the rate for the request's workspace, +Inf if it is not limited.
 	share float64
 }
@@ -104,6 +134,10 @@
 	earliest := now + minReturnDelay
 	workspace := xxhash.Sum64String(r.Workspace)
 	at := max(earliest, t.nextFor(r.Rank))
+	left := rates.freed - rates.urgent
+	if rates.urgent > 0 && left < minRankFraction*rates.freed {
+		return t.waitWithoutPromise(limit)
+	}
 	limited := !math.IsInf(rates.share, 1)
 	if limited {
 		at = max(at, t.nextByWorkspace[workspace])
@@ -113,7 +147,7 @@
 	}
 	wait := roundUp(at-now, time.Millisecond)
 	t.promise(returnKey(r), now+wait)
-	t.advance(r.Rank, earliest, interval(max(promisedFraction*rates.freed, minReturnRate)))
+	t.advance(r.Rank, earliest, interval(max(promisedFraction*left, minReturnRate)))
 	if limited {
 		t.nextByWorkspace[workspace] = at + interval(rates.share)
 	}
@@ -156,6 +190,7 @@
 	i, _ := slices.BinarySearch(list, at)
 	t.promises[k] = slices.Insert(list, i, at)
 	t.count++
+	t.due[at/duePeriod]++
 }
 
 // waitWithoutPromise returns a time in the last part of limit, but not less than
@@ -170,10 +205,12 @@
 // expire drops lapsed promises and times that have passed.
 func (t *returns) expire(now time.Duration) {
 	for k, list := range t.promises {
-		before := len(list)
-		kept := slices.DeleteFunc(list, func(at time.Duration) bool { return now > at+returnWindow })
-		t.count -= before - len(kept)
-		t.set(k, kept)
+		lapsed := 0
+		for lapsed < len(list) && now > list[lapsed]+returnWindow {
+			t.remove(list[lapsed])
+			lapsed++
+		}
+		t.set(k, slices.Delete(list, 0, lapsed))
 	}
 	for rank, at := range t.nextByRank {
 		if at <= now {
--- a/internal/dispatch/returns_test.go
+++ b/internal/dispatch/returns_test.go
@@ -47,6 +47,34 @@
 	}
 }
 
+// TestScheduleLeavesUrgentDemand guards against slots that are promised to a rank although
+// more urgent ranks take them.
+func TestScheduleLeavesUrgentDemand(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		urgent float64 // requests per second, of 100 slots per second
+		want   time.Duration
+	}{
+		{"half is left", 50, minReturnDelay + time.Second/45 + ms},
+		{"all is left", 0, minReturnDelay + time.Second/90 + ms},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newReturns()
+			r := Request{Rank: 1, Deadline: 9 * time.Second}
+			s.schedule(0, r, slotRates{freed: 100, urgent: c.urgent, share: unlimited})
+			g.Expect(s.schedule(0, r, slotRates{freed: 100, urgent: c.urgent, share: unlimited})).To(BeNumerically("~", c.want, ms))
+			g.Expect(s.count).To(Equal(2))
+		})
+	}
+	g := NewWithT(t)
+	s := newReturns()
+	for range 10 {
+		s.schedule(0, Request{Rank: 1, Deadline: 9 * time.Second}, slotRates{freed: 100, urgent: 95, share: unlimited})
+	}
+	g.Expect(s.count).To(BeZero(), "almost nothing is left")
+}
+
 // TestLimitedWorkspaceDoesNotFillSchedule guards against a schedule whose slots all go to
 // the workspace that is refused most often.
 func TestLimitedWorkspaceDoesNotFillSchedule(t *testing.T) {
@@ -121,6 +149,7 @@
 	s.expire(maxReturnDelay + returnWindow + ms)
 	g.Expect(s.count).To(BeZero())
 	g.Expect(s.promises).To(BeEmpty())
+	g.Expect(s.due).To(BeEmpty())
 	g.Expect(s.nextByRank).To(BeEmpty())
 	s.expire(time.Hour)
 	g.Expect(s.nextByWorkspace).To(BeEmpty())
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -70,6 +70,7 @@
 // retryAfter returns the time that the caller of a refused request is to wait.
 func (c *scarcity) retryAfter(now time.Duration, r Request) time.Duration {
 	rates := slotRates{freed: c.finished.PerSecond(now, finishedTimeConstant), share: math.Inf(1)}
+	rates.urgent = c.shares.MoreUrgentDemand(now, r.Rank, c.capacity(now))
 	if share, limited := c.shares.Share(now, r.Rank, r.Workspace, c.capacity(now)); limited {
 		rates.share = share
 	}
@@ -114,3 +115,20 @@
 	}
 	return p.scarcity.shares.Above(now, r.Rank, r.Workspace, p.scarcity.capacity(now))
 }
+
+// yieldsToReturns reports whether a request is refused in favor of refused callers that
+// are due to return. It applies while a more urgent rank is active: its requests and those
+// of new callers would otherwise take all slots that become free, and a return, which does
+// not queue then, would find none.
+func (p *Pool) yieldsToReturns(now time.Duration, r Request) bool {
+	return p.scarcity != nil && p.occupancy > yieldOccupancy && p.scarcity.returns.anyDue(now) && p.moreUrgentActive(now, r.Rank)
+}
+
+// freeServerForReturn returns a server with a free slot for a return whose best server has
+// none while a more urgent rank is active: only in a queue would it be ahead of that rank.
+func (p *Pool) freeServerForReturn(now time.Duration, r Request, c *class, returned bool) (*server, estimate) {
+	if !returned {
+		return nil, estimate{}
+	}
+	return p.choose(now, r, c, freeServers)
+}
--- a/internal/dispatch/scarcity_test.go
+++ b/internal/dispatch/scarcity_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,8 @@
 	returnsPerBin      map[time.Duration]int // attempts of refused callers per returnBin
 	returned           int                   // attempts at a scheduled time
 	refusedAgain       int
+	promised           map[int]int // returns that hold a promise, by rank
+	promisedRefused    map[int]int
 	longestWait        time.Duration // from the grant to the answer
 }
 
@@ -62,6 +65,7 @@
 	c := &crowd{
 		servers: map[string]*modelServer{}, rng: rand.New(rand.NewSource(1)), serviceTime: 200 * ms,
 		counts: map[string]*workspaceCount{}, returnsPerBin: map[time.Duration]int{},
+		promised: map[int]int{}, promisedRefused: map[int]int{},
 	}
 	c.pool = New(Options{Region: "r", Shared: true, Limits: DefaultLimits, Scheduled: scheduled})
 	c.setServers(0, servers)
@@ -123,6 +127,7 @@
 func (c *crowd) send(now time.Duration, m *modelCaller) {
 	n := c.count(m.workspace)
 	n.attempts++
+	promised := m.returns && c.isPromised(now, m)
 	d := c.pool.Acquire(now, Request{
 		Workspace: m.workspace, Class: "c", Key: m.key, Rank: m.rank, FailureDomain: "r-a", Objective: now + objective, Deadline: m.deadline,
 	})
@@ -130,6 +135,12 @@
 		c.returned++
 		c.returnsPerBin[now/returnBin]++
 	}
+	if promised {
+		c.promised[m.rank]++
+		if d.Refused != "" {
+			c.promisedRefused[m.rank]++
+		}
+	}
 	if d.Refused == "" {
 		n.granted++
 		end := c.servers[d.Server].serve(now, m.key, c.serviceTime, c.serviceTime)
@@ -154,6 +165,15 @@
 	}
 }
 
+// isPromised reports whether the attempt will claim a promise.
+func (c *crowd) isPromised(now time.Duration, m *modelCaller) bool {
+	if c.pool.scarcity == nil {
+		return false
+	}
+	list := c.pool.scarcity.returns.promises[returnKey(Request{Workspace: m.workspace, Class: "c", Key: m.key})]
+	return slices.ContainsFunc(list, func(at time.Duration) bool { return at <= now && now <= at+returnWindow })
+}
+
 func (c *crowd) largestReturn() int {
 	largest := 0
 	for _, n := range c.returnsPerBin {
@@ -384,3 +404,30 @@
 	}
 	g.Expect(c.totals().answered).To(BeNumerically(">", c.count("urgent").answered+c.count("urgent too").answered+300), "the rest of the slots is used")
 }
+
+// TestPromiseToLessUrgentRank guards against promises to a rank that are broken because
+// more urgent ranks or new callers take the slots: rank 0 asks for a part of 160 slots per
+// second, and rank 1 for more than the rest.
+func TestPromiseToLessUrgentRank(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		urgent  float64 // requests per second
+		refused float64 // largest fraction of the promised returns
+	}{
+		{"half of the slots are left", 80, 0.2},
+		{"a third is left", 100, 0.3},
+		{"a fifth is left", 130, 0.45},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			load := newCrowd(8, true)
+			load.addRate(0, 15*time.Second, "urgent", 0, c.urgent, 6*time.Second)
+			load.addRate(3*time.Second, 15*time.Second, "w", 1, 100, 6*time.Second)
+			load.play(0, 20*time.Second)
+			t.Logf("promised %d, refused again %d, answered %+v", load.promised[1], load.promisedRefused[1], *load.count("w"))
+			g.Expect(load.promised[1]).To(BeNumerically(">", 200))
+			g.Expect(load.promisedRefused[1]).To(BeNumerically("<=", c.refused*float64(load.promised[1])))
+			g.Expect(load.count("urgent").answered).To(Equal(load.count("urgent").callers))
+		})
+	}
+}
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -44,6 +44,7 @@
 type Shares struct {
 	workspaces  map[workspaceKey]*workspace
 	allocations map[int]allocation // by rank
+	demands     map[int]float64    // requests per second, by rank, as of allocatedAt
 	// allocatedAt is when allocations were computed, dividedOnce whether they were.
 	allocatedAt time.Duration
 	dividedOnce bool
@@ -51,7 +52,7 @@
 
 // New returns an empty Shares.
 func New() *Shares {
-	return &Shares{workspaces: map[workspaceKey]*workspace{}, allocations: map[int]allocation{}}
+	return &Shares{workspaces: map[workspaceKey]*workspace{}, allocations: map[int]allocation{}, demands: map[int]float64{}}
 }
 
 // Arrived counts a request of a workspace, whether it is granted or not.
@@ -100,6 +101,19 @@
 	return limited && w.usage.Count(now, timeConstant) > countBeforeGrant(share)
 }
 
+// MoreUrgentDemand returns the requests per second that arrive at the ranks more urgent
+// than a rank. capacity is in requests per second.
+func (s *Shares) MoreUrgentDemand(now time.Duration, rank int, capacity float64) float64 {
+	s.divide(now, capacity)
+	sum := 0.0
+	for other, demand := range s.demands {
+		if other < rank {
+			sum += demand
+		}
+	}
+	return sum
+}
+
 // countBeforeGrant returns the decayed number of grants that is left just before the
 // next one if there are perSecond grants per second at equal distances. For large rates
 // it is half a grant below the average; for small ones it makes the rate exact, where
@@ -120,6 +134,7 @@
 	}
 	s.allocatedAt, s.dividedOnce = now, true
 	clear(s.allocations)
+	clear(s.demands)
 	demands := s.demandsByRank(now)
 	ranks := make([]int, 0, len(demands))
 	for rank := range demands {
@@ -131,6 +146,7 @@
 		a := allocate(capacity, list)
 		for _, d := range list {
 			capacity -= a.share(d)
+			s.demands[rank] += d
 		}
 		if len(list) < 2 {
 			a = allocation{level: math.Inf(1), minRatio: 1}
