dispatch: bound the trials of each class and pool

The trials of one class filled the bound on all, so that a class whose trials had timed out was never tried. Trials in flight are counted per class too, a class without a place is tried once a second, and failed or abandoned trials reduce it. An estimate of fewer than 3 samples does not refuse requests without a trial, and a trial's sample is at most 3 times an existing average. Hedges are no trials.

--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -21,6 +21,8 @@
 type class struct {
 	missAverage, hitAverage   time.Duration
 	missObserved, hitObserved bool
+	// missSamples and hitSamples count the observations in the averages.
+	missSamples, hitSamples int
 	// missConfirmedAt and hitConfirmedAt are the times of the last observations.
 	missConfirmedAt, hitConfirmedAt time.Duration
 	answerBytes                     int64
@@ -81,19 +83,19 @@
 		c.observeSlowness(g, s, now, elapsed)
 	}
 	normalized := time.Duration(float64(elapsed) / s.slowness)
-	if typical := c.observedTime(g.heldObject); g.reportsPercent() && typical > 0 && !g.trial {
+	if typical := c.observedTime(g.heldObject); typical > 0 && (g.trial || g.reportsPercent()) {
 		normalized = min(normalized, time.Duration(maxSampleRatio*float64(typical)))
 	}
-	// A trial replaces the estimate that it was granted against: the moving average would
-	// need many trials to reach the present time.
 	if g.heldObject {
-		c.hitAverage = movingAverage(c.hitAverage, normalized, c.hitObserved && !g.trial)
+		replace := !c.hitObserved || g.replacesEstimate(c.hitConfirmedAt)
+		c.hitAverage, c.hitSamples = averageWith(c.hitAverage, c.hitSamples, normalized, replace, g.trial)
 		c.hitObserved, c.hitConfirmedAt = true, now
 	} else {
-		c.missAverage = movingAverage(c.missAverage, normalized, c.missObserved && !g.trial)
+		replace := !c.missObserved || g.replacesEstimate(c.missConfirmedAt)
+		c.missAverage, c.missSamples = averageWith(c.missAverage, c.missSamples, normalized, replace, g.trial)
 		c.missObserved, c.missConfirmedAt = true, now
 	}
-	c.trials.timeouts = 0
+	c.trials.timeouts, c.trials.failures = 0, 0
 }
 
 // observedTime returns the observed service time with or without the object, 0 if there
@@ -137,11 +139,24 @@
 	s.slownessAt = now
 }
 
-func movingAverage(average, sample time.Duration, initialized bool) time.Duration {
-	if !initialized {
-		return sample
+// replacesEstimate reports whether the time of the request replaces an estimate that was
+// last confirmed at a time: a trial replaces the one that it was granted against, as the
+// moving average would need many trials to reach the present time.
+func (g *grant) replacesEstimate(confirmedAt time.Duration) bool {
+	return g.trial && confirmedAt <= g.sentAt
+}
+
+// averageWith returns a moving average and its number of samples with one more sample. The
+// first trials count equally: they are sent together, and the first to end may be an outlier.
+func averageWith(average time.Duration, samples int, sample time.Duration, replace, trial bool) (time.Duration, int) {
+	if replace {
+		return sample, 1
+	}
+	gain := estimateGain
+	if trial {
+		gain = max(gain, 1/float64(samples+1))
 	}
-	return average + time.Duration(estimateGain*float64(sample-average))
+	return average + time.Duration(gain*float64(sample-average)), samples + 1
 }
 
 // Maintain is to be called a few times a second. It lets the slowness of idle servers
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,7 +13,7 @@
 // A request is never sent to a server that is draining, leaving, evacuated, excluded,
 // outside the allowed regions or cold with its rate used up, and never granted if the best
 // server is not expected to answer before the deadline, unless that expectation is an
-// assumption or old and the request serves as a trial; see trialFor. When no other server is
+// assumption, old or of few samples and the request serves as a trial; see trialFor. When no other server is
 // usable, the limit on shifts between regions and then the exclusion of servers marked
 // down are ignored; see Limits.
 //
@@ -416,9 +416,7 @@
 		expectedService: est.service, deadline: r.Deadline, unqueued: load < float64(s.slots), trial: est.trial, factor: s.reportedFactor,
 	}
 	p.grants[p.lastGrantID] = g
-	if g.trial {
-		p.trialsInFlight++
-	}
+	p.countTrial(g, 1)
 	s.inflight++
 	s.tried = true
 	if s.place.foreign {
@@ -463,7 +461,7 @@
 func (p *Pool) currentOccupancy(now time.Duration) float64 {
 	load, slots := 0.0, 0.0
 	for _, s := range p.list {
-		if !s.draining && !s.replaced && !s.leaving(now) && !s.evacuated && s.available(now) {
+		if s.takesRequests(now) {
 			load += min(s.load(now), float64(s.slots))
 			slots += float64(s.slots)
 		}
@@ -502,6 +500,7 @@
 	s := g.server
 	key := objectKey(g.class, g.key)
 	p.observePace(now, g, r)
+	p.recordTrialFailure(g, r)
 	p.class(g.class, 0).observeHedgeRatio(g, r)
 	switch r.Result {
 	case Served:
@@ -567,9 +566,7 @@
 // removeGrant takes a grant out of the pool and out of the load of its server.
 func (p *Pool) removeGrant(now time.Duration, id uint64, g *grant) {
 	delete(p.grants, id)
-	if g.trial {
-		p.trialsInFlight--
-	}
+	p.countTrial(g, -1)
 	g.server.removeGrant(now, g)
 }
 
--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -82,11 +82,11 @@
 		c := p.class(t.Class, 0)
 		if !c.missObserved && t.MissMillis > 0 {
 			c.missAverage, c.missObserved = time.Duration(t.MissMillis*float64(time.Millisecond)), true
-			c.missConfirmedAt = now
+			c.missSamples, c.missConfirmedAt = confirmedSamples, now
 		}
 		if !c.hitObserved && t.HitMillis > 0 {
 			c.hitAverage, c.hitObserved = time.Duration(t.HitMillis*float64(time.Millisecond)), true
-			c.hitConfirmedAt = now
+			c.hitSamples, c.hitConfirmedAt = confirmedSamples, now
 		}
 	}
 	for _, h := range k.Servers {
@@ -114,9 +114,11 @@
 	}
 	c := p.class(className, 0)
 	if other.missObserved && (!c.missObserved || other.missConfirmedAt-c.missConfirmedAt >= estimateMaxAge) {
-		c.missAverage, c.missObserved, c.missConfirmedAt = other.missAverage, true, other.missConfirmedAt
+		c.missAverage, c.missObserved = other.missAverage, true
+		c.missSamples, c.missConfirmedAt = other.missSamples, other.missConfirmedAt
 	}
 	if other.hitObserved && (!c.hitObserved || other.hitConfirmedAt-c.hitConfirmedAt >= estimateMaxAge) {
-		c.hitAverage, c.hitObserved, c.hitConfirmedAt = other.hitAverage, true, other.hitConfirmedAt
+		c.hitAverage, c.hitObserved = other.hitAverage, true
+		c.hitSamples, c.hitConfirmedAt = other.hitSamples, other.hitConfirmedAt
 	}
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -195,6 +195,11 @@
 	return now >= s.downUntil && s.inflight == 0
 }
 
+// takesRequests reports whether the server takes requests and is expected to answer.
+func (s *server) takesRequests(now time.Duration) bool {
+	return !s.draining && !s.replaced && !s.leaving(now) && !s.evacuated && s.available(now)
+}
+
 func (s *server) failureRate(now time.Duration) float64 {
 	if s.lastFailureRate == 0 {
 		return 0
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -104,6 +104,19 @@
 	g.Expect(res.Decision.HedgeDelay).To(BeZero(), "nothing is learned")
 }
 
+// TestHedgeIsNoTrial guards against a hedge that takes the only trial of its class and is
+// then not sent, as its answer is not expected in time.
+func TestHedgeIsNoTrial(t *testing.T) {
+	g := NewWithT(t)
+	f := startGateway(t, startBackend(t, answerOK))
+	pr := &pendingRequest{
+		service: "s", route: &routetable.Route{Kind: routetable.Idempotent, MaxAttempts: 2}, request: &Request{},
+		objective: time.Now().Add(time.Second), deadline: time.Now().Add(time.Second),
+	}
+	g.Expect(f.g.acquireParams(pr, true, nil).NoTrial).To(BeTrue())
+	g.Expect(f.g.acquireParams(pr, false, nil).NoTrial).To(BeFalse())
+}
+
 // serverStates returns the state of the backend servers in the shared pool.
 func (f *fixture) serverStates() map[string]dispatch.ServerState {
 	sel := f.g.selector
