dispatch, gateway: count only attempts that are sent in the shares

A hedge was granted before the retry budget was checked, and its usage stayed in the shares when it was not sent: a workspace with many slow requests was then refused for its share. The budget is checked first, and an attempt that was not sent takes its usage back. The field Hedge becomes SecondAttempt (its JSON name stays) and is set for retries after an attempt that may have run too: their refusal reaches no caller, so that they took places in the schedule for nobody.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,9 +79,9 @@
 	Exclude []string
 	// Allowed lists the regions that may serve; empty allows all.
 	Allowed []string
-	// Hedge is set for an attempt beside another one. Its refusal reaches no caller, so
-	// that no return is scheduled.
-	Hedge bool
+	// SecondAttempt is set for an attempt beside or after one that may have run. Its
+	// refusal reaches no caller, so that no return is scheduled, and it is no return.
+	SecondAttempt bool
 }
 
 // Decision is a granted server or, if Refused is set, a refusal. Entry hosts send it
@@ -244,6 +244,8 @@
 	unqueued      bool       // no request waited or ran above the slots when it was sent
 	factor        timeFactor // reported by the server before the request was sent
 	trial         bool       // it was granted although its estimate was late
+	rank          int
+	workspace     string
 }
 
 // RequestedObject is an object that was requested from a server not assumed to hold
@@ -412,7 +414,7 @@
 	p.lastGrantID++
 	load := s.load(now)
 	g := &grant{
-		server: s, key: r.Key, class: r.Class, heldObject: est.holdsObject, sentAt: now, wait: est.wait,
+		server: s, key: r.Key, class: r.Class, rank: r.Rank, workspace: r.Workspace, heldObject: est.holdsObject, sentAt: now, wait: est.wait,
 		expectedService: est.service, deadline: r.Deadline, unqueued: load < float64(s.slots), trial: est.trial, factor: s.reportedFactor,
 	}
 	p.grants[p.lastGrantID] = g
@@ -481,7 +483,7 @@
 	}
 	p.removeGrant(now, id, g)
 	s := g.server
-	p.scarcity.ended(now, r.Result)
+	p.scarcity.ended(now, g, r)
 	if r.Leaving && r.StartedAtMillis == s.startedAtMillis {
 		p.markLeaving(s.id, leavingMark{startedAtMillis: s.startedAtMillis, until: now + serverhold.LeavingTime, reported: true})
 	}
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	c.shares.Arrived(now, r.Rank, r.Workspace)
-	return !r.Hedge && c.returns.claim(now, r)
+	return !r.SecondAttempt && c.returns.claim(now, r)
 }
 
 func (c *scarcity) granted(now time.Duration, r Request) {
@@ -52,14 +52,19 @@
 	}
 }
 
-// ended counts a request that has freed a slot. One that was refused by its server or not
-// sent had none.
-func (c *scarcity) ended(now time.Duration, result Result) {
-	if c == nil || result != Served && result != Failed && result != TimedOut {
+// ended counts a request that has freed a slot. One that was refused by its server had
+// none, and one that was not sent counts neither as demand nor as usage of its workspace.
+func (c *scarcity) ended(now time.Duration, g *grant, r Report) {
+	if c == nil {
 		return
 	}
-	c.finished.Add(now, finishedTimeConstant)
-	c.recentlyFinished.Add(now, recentlyFinishedTimeConstant)
+	if r.Result == Abandoned && r.Elapsed == 0 {
+		c.shares.Withdrawn(now, g.sentAt, g.rank, g.workspace)
+	}
+	if r.Result == Served || r.Result == Failed || r.Result == TimedOut {
+		c.finished.Add(now, finishedTimeConstant)
+		c.recentlyFinished.Add(now, recentlyFinishedTimeConstant)
+	}
 }
 
 // capacity returns the requests per second that are divided between workspaces.
@@ -100,7 +105,7 @@
 	switch {
 	case d.Refused == "":
 		p.scarcity.granted(now, r)
-	case p.scarcity != nil && d.Refused != NoServer && !r.Hedge:
+	case p.scarcity != nil && d.Refused != NoServer && !r.SecondAttempt:
 		d.RetryAfter = p.scarcity.retryAfter(now, r)
 	}
 	return d
--- a/internal/dispatch/scarcity_test.go
+++ b/internal/dispatch/scarcity_test.go
@@ -288,7 +288,7 @@
 		r.Workspace = "hot"
 		p.scarcity.arrived(at, r)
 		p.scarcity.granted(at, r)
-		p.scarcity.ended(at, Served)
+		p.scarcity.ended(at, &grant{}, Report{Result: Served})
 	}
 	for range inFlight {
 		p.grant(now, request(now, ""), p.servers["a"], estimate{service: 200 * ms})
@@ -341,7 +341,7 @@
 	}{
 		{"returns", nil, 10, ""},
 		{"a new caller", func(_ *Pool, _ time.Duration, r *Request) { r.Key = "other" }, 10, Overload},
-		{"a hedge", func(_ *Pool, _ time.Duration, r *Request) { r.Hedge = true }, 10, Overload},
+		{"a second attempt", func(_ *Pool, _ time.Duration, r *Request) { r.SecondAttempt = true }, 10, Overload},
 		{"slots were lost", nil, 13, Overload},
 		{"a more urgent rank is active", func(p *Pool, now time.Duration, r *Request) { p.lastRequestByRank[0], r.Rank = now, 1 }, 10, Overload},
 		{"its deadline is near", func(_ *Pool, now time.Duration, r *Request) { r.Deadline = now + 250*ms }, 10, Late},
@@ -363,6 +363,37 @@
 	}
 }
 
+// TestUnsentAttemptTakesBackItsUsage guards against a workspace that is refused for the
+// usage of hedges that were granted and not sent.
+func TestUnsentAttemptTakesBackItsUsage(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		report Report
+		want   bool
+	}{
+		{"not sent", Report{Result: Abandoned}, false},
+		{"sent, then abandoned", Report{Result: Abandoned, Elapsed: 50 * ms}, true},
+		{"served", Report{Result: Served, Elapsed: 50 * ms}, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			p := New(Options{Region: "r", Shared: true, Limits: DefaultLimits, Scheduled: true})
+			p.Update(0, backends(20), nil, 5, 3*time.Second)
+			now := time.Second
+			for range 50 {
+				r := workspaceRequest(now, "w", "")
+				r.SecondAttempt = true
+				p.Release(now, p.Acquire(now, r).Grant, c.report)
+			}
+			for range 20 {
+				p.scarcity.arrived(now, workspaceRequest(now, "w", ""))
+				p.scarcity.arrived(now, workspaceRequest(now, "x", ""))
+			}
+			g.Expect(p.scarcity.shares.Above(now, 0, "w", 10)).To(Equal(c.want))
+		})
+	}
+}
+
 // TestShortRegion guards against workspaces that get nothing in a region with less than
 // half of the slots that its 88 workspaces ask for, of which it then loses a further half.
 func TestShortRegion(t *testing.T) {
--- a/internal/dispatch/unchanged_test.go
+++ b/internal/dispatch/unchanged_test.go
@@ -64,7 +64,7 @@
 				r := request(now, fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")))
 				r.Rank = rapid.IntRange(0, 2).Draw(t, "rank")
 				want := acquireWithoutOptions(before, now, r)
-				r.Workspace, r.Hedge = rapid.SampledFrom([]string{"", "v", "w"}).Draw(t, "workspace"), rapid.Bool().Draw(t, "hedge")
+				r.Workspace, r.SecondAttempt = rapid.SampledFrom([]string{"", "v", "w"}).Draw(t, "workspace"), rapid.Bool().Draw(t, "second")
 				got := after.Acquire(now, r)
 				if got != want {
 					t.Fatalf("at %v: %+v, before %+v", now, got, want)
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -76,6 +76,14 @@
 	}
 }
 
+// Withdrawn takes back a request that arrived and was granted at a time, and was not sent.
+func (s *Shares) Withdrawn(now, grantedAt time.Duration, rank int, name string) {
+	if w := s.workspaces[workspaceKey{rank, name}]; w != nil {
+		w.demand.Remove(now, grantedAt, timeConstant)
+		w.usage.Remove(now, grantedAt, timeConstant)
+	}
+}
+
 // Share returns the rate in requests per second that a workspace gets of a capacity, and
 // whether its demand exceeds it. capacity is in requests per second.
 func (s *Shares) Share(now time.Duration, rank int, name string, capacity float64) (perSecond float64, limited bool) {
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -168,6 +168,19 @@
 	g.Expect(alone.granted["u1"]).To(Equal(alone.arrived["u1"]), "there is none to share with")
 }
 
+// TestWithdrawnRequests guards against requests that are taken back later and still count,
+// or that reduce the count of others.
+func TestWithdrawnRequests(t *testing.T) {
+	g := NewWithT(t)
+	var r Rate
+	r.Add(0, time.Second)
+	r.Add(0, time.Second)
+	r.Remove(500*time.Millisecond, 0, time.Second)
+	g.Expect(r.Count(time.Second, time.Second)).To(BeNumerically("~", math.Exp(-1), 1e-9))
+	r.Remove(time.Second, time.Second, time.Second)
+	g.Expect(r.Count(time.Second, time.Second)).To(BeZero())
+}
+
 // TestMemory guards against workspaces without recent requests that stay, and against a
 // number of workspaces without a bound.
 func TestMemory(t *testing.T) {
--- a/internal/fairshare/rate.go
+++ b/internal/fairshare/rate.go
@@ -17,6 +17,12 @@
 	r.count, r.at = r.Count(now, timeConstant)+1, max(now, r.at)
 }
 
+// Remove takes back an event that was counted at a time.
+func (r *Rate) Remove(now, addedAt, timeConstant time.Duration) {
+	weight := math.Exp(-float64(now-addedAt) / float64(timeConstant))
+	r.count, r.at = max(r.Count(now, timeConstant)-weight, 0), max(now, r.at)
+}
+
 // Count returns the decayed number of events, which at a constant rate is the number
 // in one time constant.
 func (r *Rate) Count(now, timeConstant time.Duration) float64 {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -94,7 +94,11 @@
 			if ctx.Err() != nil {
 				return g.answerExpired(ctx, pr)
 			}
-			dec, ok := g.acquireRetry(ctx, pr, a, budget)
+			kind := freshAttempt
+			if anyMayHaveRun {
+				kind = retryAttempt
+			}
+			dec, ok := g.acquireRetry(ctx, pr, a, budget, kind)
 			if ok {
 				a.end()
 				startAttempt(dec)
@@ -111,7 +115,7 @@
 	if answer, outcome := g.takeToken(ctx, pr); answer != nil {
 		return decision{}, answer, outcome
 	}
-	dec := g.acquire(ctx, pr, false)
+	dec := g.acquire(ctx, pr, freshAttempt)
 	if dec.Refused != "" {
 		answer, outcome := g.answerRefused(ctx, pr, dec)
 		return dec, answer, outcome
@@ -140,12 +144,23 @@
 	}()
 }
 
-// acquire selects a backend server for the next attempt of a request. hedge is set if
-// another attempt is running.
-func (g *Gateway) acquire(ctx context.Context, pr *pendingRequest, hedge bool) decision {
+// attemptKind is the kind of an attempt by those before it.
+type attemptKind int
+
+const (
+	// freshAttempt is one before which the request has certainly not run.
+	freshAttempt attemptKind = iota
+	// retryAttempt follows an attempt that may have run.
+	retryAttempt
+	// hedgeAttempt runs beside another one.
+	hedgeAttempt
+)
+
+// acquire selects a backend server for the next attempt of a request.
+func (g *Gateway) acquire(ctx context.Context, pr *pendingRequest, kind attemptKind) decision {
 	for range maxUnsentAttempts { // here a bound on decisions; nothing is sent
 		held := g.holds.held()
-		dec := g.selector.Acquire(ctx, g.acquireParams(pr, hedge, held))
+		dec := g.selector.Acquire(ctx, g.acquireParams(pr, kind, held))
 		if dec.Refused != "" {
 			if len(held) > 0 {
 				g.setHeldRetryAfter(pr, &dec)
@@ -172,14 +187,14 @@
 // acquireParams returns what a pool needs to know about the next attempt of a request. held
 // are the servers that this host sends no requests. A hedge is no trial: it would take the
 // trial of its class although it is sent only if its answer is expected in time.
-func (g *Gateway) acquireParams(pr *pendingRequest, hedge bool, held []string) AcquireParams {
+func (g *Gateway) acquireParams(pr *pendingRequest, kind attemptKind, held []string) AcquireParams {
 	return AcquireParams{
 		Service: pr.service, Class: pr.route.Name, Key: g.requestAffinity(pr),
-		Hedge: hedge,
-		Host:  g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
+		SecondAttempt: kind != freshAttempt,
+		Host:          g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
 		Rank: pr.rank, Workspace: pr.workspaceName(), Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
 		ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
-		NoTrial: hedge || g.endsBefore(pr.deadline), NoHedge: !mayHedge(pr),
+		NoTrial: kind == hedgeAttempt || g.endsBefore(pr.deadline), NoHedge: !mayHedge(pr),
 		Exclude: slices.Concat(pr.exclude, held), Allowed: pr.regions,
 	}
 }
@@ -300,12 +315,16 @@
 		}
 	}
 	g.recordBound(a)
+	elapsed := a.elapsed - a.reply.connectTime
+	if a.reply.result == dispatch.Abandoned && !a.reply.mayHaveRun {
+		elapsed = 0 // it was not sent
+	}
 	bytes := int64(0)
 	if a.reply.answer != nil {
 		bytes = int64(len(a.reply.answer.Body))
 	}
 	g.selector.Release(a.decision, dispatch.Report{
-		Bytes: bytes, Result: a.reply.result, Elapsed: a.elapsed - a.reply.connectTime, Connect: a.reply.connectTime, Load: a.reply.load,
+		Bytes: bytes, Result: a.reply.result, Elapsed: elapsed, Connect: a.reply.connectTime, Load: a.reply.load,
 		Leaving: a.reply.signals.leaving, StartedAtMillis: startedAt,
 	})
 }
@@ -353,10 +372,10 @@
 // is not expected before the objective, or the workspace has no token. A late hedge has
 // until the deadline, but needs an occupancy of at most lateHedgeMaxOccupancy.
 func (g *Gateway) hedge(ctx context.Context, pr *pendingRequest, budget *retry.Budget, late bool) (decision, bool) {
-	if pr.sentAttempts+1 >= pr.route.MaxAttempts || g.keyRevoked(pr) || !g.tryToken(pr) {
+	if pr.sentAttempts+1 >= pr.route.MaxAttempts || g.keyRevoked(pr) || !g.hasHedgeBudget(pr, budget) || !g.tryToken(pr) {
 		return decision{}, false
 	}
-	dec := g.acquire(ctx, pr, true)
+	dec := g.acquire(ctx, pr, hedgeAttempt)
 	if dec.Refused != "" {
 		g.returnToken(pr)
 		return dec, false
@@ -388,9 +407,19 @@
 	return b.CanTake()
 }
 
+// hasHedgeBudget reports whether the retry budget allows a hedge, before a server is
+// granted for it. It counts a denied one.
+func (g *Gateway) hasHedgeBudget(pr *pendingRequest, b *retry.Budget) bool {
+	if g.hasBudget(b) {
+		return true
+	}
+	g.cfg.Metrics.retry(pr.service, false)
+	return false
+}
+
 // acquireRetry selects a server for another attempt after a failed one. It reports
 // false if none is allowed or possible.
-func (g *Gateway) acquireRetry(ctx context.Context, pr *pendingRequest, a *attempt, budget *retry.Budget) (decision, bool) {
+func (g *Gateway) acquireRetry(ctx context.Context, pr *pendingRequest, a *attempt, budget *retry.Budget, kind attemptKind) (decision, bool) {
 	if pr.request.Rest != nil || a.reply.mayHaveRun && !pr.route.Kind.Repeatable() {
 		return decision{}, false
 	}
@@ -406,7 +435,7 @@
 		pr.budgetEmpty = true
 		return decision{}, false
 	}
-	dec := g.acquire(ctx, pr, false)
+	dec := g.acquire(ctx, pr, kind)
 	if dec.Refused == "" && !g.renewToken(pr) {
 		g.releaseUnused(dec)
 		return dec, false
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
+	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/routetable"
 )
 
@@ -104,17 +105,45 @@
 	g.Expect(res.Decision.HedgeDelay).To(BeZero(), "nothing is learned")
 }
 
-// TestHedgeIsNoTrial guards against a hedge that takes the only trial of its class and is
-// then not sent, as its answer is not expected in time.
-func TestHedgeIsNoTrial(t *testing.T) {
+// TestKindsOfAttempts guards against a hedge that takes the only trial of its class and is
+// then not sent, and against a second attempt that takes the place in the schedule of a
+// caller.
+func TestKindsOfAttempts(t *testing.T) {
+	f := startGateway(t, startBackend(t, answerOK))
+	for _, c := range []struct {
+		desc            string
+		kind            attemptKind
+		noTrial, second bool
+	}{
+		{"first attempt", freshAttempt, false, false},
+		{"retry", retryAttempt, false, true},
+		{"hedge", hedgeAttempt, true, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			pr := &pendingRequest{
+				service: "s", route: &routetable.Route{Kind: routetable.Idempotent, MaxAttempts: 2}, request: &Request{},
+				objective: time.Now().Add(time.Second), deadline: time.Now().Add(time.Second),
+			}
+			p := f.g.acquireParams(pr, c.kind, nil)
+			g.Expect(p.NoTrial).To(Equal(c.noTrial))
+			g.Expect(f.g.selector.poolRequest(p).SecondAttempt).To(Equal(c.second))
+		})
+	}
+}
+
+// TestHedgeWithoutBudget guards against a server that is granted for a hedge which the
+// retry budget then denies: the grant counts as load and as usage until it is released.
+func TestHedgeWithoutBudget(t *testing.T) {
 	g := NewWithT(t)
 	f := startGateway(t, startBackend(t, answerOK))
 	pr := &pendingRequest{
-		service: "s", route: &routetable.Route{Kind: routetable.Idempotent, MaxAttempts: 2}, request: &Request{},
+		service: "s", route: &routetable.Route{Name: "get", Kind: routetable.Idempotent, MaxAttempts: 2}, request: &Request{},
 		objective: time.Now().Add(time.Second), deadline: time.Now().Add(time.Second),
 	}
-	g.Expect(f.g.acquireParams(pr, true, nil).NoTrial).To(BeTrue())
-	g.Expect(f.g.acquireParams(pr, false, nil).NoTrial).To(BeFalse())
+	dec, ok := f.g.hedge(context.Background(), pr, retry.NewEmptyBudget(0, 1), false)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(dec.Server).To(BeEmpty(), "no server is granted")
 }
 
 // serverStates returns the state of the backend servers in the shared pool.
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -103,8 +103,9 @@
 	Allowed         []string `json:"allowed,omitempty"`
 	// Workspace is the name of the request's workspace, "" if it has none.
 	Workspace string `json:"workspace,omitempty"`
-	// Hedge is set for an attempt beside another one, whose refusal reaches no caller.
-	Hedge bool `json:"hedge,omitempty"`
+	// SecondAttempt is set for an attempt beside or after one that may have run. Its refusal
+	// reaches no caller.
+	SecondAttempt bool `json:"hedge,omitempty"`
 }
 
 // ReleaseParams releases a grant and reports how its request ended.
@@ -504,7 +505,7 @@
 	return dispatch.Request{
 		Class: p.Class, Key: p.Key, Workspace: p.Workspace, Host: p.Host, FailureDomain: p.FailureDomain, Rank: p.Rank, Bytes: p.Bytes,
 		Objective: now + fromMillis(p.ObjectiveMillis), Deadline: now + fromMillis(p.RemainingMillis), NoTrial: p.NoTrial, NoHedge: p.NoHedge,
-		Exclude: p.Exclude, Allowed: p.Allowed, Hedge: p.Hedge,
+		Exclude: p.Exclude, Allowed: p.Allowed, SecondAttempt: p.SecondAttempt,
 	}
 }
 
