quota: ask elsewhere before asking the own issuer again

A host whose issuer had no tokens asked it again at once, and so did not ask another region. Unknown workspaces get 503 instead of 429, and requests wait for at least 20 ms.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -25,6 +25,9 @@
 	// tokenWaitFraction is the part of the time to a request's objective for which it
 	// waits for a token.
 	tokenWaitFraction = 0.25
+	// minTokenWait is the least time for which a request waits, also after its objective:
+	// a few round trips within the region.
+	minTokenWait = 20 * time.Millisecond
 )
 
 // QuotaConfig enables quotas.
@@ -157,7 +160,7 @@
 	}
 	limit := quota.Limit{RatePerSecond: pr.workspace.RatePerSecond, Burst: pr.workspace.Burst}
 	wait := time.Duration(tokenWaitFraction * float64(time.Until(pr.objective)))
-	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, wait)
+	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, max(wait, minTokenWait))
 	switch r.Verdict {
 	case quota.Granted:
 		pr.token, pr.hasToken = r.Token, true
@@ -234,7 +237,7 @@
 	now := q.now()
 	q.lastID++
 	id := q.lastID
-	r := q.client.Request(now, id, workspace, l, now+max(wait, 0))
+	r := q.client.Request(now, id, workspace, l, now+wait)
 	if r.Verdict != quota.Waiting {
 		q.arm(now)
 		q.mu.Unlock()
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -218,6 +218,9 @@
 	c.resolve(now)
 	var list []Message
 	target := c.target(now)
+	if len(c.waiters) > 0 {
+		list = c.askElsewhere(now, list)
+	}
 	if now >= c.nextTick && c.wallet.Active() {
 		c.nextTick = now + FetchPeriod
 		wants := c.wallet.Wants(now, target)
@@ -227,16 +230,12 @@
 			c.wallet.Failed(LendRequest{Wants: wants})
 		}
 	}
-	if len(c.waiters) == 0 {
-		return list
-	}
-	if target != "" && now >= c.nextUrgent && !c.urgentInFlight() {
+	if len(c.waiters) > 0 && target != "" && now >= c.nextUrgent && !c.urgentInFlight() {
 		if wants := c.wallet.UrgentWants(now, target); len(wants) > 0 {
-			c.nextUrgent = now + urgentSpacing
 			list = append(list, c.message(now, urgent, target, wants))
 		}
 	}
-	return c.askElsewhere(now, list)
+	return list
 }
 
 // askElsewhere appends the message to another region for what the own one lacks.
@@ -274,6 +273,9 @@
 	if kind == periodic && slices.ContainsFunc(wants, func(w Want) bool { return w.Urgent > 0 }) {
 		kind = urgent
 	}
+	if kind == urgent {
+		c.nextUrgent = now + urgentSpacing
+	}
 	c.lastID++
 	m := Message{ID: c.lastID, Region: region, Wants: wants, Tenure: c.wallet.tenures[region], kind: kind, sentAt: now}
 	c.messages[m.ID] = &m
--- a/internal/quota/fetch.go
+++ b/internal/quota/fetch.go
@@ -29,13 +29,10 @@
 func (w *Wallet) UrgentWants(now time.Duration, region string) []Want {
 	var wants []Want
 	for name, a := range w.accounts {
-		if a.waiting == 0 {
-			continue
-		}
 		a.dropExpired(now)
-		a.count(now)
-		if want := w.want(now, name, a, region); want.Tokens > 0 {
-			wants = append(wants, want)
+		if a.missing() > 0 {
+			a.count(now)
+			wants = append(wants, w.want(now, name, a, region))
 		}
 	}
 	return sorted(wants)
@@ -71,7 +68,8 @@
 			continue
 		}
 		a.elsewhere = false
-		if missing := a.waiting - a.left() - a.requested; missing > 0 {
+		a.dropExpired(now)
+		if missing := a.missing(); missing > 0 {
 			a.requested += missing
 			wants = append(wants, Want{Workspace: name, Tokens: missing, Urgent: missing})
 		}
@@ -79,6 +77,9 @@
 	return sorted(wants)
 }
 
+// missing returns the number of requests for whose tokens nobody was asked.
+func (a *account) missing() int { return a.waiting - a.left() - a.requested }
+
 // MissingWants returns what waiting requests lack, without what was requested.
 func (w *Wallet) MissingWants(now time.Duration) []Want {
 	var wants []Want
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -16,6 +16,10 @@
 // requests only. Hosts fetch ahead for aheadTime, and tokens that they do not use are lost.
 const minAheadValidity = 200 * time.Millisecond
 
+// unknownRetry is the time after which callers of a workspace that the issuer does not know
+// yet may retry.
+const unknownRetry = 250 * time.Millisecond
+
 // Issuer mints and lends the tokens of one region. A new one has no tokens: it does not
 // know what an earlier issuer lent. It may be used only while Tenure.Holds.
 type Issuer struct {
@@ -131,7 +135,11 @@
 		m := i.workspaces[w.Workspace]
 		if m == nil {
 			// This host's configuration does not limit the workspace: it may be older.
-			reply.Loans = append(reply.Loans, Loan{Workspace: w.Workspace, Empty: w.Urgent > 0, Elsewhere: true})
+			if w.Urgent > 0 {
+				reply.Loans = append(reply.Loans, Loan{
+					Workspace: w.Workspace, Empty: true, Elsewhere: true, Fresh: true, RetryMillis: unknownRetry.Milliseconds(), StepMicros: 1000,
+				})
+			}
 			continue
 		}
 		m.advance(now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// TestUnknownWorkspace guards against a caller that is told that its quota is used up while
+// the issuer has an older configuration.
+func TestUnknownWorkspace(t *testing.T) {
+	g := NewWithT(t)
+	c := NewClient("r", NewSafeShares(0, testBounds, 1))
+	c.SetIssuers([]string{"r"})
+	c.Request(0, 1, "new", Limit{100, 100}, time.Second)
+	m := c.Messages(0)[0]
+	c.Answered(0, m.ID, newTestIssuer(Limit{30, 30}).Lend(0, LendRequest{Wants: m.Wants}))
+	c.Messages(0)
+	r := c.Resolved()[0]
+	g.Expect(r.Verdict).To(Equal(NoIssuer))
+	g.Expect(r.RetryAfter).To(BeNumerically("~", unknownRetry, 2*time.Millisecond))
+}
+
 // TestTokensOfAttempts guards against a token that two attempts use, and one that is used
 // again although its issuer takes it to be spent.
 func TestTokensOfAttempts(t *testing.T) {
