--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -25,6 +25,9 @@
 	// tokenWaitFraction is the part of the time to a request's objective for which it
 	// waits for a token.
 	tokenWaitFraction = 0.25
+	// minTokenWait is the least time for which a request waits, also after its objective:
+	// a few round trips within the region.
+	minTokenWait = 20 * time.Millisecond
 )
 
 // QuotaConfig enables quotas.
@@ -129,6 +132,25 @@
 	q.client.SetIssuers(regions)
 }
 
+// begin takes a token and selects a backend server for the first attempt. It returns an
+// answer if one of them is lacking.
+func (g *Gateway) begin(ctx context.Context, pr *pendingRequest) (decision, *Answer, string) {
+	if answer, outcome := g.takeToken(ctx, pr); answer != nil {
+		return decision{}, answer, outcome
+	}
+	dec := g.acquire(ctx, pr, freshAttempt)
+	if dec.Refused != "" {
+		answer, outcome := g.answerRefused(ctx, pr, dec)
+		return dec, answer, outcome
+	}
+	if !g.renewToken(pr) {
+		g.releaseUnused(dec)
+		answer, outcome := refusalWithoutIssuer(0)
+		return dec, answer, outcome
+	}
+	return dec, nil, ""
+}
+
 // takeToken takes the token for the next attempt of a request, and waits for one if
 // necessary. It returns an answer if there is none. A request of no workspace, or of one
 // without a limit, needs none.
@@ -138,7 +160,7 @@
 	}
 	limit := quota.Limit{RatePerSecond: pr.workspace.RatePerSecond, Burst: pr.workspace.Burst}
 	wait := time.Duration(tokenWaitFraction * float64(time.Until(pr.objective)))
-	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, wait)
+	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, max(wait, minTokenWait))
 	switch r.Verdict {
 	case quota.Granted:
 		pr.token, pr.hasToken = r.Token, true
@@ -215,7 +237,7 @@
 	now := q.now()
 	q.lastID++
 	id := q.lastID
-	r := q.client.Request(now, id, workspace, l, now+max(wait, 0))
+	r := q.client.Request(now, id, workspace, l, now+wait)
 	if r.Verdict != quota.Waiting {
 		q.arm(now)
 		q.mu.Unlock()
