dispatch: divide scarce slots as the requirements say

Failures free no slots. - Requests of a limited workspace claim promises at most at the rate of its share: new requests without an object look like returns. - A limited workspace queues only up to 1.1 requests per slot, so that the others are not refused for the load. - A return does not wait in a queue while a more urgent rank is active, and the occupancy is that of the regions that may serve the request. - A late refusal makes no promise if the answer would be late again. - A first observation that is no trial confirms the estimate as before.

--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -21,7 +21,7 @@
 type class struct {
 	missAverage, hitAverage   time.Duration
 	missObserved, hitObserved bool
-	// missSamples and hitSamples count the observations in the averages.
+	// missSamples and hitSamples count the observations in the averages; see averageWith.
 	missSamples, hitSamples int
 	// missConfirmedAt and hitConfirmedAt are the times of the last observations.
 	missConfirmedAt, hitConfirmedAt time.Duration
@@ -148,10 +148,14 @@
 
 // averageWith returns a moving average and its number of samples with one more sample. The
 // first trials count equally: they are sent together, and the first to end may be an outlier.
+// A first sample that is no trial confirms what was expected of it.
 func averageWith(average time.Duration, samples int, sample time.Duration, replace, trial bool) (time.Duration, int) {
-	if replace {
+	if replace && trial {
 		return sample, 1
 	}
+	if replace {
+		return sample, confirmedSamples
+	}
 	gain := estimateGain
 	if trial {
 		gain = max(gain, 1/float64(samples+1))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -298,6 +298,7 @@
 	}
 	slices.SortFunc(p.list, func(a, b *server) int { return strings.Compare(a.id, b.id) })
 	p.orderForeignServers()
+	p.scarcity.setSlots(p.list)
 	for _, s := range joined {
 		p.paceJoinedServer(now, s)
 	}
@@ -311,17 +312,17 @@
 	if now-p.occupancyAt > maxOccupancyAge {
 		p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
 	}
+	defer p.restrictOccupancy(now, r)()
 	best, est := p.choose(now, r, c, healthyServers)
 	if best == nil {
 		// A server that is marked down is better than none.
 		best, est = p.choose(now, r, c, anyServer)
 	}
+	if best != nil && returned {
+		best, est, returned = p.serverForReturn(now, r, c, best, est)
+	}
 	if best != nil && p.yieldsToUrgent(now, r, best) {
-		free, freeEst := p.freeServerForReturn(now, r, c, returned)
-		if free == nil {
-			return p.refuse(now, Overload, best, est)
-		}
-		best, est = free, freeEst
+		return p.refuse(now, Overload, best, est)
 	}
 	if best != nil && !returned && (p.yieldsToReturns(now, r) || p.aboveShare(now, r, best)) {
 		return p.refuse(now, Overload, best, est)
@@ -483,7 +484,7 @@
 	}
 	p.removeGrant(now, id, g)
 	s := g.server
-	p.scarcity.ended(now, g, r)
+	p.scarcity.finish(now, g, r)
 	if r.Leaving && r.StartedAtMillis == s.startedAtMillis {
 		p.markLeaving(s.id, leavingMark{startedAtMillis: s.startedAtMillis, until: now + serverhold.LeavingTime, reported: true})
 	}
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -75,18 +75,26 @@
 // and ends the promise.
 func (t *returns) claim(now time.Duration, r Request) bool {
 	k := returnKey(r)
-	list := t.promises[k]
-	for i, at := range list {
+	i, ok := t.find(now, k)
+	if ok {
+		list := t.promises[k]
+		t.remove(list[i])
+		t.set(k, slices.Delete(list, i, i+1))
+	}
+	return ok
+}
+
+// find returns the index of the first promise of a key whose window is open.
+func (t *returns) find(now time.Duration, k uint64) (int, bool) {
+	for i, at := range t.promises[k] {
 		if at > now {
-			return false
+			break
 		}
 		if now <= at+returnWindow {
-			t.set(k, slices.Delete(list, i, i+1))
-			t.remove(at)
-			return true
+			return i, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // remove takes a promise out of the counts.
@@ -129,8 +137,7 @@
 // has no room for within the time that it can wait gets no promise, and the end of that
 // time less a part that spreads such callers.
 func (t *returns) schedule(now time.Duration, r Request, rates slotRates) time.Duration {
-	limit := time.Duration(float64(r.Deadline-now-returnTransit) * returnTimeFraction)
-	limit = min(limit, maxReturnDelay)
+	limit := maxWait(now, r)
 	earliest := now + minReturnDelay
 	workspace := xxhash.Sum64String(r.Workspace)
 	at := max(earliest, t.nextFor(r.Rank))
@@ -154,6 +161,11 @@
 	return wait
 }
 
+// maxWait returns the longest time for which the caller of a request waits.
+func maxWait(now time.Duration, r Request) time.Duration {
+	return min(time.Duration(float64(r.Deadline-now-returnTransit)*returnTimeFraction), maxReturnDelay)
+}
+
 // interval returns the time between two slots, at most maxReturnDelay.
 func interval(perSecond float64) time.Duration {
 	return time.Duration(min(1/perSecond, maxReturnDelay.Seconds()) * float64(time.Second))
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -13,16 +13,46 @@
 type scarcity struct {
 	shares  *fairshare.Shares
 	returns *returns
-	// finished and recentlyFinished are the rates of requests that have ended at a server.
+	// finished and recentlyFinished are the rates of requests that have freed a slot.
 	finished, recentlyFinished fairshare.Rate
+	// inUseSince is when the first request arrived after a start or a pause, the last one
+	// at arrivedAt. ended counts the requests that have freed a slot since, slots is the
+	// number of slots of all servers.
+	inUse                 bool
+	inUseSince, arrivedAt time.Duration
+	ended, slots          int
+	// nextClaim is the earliest time of the next claim of a limited workspace.
+	nextClaim map[workspaceRank]time.Duration
+	// loads are the loads of the regions as of loadsAt.
+	loads   map[string]regionLoad
+	loadsAt time.Duration
 }
 
+type workspaceRank struct {
+	workspace string
+	rank      int
+}
+
+// regionLoad is the load of the servers of a region in requests, without queues.
+type regionLoad struct{ load, slots float64 }
+
 const (
 	// finishedTimeConstant applies to the rate by which returns are scheduled.
 	finishedTimeConstant = 2 * time.Second
 	// recentlyFinishedTimeConstant applies to a rate that follows a rise of the capacity
 	// sooner, so that no workspace is refused for a share of what it was before.
 	recentlyFinishedTimeConstant = 500 * time.Millisecond
+	// capacityUnknownTime is the time after a start or a pause from which the rate of freed
+	// slots counts as the capacity, even if less requests have ended than there are slots.
+	// Until then it says nothing: after a start, the first requests are still running.
+	capacityUnknownTime = 2 * time.Second
+	// maxLimitedLoad is the load, in requests per slot, up to which a workspace queues whose
+	// demand exceeds its share. The queue above it is left to the others, which would
+	// otherwise be refused for the load.
+	maxLimitedLoad = 1.1
+	// claimTolerance is the part of the interval between two claims by which one may be
+	// early: returns vary by the way of the messages.
+	claimTolerance = 0.5
 )
 
 // maxReturnLoad is the load, in requests per slot, above which a returning caller is refused
@@ -33,7 +63,10 @@
 	if !enabled {
 		return nil
 	}
-	return &scarcity{shares: fairshare.New(), returns: newReturns()}
+	return &scarcity{
+		shares: fairshare.New(), returns: newReturns(),
+		nextClaim: map[workspaceRank]time.Duration{}, loads: map[string]regionLoad{}, loadsAt: -maxOccupancyAge - 1,
+	}
 }
 
 // arrived counts a request and reports whether it is the return of a refused one at its
@@ -42,8 +75,30 @@
 	if c == nil {
 		return false
 	}
+	if !c.inUse || now-c.arrivedAt > capacityUnknownTime {
+		c.inUse, c.inUseSince, c.ended = true, now, 0
+	}
+	c.arrivedAt = now
 	c.shares.Arrived(now, r.Rank, r.Workspace)
-	return !r.SecondAttempt && c.returns.claim(now, r)
+	return !r.SecondAttempt && c.claim(now, r)
+}
+
+// claim reports whether the request is the return of a refused one. Requests of a workspace
+// that is limited to its share claim promises at the rate of the share at most: new
+// requests cannot be told from returns, and a workspace that sends many would otherwise
+// claim each of its promises with a new one.
+func (c *scarcity) claim(now time.Duration, r Request) bool {
+	if _, ok := c.returns.find(now, returnKey(r)); !ok {
+		return false
+	}
+	if share, limited := c.shares.Share(now, r.Rank, r.Workspace, c.capacity(now)); limited {
+		key, step := workspaceRank{r.Workspace, r.Rank}, interval(share)
+		if now < c.nextClaim[key]-time.Duration(claimTolerance*float64(step)) {
+			return false
+		}
+		c.nextClaim[key] = max(now, c.nextClaim[key]) + step
+	}
+	return c.returns.claim(now, r)
 }
 
 func (c *scarcity) granted(now time.Duration, r Request) {
@@ -52,28 +107,38 @@
 	}
 }
 
-// ended counts a request that has freed a slot. One that was refused by its server had
-// none, and one that was not sent counts neither as demand nor as usage of its workspace.
-func (c *scarcity) ended(now time.Duration, g *grant, r Report) {
+// finish counts a request that has freed a slot. One that was refused by its server had
+// none, and a server that fails may do so at any rate. One that was not sent counts neither
+// as demand nor as usage of its workspace.
+func (c *scarcity) finish(now time.Duration, g *grant, r Report) {
 	if c == nil {
 		return
 	}
 	if r.Result == Abandoned && r.Elapsed == 0 {
 		c.shares.Withdrawn(now, g.sentAt, g.rank, g.workspace)
 	}
-	if r.Result == Served || r.Result == Failed || r.Result == TimedOut {
+	if r.Result == Served || r.Result == TimedOut {
+		c.ended++
 		c.finished.Add(now, finishedTimeConstant)
 		c.recentlyFinished.Add(now, recentlyFinishedTimeConstant)
 	}
 }
 
-// capacity returns the requests per second that are divided between workspaces.
+// capacity returns the requests per second that are divided between workspaces, +Inf if
+// it is not known yet.
 func (c *scarcity) capacity(now time.Duration) float64 {
+	if c.ended < c.slots && now-c.inUseSince < capacityUnknownTime {
+		return math.Inf(1)
+	}
 	return max(c.finished.PerSecond(now, finishedTimeConstant), c.recentlyFinished.PerSecond(now, recentlyFinishedTimeConstant))
 }
 
-// retryAfter returns the time that the caller of a refused request is to wait.
-func (c *scarcity) retryAfter(now time.Duration, r Request) time.Duration {
+// retryAfter returns the time that the caller of a refused request is to wait. It is no
+// promise if the answer would be late again at the latest time that the caller can wait.
+func (c *scarcity) retryAfter(now time.Duration, r Request, d Decision) time.Duration {
+	if d.Refused == Late && float64(d.Service) > (1-returnTimeFraction)*float64(r.Deadline-now) {
+		return c.returns.waitWithoutPromise(maxWait(now, r))
+	}
 	rates := slotRates{freed: c.finished.PerSecond(now, finishedTimeConstant), share: math.Inf(1)}
 	rates.urgent = c.shares.MoreUrgentDemand(now, r.Rank, c.capacity(now))
 	if share, limited := c.shares.Share(now, r.Rank, r.Workspace, c.capacity(now)); limited {
@@ -86,6 +151,11 @@
 	if c != nil {
 		c.shares.Expire(now)
 		c.returns.expire(now)
+		for k, at := range c.nextClaim {
+			if at <= now {
+				delete(c.nextClaim, k)
+			}
+		}
 	}
 }
 
@@ -94,6 +164,7 @@
 func (p *Pool) SetScheduled(on bool) {
 	if on != (p.scarcity != nil) {
 		p.scarcity = newScarcity(on)
+		p.scarcity.setSlots(p.list)
 	}
 }
 
@@ -106,11 +177,22 @@
 	case d.Refused == "":
 		p.scarcity.granted(now, r)
 	case p.scarcity != nil && d.Refused != NoServer && !r.SecondAttempt:
-		d.RetryAfter = p.scarcity.retryAfter(now, r)
+		d.RetryAfter = p.scarcity.retryAfter(now, r, d)
 	}
 	return d
 }
 
+// setSlots records the number of slots of the servers.
+func (c *scarcity) setSlots(list []*server) {
+	if c == nil {
+		return
+	}
+	c.slots = 0
+	for _, s := range list {
+		c.slots += s.slots
+	}
+}
+
 // aboveShare reports whether a request is refused because its workspace asks for more
 // than its share. It is not while the service has slots to spare, so that a share that no
 // other workspace uses is not lost.
@@ -118,7 +200,11 @@
 	if p.scarcity == nil || p.occupancy <= yieldOccupancy || s.load(now) < float64(s.slots) {
 		return false
 	}
-	return p.scarcity.shares.Above(now, r.Rank, r.Workspace, p.scarcity.capacity(now))
+	shares, capacity := p.scarcity.shares, p.scarcity.capacity(now)
+	if _, limited := shares.Share(now, r.Rank, r.Workspace, capacity); limited && s.load(now) >= maxLimitedLoad*float64(s.slots) {
+		return true
+	}
+	return shares.Above(now, r.Rank, r.Workspace, capacity)
 }
 
 // yieldsToReturns reports whether a request is refused in favor of refused callers that
@@ -129,11 +215,50 @@
 	return p.scarcity != nil && p.occupancy > yieldOccupancy && p.scarcity.returns.anyDue(now) && p.moreUrgentActive(now, r.Rank)
 }
 
-// freeServerForReturn returns a server with a free slot for a return whose best server has
-// none while a more urgent rank is active: only in a queue would it be ahead of that rank.
-func (p *Pool) freeServerForReturn(now time.Duration, r Request, c *class, returned bool) (*server, estimate) {
-	if !returned {
-		return nil, estimate{}
+// serverForReturn returns the server for the return of a refused caller and whether it is
+// still decided as a return: not if it would wait while a more urgent rank is active, as it
+// would then be ahead of that rank. It prefers a server with a free slot then.
+func (p *Pool) serverForReturn(now time.Duration, r Request, c *class, best *server, est estimate) (*server, estimate, bool) {
+	if best.load(now) < float64(best.slots) || !p.moreUrgentActive(now, r.Rank) {
+		return best, est, true
+	}
+	if free, freeEst := p.choose(now, r, c, freeServers); free != nil {
+		return free, freeEst, true
+	}
+	return best, est, false
+}
+
+// restrictOccupancy sets the occupancy to that of the regions that may serve the request,
+// and returns a function that restores it. Only pools that divide scarce slots do so.
+func (p *Pool) restrictOccupancy(now time.Duration, r Request) (restore func()) {
+	if p.scarcity == nil || len(r.Allowed) == 0 {
+		return func() {}
+	}
+	all := p.occupancy
+	p.occupancy = p.occupancyOf(now, r.Allowed)
+	return func() { p.occupancy = all }
+}
+
+// occupancyOf returns the fraction of the slots of some regions that is taken, as
+// currentOccupancy does for all.
+func (p *Pool) occupancyOf(now time.Duration, regions []string) float64 {
+	c := p.scarcity
+	if now-c.loadsAt > maxOccupancyAge {
+		c.loadsAt = now
+		clear(c.loads)
+		for _, s := range p.list {
+			if s.takesRequests(now) {
+				l := c.loads[s.region]
+				c.loads[s.region] = regionLoad{l.load + min(s.load(now), float64(s.slots)), l.slots + float64(s.slots)}
+			}
+		}
+	}
+	var sum regionLoad
+	for _, region := range regions {
+		sum.load, sum.slots = sum.load+c.loads[region].load, sum.slots+c.loads[region].slots
+	}
+	if sum.slots == 0 {
+		return 0
 	}
-	return p.choose(now, r, c, freeServers)
+	return sum.load / sum.slots
 }
--- a/internal/dispatch/scarcity_test.go
+++ b/internal/dispatch/scarcity_test.go
@@ -44,6 +44,7 @@
 	callers     callerHeap
 	rng         *rand.Rand
 	serviceTime time.Duration
+	noKeys      bool // requests have no object
 	// constantRetryAfter replaces the Retry-After of refusals if it is not 0.
 	constantRetryAfter time.Duration
 	counts             map[string]*workspaceCount
@@ -87,7 +88,11 @@
 
 // add lets a caller send its first request at a time.
 func (c *crowd) add(at time.Duration, workspace string, rank int, timeLeft time.Duration) {
-	heap.Push(&c.callers, &modelCaller{workspace: workspace, key: fmt.Sprint(c.rng.Intn(64)), rank: rank, at: at, deadline: at + timeLeft})
+	m := &modelCaller{workspace: workspace, key: fmt.Sprint(c.rng.Intn(64)), rank: rank, at: at, deadline: at + timeLeft}
+	if c.noKeys {
+		m.key = ""
+	}
+	heap.Push(&c.callers, m)
 	c.count(workspace).callers++
 }
 
@@ -288,7 +293,7 @@
 		r.Workspace = "hot"
 		p.scarcity.arrived(at, r)
 		p.scarcity.granted(at, r)
-		p.scarcity.ended(at, &grant{}, Report{Result: Served})
+		p.scarcity.finish(at, &grant{}, Report{Result: Served})
 	}
 	for range inFlight {
 		p.grant(now, request(now, ""), p.servers["a"], estimate{service: 200 * ms})
@@ -462,3 +467,152 @@
 		})
 	}
 }
+
+// TestSmallWorkspaceBesideHotOne guards against a workspace below its share that is refused
+// because one at five times the capacity fills the queues, or claims the promises of its
+// callers with new requests, which look the same if they have no object.
+func TestSmallWorkspaceBesideHotOne(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		noKeys bool
+	}{
+		{"64 objects", false},
+		{"no objects", true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			load := newCrowd(2, true)
+			load.noKeys = c.noKeys
+			load.addRate(0, 20*time.Second, "hot", 0, 200, 950*ms)
+			load.addRate(0, 20*time.Second, "small", 0, 10, 850*ms)
+			load.play(0, 22*time.Second)
+			hot, small := load.count("hot"), load.count("small")
+			t.Logf("hot %+v, small %+v", *hot, *small)
+			g.Expect(small.answered).To(BeNumerically(">=", 0.85*float64(small.callers)))
+			g.Expect(hot.answered+small.answered).To(BeNumerically(">=", 760), "of 800 that the slots take in 20 s")
+		})
+	}
+}
+
+// TestUnknownCapacityRefusesNobody guards against workspaces that are refused for a share of
+// a capacity of 0, as no request has ended yet: after a start, and after a pause.
+func TestUnknownCapacityRefusesNobody(t *testing.T) {
+	granted := func(p *Pool, now time.Duration) int {
+		n := 0
+		for i := range 30 {
+			d := p.Acquire(now+time.Duration(i)*5*ms, workspaceRequest(now+time.Duration(i)*5*ms, fmt.Sprint("w", i%3), ""))
+			if d.Refused == "" {
+				n++
+			}
+		}
+		return n
+	}
+	newPool := func(scheduled bool) *Pool {
+		p := New(Options{Region: "r", Shared: true, Limits: DefaultLimits, Scheduled: scheduled})
+		p.Update(0, backends(2), nil, 5, 3*time.Second)
+		c := p.class("c", 0)
+		c.missAverage, c.hitAverage, c.missObserved, c.hitObserved = 200*ms, 200*ms, true, true
+		return p
+	}
+	for _, c := range []struct {
+		desc string
+		at   time.Duration
+	}{
+		{"after a start", 0},
+		{"after a pause", time.Minute},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			before, after := newPool(false), newPool(true)
+			if c.at > 0 {
+				d := after.Acquire(0, workspaceRequest(0, "w0", ""))
+				after.Release(200*ms, d.Grant, Report{Result: Served, Elapsed: 200 * ms})
+			}
+			g.Expect(granted(after, c.at)).To(Equal(granted(before, c.at)))
+		})
+	}
+}
+
+// TestFailuresFreeNoSlots guards against a server that fails at once and so raises the rate
+// at which callers are told to return.
+func TestFailuresFreeNoSlots(t *testing.T) {
+	for _, c := range []struct {
+		result Result
+		want   bool
+	}{
+		{Served, true}, {TimedOut, true}, {Failed, false}, {Shed, false}, {Unreachable, false}, {Misdirected, false}, {Abandoned, false},
+	} {
+		t.Run(fmt.Sprint(c.result), func(t *testing.T) {
+			g := NewWithT(t)
+			p := New(Options{Region: "r", Shared: true, Limits: DefaultLimits, Scheduled: true})
+			p.Update(0, backends(2), nil, 5, 3*time.Second)
+			d := p.Acquire(0, workspaceRequest(0, "w", ""))
+			p.Release(2*ms, d.Grant, Report{Result: c.result, Elapsed: 2 * ms})
+			g.Expect(p.scarcity.finished.Count(2*ms, finishedTimeConstant) > 0).To(Equal(c.want))
+		})
+	}
+}
+
+// TestFullAllowedRegion guards against a request that waits in front of a more urgent rank
+// in a full region, as new request or as return, because other regions, which may not serve
+// it, are idle.
+func TestFullAllowedRegion(t *testing.T) {
+	for _, c := range []struct {
+		desc     string
+		inFlight int // of 4 slots
+		returns  bool
+		want     Reason
+	}{
+		{"new request, full region", 4, false, Overload},
+		{"return, full region", 4, true, Overload},
+		{"new request, free slot", 3, false, ""},
+		{"return, free slot", 3, true, ""},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			now := 10 * time.Second
+			p := fullPool(now, 4, c.inFlight)
+			list := []*fleet.Backend{backend("a", "r")}
+			for i := range 4 {
+				list = append(list, backend(fmt.Sprint("q", i), "q"))
+			}
+			p.Update(now, list, nil, 5, 3*time.Second)
+			p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
+			p.lastRequestByRank[0] = now
+			r := workspaceRequest(now, "w", "k")
+			r.Rank, r.Allowed = 1, []string{"r"}
+			if c.returns {
+				p.scarcity.returns.promise(returnKey(r), now)
+			}
+			g.Expect(p.Acquire(now, r).Refused).To(Equal(c.want))
+		})
+	}
+}
+
+// TestLateRefusalMakesNoPromise guards against a promise that cannot be kept, as the caller
+// has too little time left when it returns.
+func TestLateRefusalMakesNoPromise(t *testing.T) {
+	for _, c := range []struct {
+		desc     string
+		service  time.Duration
+		timeLeft time.Duration
+		want     int // promises
+	}{
+		{"longer than the time left", 1200 * ms, 1100 * ms, 0},
+		{"because of the queue", 650 * ms, 1100 * ms, 1},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			now := 10 * time.Second
+			p := fullPool(now, 4, 6)
+			class := p.class("c", 0)
+			class.missAverage, class.hitAverage = c.service, c.service
+			class.missSamples, class.hitSamples = confirmedSamples, confirmedSamples
+			class.missConfirmedAt, class.hitConfirmedAt = now, now
+			r := workspaceRequest(now, "w", "k")
+			r.Objective, r.Deadline = now+c.timeLeft, now+c.timeLeft
+			g.Expect(p.Acquire(now, r).Refused).To(Equal(Late))
+			g.Expect(p.scarcity.returns.count).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -18,8 +18,9 @@
 	// time in between, that halves the trials of a class. A failure says less about the
 	// class than a timeout does, as the server may be at fault.
 	failuresPerHalving = 8
-	// confirmedSamples is the number of observations from which an estimate refuses
-	// requests without a trial. Less may be the time of one request that met a disturbance.
+	// confirmedSamples is the number of observations from which an estimate that began with
+	// a trial refuses requests without another one. Less may be the time of one request that
+	// met a disturbance.
 	confirmedSamples = 3
 	// minTrialTimeRatio is the time to the deadline, as a fraction of the time to the
 	// objective, from which such a trial is likely to show the service time. A request
