dispatch: pace only while it is called for, end it at cold servers

One report of a percentage enabled pacing for good: it now lasts while servers report. A paced server that became cold logged two starts: its pacing ends. A request that is abandoned after more than twice its expected time halves the pace, as a hedge that was answered first hid slow servers.

TestPaceOfWarmingServer passed without pacing, as equal numbers of refusals sufficed, and its check of the answers in time had been eased from >= to 0.998 times. It now requires fewer refusals at each rate and 0.8 of them in total, no fewer answers in time over all rates, and at each rate not fewer by more than one request in 500: at 52 per second the difference is within what single decisions that depend on the processor make up.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -180,7 +180,7 @@
 	// divided between workspaces, and refused callers return by a schedule.
 	Scheduled bool
 	// Paced is set if servers that have just started or recovered get their requests at a
-	// limited concurrency, which grows with their answers; see also EnablePacing.
+	// limited concurrency, which grows with their answers; see also Pool.Paces.
 	Paced bool
 }
 
@@ -219,7 +219,6 @@
 	knowledgeChanged bool
 	scarcity         *scarcity // nil unless Options.Scheduled is set
 
-	paced       bool // Options.Paced or EnablePacing
 	requested   bool // a request has arrived, the last one at requestedAt
 	requestedAt time.Duration
 	paceEvents  []PaceEvent
@@ -261,7 +260,7 @@
 		classes: map[string]*class{}, places: map[string]*place{}, leavingMarks: map[string]leavingMark{},
 		shiftLimiter:   shiftLimiter{ownRegion: o.Region, maxGrowth: o.Limits.maxRegionGrowth()},
 		objectCapacity: initialObjectCapacity, lastRequestByRank: map[int]time.Duration{},
-		scarcity: newScarcity(o.Scheduled), paced: o.Paced,
+		scarcity: newScarcity(o.Scheduled),
 	}
 }
 
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -16,7 +16,8 @@
 	// paceInTimeFactor times its expected time is the time up to which an answer raises the
 	// limit. Expected times are averages, which about half of the answers exceed.
 	paceInTimeFactor = 1.5
-	// paceSlowFactor times its expected time is the time above which an answer halves it.
+	// paceSlowFactor times its expected time is the time above which an answer, or a request
+	// without an answer that is abandoned, halves it.
 	paceSlowFactor = 2.0
 	// maxPaceEvents bounds the events that are kept until they are read.
 	maxPaceEvents = 256
@@ -60,14 +61,12 @@
 	paceRecovered = "responds again"
 	paceFull      = "limit exceeds the slots"
 	paceTimeUp    = "time is up"
+	paceCold      = "cold again"
 )
 
-// EnablePacing lets the pool pace servers, as Options.Paced does. It is to be called when a
-// server has reported how long work takes on its machine.
-func (p *Pool) EnablePacing() { p.paced = true }
-
-// Paces reports whether the pool paces servers that have just started or recovered.
-func (p *Pool) Paces() bool { return p.paced }
+// Paces reports whether the pool paces servers that have just started or recovered: if
+// Options.Paced is set, or while servers report how long work takes on their machines.
+func (p *Pool) Paces(now time.Duration) bool { return p.opts.Paced || p.percentReported(now) }
 
 // PacedServers returns the number of servers that the pool paces.
 func (p *Pool) PacedServers() int {
@@ -97,9 +96,12 @@
 // startPacing sets the limit of a server to 1. A cold server is paced only when it is no
 // longer cold: until then its rate is limited more strictly.
 func (p *Pool) startPacing(now time.Duration, s *server, reason string) {
-	if !p.paced || s.cold(now) {
+	if !p.Paces(now) || s.cold(now) {
 		return
 	}
+	if s.pacing.limit > 0 {
+		p.endPacing(now, s, reason)
+	}
 	s.pacing = pacing{limit: 1, startedAt: now, halvedAt: now, activeAt: now - paceActiveTime, foreign: s.pacing.foreign}
 	p.addPaceEvent(now, s, false, reason)
 }
@@ -118,12 +120,14 @@
 }
 
 // updatePacing starts pacing of a server that is no longer cold, and ends it when its time
-// is up.
+// is up or the server is cold again.
 func (p *Pool) updatePacing(now time.Duration, s *server) {
 	switch {
-	case !p.paced:
 	case s.cold(now):
 		s.pacing.afterCold = true
+		if s.pacing.limit > 0 {
+			p.endPacing(now, s, paceCold)
+		}
 	case s.pacing.afterCold:
 		s.pacing.afterCold = false
 		p.startPacing(now, s, paceWarm)
@@ -150,7 +154,7 @@
 // hasPaceRoom reports whether the server may get one more request by its own limit and
 // those of other pools.
 func (p *Pool) hasPaceRoom(now time.Duration, s *server) bool {
-	if !p.paced {
+	if !p.Paces(now) {
 		return true
 	}
 	p.updatePacing(now, s)
@@ -190,8 +194,10 @@
 	}
 	s.pacing.activeAt = now
 	expected := float64(g.wait + g.expectedService + s.place.roundTrip)
+	// A request is abandoned when a hedge was answered first, which is likely at a slow server.
+	ended := r.Result == Served || r.Result == Abandoned
 	switch {
-	case r.Result == Shed, r.Result == TimedOut, r.Result == Served && float64(r.Elapsed) > paceSlowFactor*expected:
+	case r.Result == Shed, r.Result == TimedOut, ended && float64(r.Elapsed) > paceSlowFactor*expected:
 		s.pacing.inTime = 0
 		if g.sentAt >= s.pacing.halvedAt {
 			s.pacing.limit, s.pacing.halvedAt = max(s.pacing.limit/2, 1), now
@@ -251,7 +257,7 @@
 
 // mergePace applies the limits of another pool.
 func (p *Pool) mergePace(now time.Duration, d Digest) {
-	if !p.paced {
+	if !p.Paces(now) {
 		return
 	}
 	for id, s := range p.servers {
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -167,6 +167,7 @@
 		{"not answered", TimedOut, 3 * time.Second, 1},
 		{"failed", Failed, 50 * ms, 2},
 		{"abandoned", Abandoned, 50 * ms, 2},
+		{"abandoned after more than twice the time", Abandoned, 210 * ms, 1},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
@@ -190,6 +191,39 @@
 	g.Expect(s.pacing.limit).To(Equal(4.0), "the requests of one round halve once")
 }
 
+// TestPaceEndsWhenCold guards against a server that becomes cold while it is paced and whose
+// pacing starts a second time without an end in the log.
+func TestPaceEndsWhenCold(t *testing.T) {
+	g := NewWithT(t)
+	p := pacedPool("r")
+	s := join(p, time.Second, nil)
+	s.coldUntil = 4 * time.Second
+	for now := time.Second; now < 10*time.Second; now += 200 * ms {
+		p.Maintain(now)
+	}
+	var reasons []string
+	for i, e := range p.PaceEvents() {
+		g.Expect(e.Ended).To(Equal(i%2 == 1))
+		reasons = append(reasons, e.Reason)
+	}
+	g.Expect(reasons).To(Equal([]string{paceJoined, paceCold, paceWarm, paceTimeUp}))
+}
+
+// TestPacingStopsWithReports guards against one report of a percentage that lets the pool
+// pace servers for good.
+func TestPacingStopsWithReports(t *testing.T) {
+	g := NewWithT(t)
+	p := pool("r", pacedServers()...)
+	d := p.Acquire(0, request(0, ""))
+	p.Release(100*ms, d.Grant, Report{Result: Served, Elapsed: 100 * ms, Load: &Load{Running: 1, Slots: 4, Percent: 100}})
+	g.Expect(p.Paces(100 * ms)).To(BeTrue())
+	now := time.Minute
+	p.Acquire(now, request(now, ""))
+	g.Expect(p.Paces(now)).To(BeFalse())
+	join(p, now, nil)
+	g.Expect(p.PacedServers()).To(BeZero())
+}
+
 // TestServerThatNeverAnswers guards against several requests that are lost at a server that
 // has just joined and does not answer, and against a pace without end.
 func TestServerThatNeverAnswers(t *testing.T) {
@@ -390,7 +424,7 @@
 	c := newCrowd(2, false)
 	c.rng = rand.New(rand.NewSource(seed))
 	if paced {
-		c.pool.EnablePacing()
+		c.pool.opts.Paced = true
 	}
 	m := &warmingServer{startedAt: start}
 	r := warmingResult{fullUse: end - start}
@@ -446,17 +480,22 @@
 	return r
 }
 
-// TestPaceOfWarmingServer guards against a pace that does worse than none at a server whose
-// capacity grows over 3 s.
+// TestPaceOfWarmingServer guards against a pace that has no effect or does worse than none
+// at a server whose capacity grows over 3 s.
 func TestPaceOfWarmingServer(t *testing.T) {
 	g := NewWithT(t)
+	var all, allPaced warmingResult
 	for _, perSecond := range warmingRates {
 		without, with := playWarmingRuns(false, perSecond), playWarmingRuns(true, perSecond)
 		t.Logf("%v per second: without pacing %+v, with %+v", perSecond, without, with)
-		g.Expect(with.refused).To(BeNumerically("<=", without.refused))
+		g.Expect(with.refused).To(BeNumerically("<", without.refused))
 		// Sums of floating-point numbers, and so single decisions, differ between processors.
-		g.Expect(with.inTime).To(BeNumerically(">=", 0.998*float64(without.inTime)))
+		g.Expect(with.inTime).To(BeNumerically(">=", without.inTime-without.requests/500))
+		all.refused, allPaced.refused = all.refused+without.refused, allPaced.refused+with.refused
+		all.inTime, allPaced.inTime = all.inTime+without.inTime, allPaced.inTime+with.inTime
 	}
+	g.Expect(allPaced.refused).To(BeNumerically("<=", 0.8*float64(all.refused)))
+	g.Expect(allPaced.inTime).To(BeNumerically(">=", all.inTime))
 }
 
 // BenchmarkPaceOfWarmingServer reports the refusals of a server whose capacity grows over
--- a/internal/dispatch/timefactor.go
+++ b/internal/dispatch/timefactor.go
@@ -54,7 +54,6 @@
 	if f.factor != 0 {
 		s.reportedFactor = f
 		p.lastPercentAt, p.percentSeen = now, true
-		p.EnablePacing()
 	}
 }
 
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -44,7 +44,7 @@
 	defer sel.mu.Unlock()
 	paced := map[string]int{}
 	for service, ps := range sel.sharedPools {
-		if ps.pool.Paces() {
+		if ps.pool.Paces(sel.now()) {
 			paced[service] = ps.pool.PacedServers()
 		}
 	}
