--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -29,8 +29,8 @@
 	// caller is expected. A slot must become free before it arrives; most callers arrive
 	// within some milliseconds, and one that does not come must not hold the slot for long.
 	dueBefore, dueAfter = 20 * time.Millisecond, 50 * time.Millisecond
-	// maxPromises bounds the memory. It is reached at 1,700
-	// scheduled returns per second.
+	// maxPromises bounds the memory. A promise lasts up to 2.3 s, so that the bound is
+	// reached at about 1,780 scheduled returns per second.
 	maxPromises = 4096
 	// promisedFraction is the fraction of the freed slots that is promised. At 1, a queue
 	// of callers that return at random within their windows would grow without bound.
--- a/internal/dispatch/timefactor.go
+++ b/internal/dispatch/timefactor.go
@@ -8,8 +8,9 @@
 	// slower than usual and still reports; such a value is a fault of the report.
 	MinPercent, MaxPercent = 1.0, 10_000.0
 	// minTimeFactor bounds the advantage of a server that reports short times, so that
-	// one report does not draw the requests of all hosts to it. In BenchmarkUnevenServers
-	// 0.85 gave shorter latencies than 0.5, 0.7 and 1: a short time seldom lasts.
+	// one report does not draw the requests of all hosts to it. A short time seldom lasts,
+	// so that with 0.5 and 0.7 requests met servers that were slow again, and latencies in
+	// BenchmarkUnevenServers were longer. They were with 1 too, which gives no advantage.
 	minTimeFactor = 0.85
 	// maxTimeFactor bounds the disadvantage of one that reports long times: from here on
 	// it is avoided anyway, and a faulty report must not exclude it.
@@ -23,10 +24,11 @@
 	// maxSampleRatio bounds a sample of the service time or of the slowness of a server
 	// that reports its percentage, relative to the average. The report shows a slow
 	// server, so a request that takes far longer says nothing about the next one: 3 of
-	// 100 requests take seven times their time.
+	// 100 requests take seven times their time. It also bounds the sample of a trial, which
+	// may replace the average.
 	maxSampleRatio = 3.0
-	// reportedSlownessGain replaces slownessGain for such a server for the same reason.
-	// Trials with 0.1 and 0.3 in BenchmarkUnevenServers gave longer latencies.
+	// reportedSlownessGain replaces slownessGain for such a server for the same reason: 0.1
+	// and 0.3 let single slow requests divert the next ones, for longer latencies there.
 	reportedSlownessGain = 0.03
 	// unhedgedTimeWeight is the cost of the expected time, in addition to its normal
 	// cost, for requests that cannot be hedged: a slow server is not made up for by a
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -322,57 +322,6 @@
 	}).Warn("answer of a backend server exceeds a bound; connection closed")
 }
 
-// mayHedge reports whether a second attempt may be sent while the first one runs.
-func mayHedge(pr *pendingRequest) bool {
-	return pr.route.Kind.Repeatable() && pr.route.MaxAttempts >= 2 && pr.request.Rest == nil
-}
-
-// lateHedgeDelay returns the time from a hedge that was not sent to the next try.
-func lateHedgeDelay(dec decision) time.Duration {
-	if dec.HedgeDelay > 0 {
-		return max(time.Duration(lateHedgeFactor*float64(dec.expectedTime()))-dec.HedgeDelay, hedgeBaseDelay)
-	}
-	return time.Duration((lateHedgeFactor - hedgeFactor) * float64(dec.expectedTime()))
-}
-
-// hedgeDelay returns the time from the first attempt to the hedge, learned by the
-// dispatcher or a fixed multiple of the expected time, which is after the
-// deadline if the request must not be hedged.
-func (g *Gateway) hedgeDelay(pr *pendingRequest, dec decision) time.Duration {
-	if !mayHedge(pr) {
-		return time.Until(pr.deadline) + time.Second
-	}
-	if dec.HedgeDelay > 0 {
-		return dec.HedgeDelay
-	}
-	return time.Duration(hedgeFactor*float64(dec.expectedTime())) + hedgeBaseDelay
-}
-
-// hedge selects a server for a second attempt while the first one runs. It reports
-// false if attempts or retry budget are used up, no server is granted, or the answer
-// is not expected before the objective, or the workspace has no token. A late hedge has
-// until the deadline, but needs an occupancy of at most lateHedgeMaxOccupancy.
-func (g *Gateway) hedge(ctx context.Context, pr *pendingRequest, budget *retry.Budget, late bool) (decision, bool) {
-	if pr.sentAttempts+1 >= pr.route.MaxAttempts || g.keyRevoked(pr) || !g.hasHedgeBudget(pr, budget) || !g.tryToken(pr) {
-		return decision{}, false
-	}
-	dec := g.acquire(ctx, pr, hedgeAttempt)
-	if dec.Refused != "" {
-		g.returnToken(pr)
-		return dec, false
-	}
-	remaining := time.Until(pr.objective)
-	if late {
-		remaining = time.Until(pr.deadline)
-	}
-	if dec.expectedTime() > remaining || late && dec.Busy > lateHedgeMaxOccupancy || !g.renewToken(pr) || !g.takeBudget(pr.service, budget) {
-		g.releaseUnused(dec)
-		g.returnToken(pr)
-		return dec, false
-	}
-	return dec, true
-}
-
 // isReplaceable reports whether another attempt may replace a server's answer. Answers
 // with a status below 500 and that of the last possible attempt are passed on.
 func (g *Gateway) isReplaceable(pr *pendingRequest, a *attempt, budget *retry.Budget) bool {
@@ -388,16 +337,6 @@
 	return b.CanTake()
 }
 
-// hasHedgeBudget reports whether the retry budget allows a hedge, before a server is
-// granted for it. It counts a denied one.
-func (g *Gateway) hasHedgeBudget(pr *pendingRequest, b *retry.Budget) bool {
-	if g.hasBudget(b) {
-		return true
-	}
-	g.cfg.Metrics.retry(pr.service, false)
-	return false
-}
-
 // acquireRetry selects a server for another attempt after a failed one. It reports
 // false if none is allowed or possible.
 func (g *Gateway) acquireRetry(ctx context.Context, pr *pendingRequest, a *attempt, budget *retry.Budget, kind attemptKind) (decision, bool) {
