--- a/internal/dispatch/crowd_test.go
+++ b/internal/dispatch/crowd_test.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	list := c.pool.scarcity.returns.promises[returnKey(Request{Workspace: m.workspace, Class: "c", Key: m.key})]
-	return slices.ContainsFunc(list, func(at time.Duration) bool { return at <= now && now <= at+returnWindow })
+	return slices.ContainsFunc(list, func(p promise) bool { return p.at <= now && now <= p.at+returnWindow })
 }
 
 func (c *crowd) largestReturn() int {
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -50,9 +51,9 @@
 // request has another identity and connection, so that it is recognized by workspace,
 // class and object alone: a new request with the same ones may take the place.
 type returns struct {
-	promises map[uint64][]time.Duration // times of return by returnKey, ascending
+	promises map[uint64][]promise // by returnKey, ascending by their time
 	count    int
-	due      map[time.Duration]int // promises by their time in units of duePeriod
+	due      map[duePromise]int // number of promises
 	// nextByRank is the time of the next slot that is not promised to the rank or a more
 	// urgent one.
 	nextByRank map[int]time.Duration
@@ -62,8 +63,22 @@
 	unpromised      uint64 // number of callers without a promise
 }
 
+// promise is a place in the schedule.
+type promise struct {
+	at   time.Duration
+	rank int
+}
+
+// duePromise groups promises. The time is in units of duePeriod.
+type duePromise struct {
+	period time.Duration
+	rank   int
+}
+
+func (p promise) due() duePromise { return duePromise{p.at / duePeriod, p.rank} }
+
 func newReturns() *returns {
-	return &returns{promises: map[uint64][]time.Duration{}, due: map[time.Duration]int{}, nextByRank: map[int]time.Duration{}, nextByWorkspace: map[uint64]time.Duration{}}
+	return &returns{promises: map[uint64][]promise{}, due: map[duePromise]int{}, nextByRank: map[int]time.Duration{}, nextByWorkspace: map[uint64]time.Duration{}}
 }
 
 // returnKey is a hash, because object keys may be long.
@@ -86,11 +101,11 @@
 
 // find returns the index of the first promise of a key whose window is open.
 func (t *returns) find(now time.Duration, k uint64) (int, bool) {
-	for i, at := range t.promises[k] {
-		if at > now {
+	for i, p := range t.promises[k] {
+		if p.at > now {
 			break
 		}
-		if now <= at+returnWindow {
+		if now <= p.at+returnWindow {
 			return i, true
 		}
 	}
@@ -98,24 +113,26 @@
 }
 
 // remove takes a promise out of the counts.
-func (t *returns) remove(at time.Duration) {
+func (t *returns) remove(p promise) {
 	t.count--
-	if t.due[at/duePeriod]--; t.due[at/duePeriod] <= 0 {
-		delete(t.due, at/duePeriod)
+	if t.due[p.due()]--; t.due[p.due()] <= 0 {
+		delete(t.due, p.due())
 	}
 }
 
-// anyDue reports whether a caller is expected to return about now.
-func (t *returns) anyDue(now time.Duration) bool {
-	for period := max(now-dueAfter, 0) / duePeriod; period <= (now+dueBefore)/duePeriod; period++ {
-		if t.due[period] > 0 {
+// anyDue reports whether a caller of a rank, or of a more urgent one, is expected to return
+// about now.
+func (t *returns) anyDue(now time.Duration, rank int) bool {
+	first, last := (now-dueAfter)/duePeriod, (now+dueBefore)/duePeriod
+	for d := range t.due {
+		if d.rank <= rank && d.period >= first && d.period <= last {
 			return true
 		}
 	}
 	return false
 }
 
-func (t *returns) set(k uint64, list []time.Duration) {
+func (t *returns) set(k uint64, list []promise) {
 	if len(list) == 0 {
 		delete(t.promises, k)
 		return
@@ -153,7 +170,7 @@
 		return t.waitWithoutPromise(limit)
 	}
 	wait := roundUp(at-now, time.Millisecond)
-	t.promise(returnKey(r), now+wait)
+	t.promise(returnKey(r), promise{now + wait, r.Rank})
 	t.advance(r.Rank, earliest, interval(max(promisedFraction*left, minReturnRate)))
 	if limited {
 		t.nextByWorkspace[workspace] = at + interval(rates.share)
@@ -197,12 +214,12 @@
 	}
 }
 
-func (t *returns) promise(k uint64, at time.Duration) {
+func (t *returns) promise(k uint64, p promise) {
 	list := t.promises[k]
-	i, _ := slices.BinarySearch(list, at)
-	t.promises[k] = slices.Insert(list, i, at)
+	i, _ := slices.BinarySearchFunc(list, p, func(a, b promise) int { return cmp.Compare(a.at, b.at) })
+	t.promises[k] = slices.Insert(list, i, p)
 	t.count++
-	t.due[at/duePeriod]++
+	t.due[p.due()]++
 }
 
 // waitWithoutPromise returns a time in the last part of limit, but not less than
@@ -218,7 +235,7 @@
 func (t *returns) expire(now time.Duration) {
 	for k, list := range t.promises {
 		lapsed := 0
-		for lapsed < len(list) && now > list[lapsed]+returnWindow {
+		for lapsed < len(list) && now > list[lapsed].at+returnWindow {
 			t.remove(list[lapsed])
 			lapsed++
 		}
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -207,12 +207,12 @@
 	return shares.Above(now, r.Rank, r.Workspace, capacity)
 }
 
-// yieldsToReturns reports whether a request is refused in favor of refused callers that
-// are due to return. It applies while a more urgent rank is active: its requests and those
+// yieldsToReturns reports whether a request is refused in favor of refused callers of its
+// rank, or of a more urgent one, that are due to return. It applies while a more urgent rank is active: its requests and those
 // of new callers would otherwise take all slots that become free, and a return, which does
 // not queue then, would find none.
 func (p *Pool) yieldsToReturns(now time.Duration, r Request) bool {
-	return p.scarcity != nil && p.occupancy > yieldOccupancy && p.scarcity.returns.anyDue(now) && p.moreUrgentActive(now, r.Rank)
+	return p.scarcity != nil && p.occupancy > yieldOccupancy && p.moreUrgentActive(now, r.Rank) && p.scarcity.returns.anyDue(now, r.Rank)
 }
 
 // serverForReturn returns the server for the return of a refused caller and whether it is
--- a/internal/dispatch/scarcity_test.go
+++ b/internal/dispatch/scarcity_test.go
@@ -396,7 +396,7 @@
 			r := workspaceRequest(now, "w", "k")
 			r.Rank, r.Allowed = 1, []string{"r"}
 			if c.returns {
-				p.scarcity.returns.promise(returnKey(r), now)
+				p.scarcity.returns.promise(returnKey(r), promise{now, r.Rank})
 			}
 			g.Expect(p.Acquire(now, r).Refused).To(Equal(c.want))
 		})
@@ -430,3 +430,34 @@
 		})
 	}
 }
+
+// TestNewRequestsYieldToDueReturns guards against a new request that takes the last free slot
+// from a return that is due, and against one that yields to a less urgent rank.
+func TestNewRequestsYieldToDueReturns(t *testing.T) {
+	for _, c := range []struct {
+		desc       string
+		rank       int // of the new request
+		dueRank    int
+		dueIn      time.Duration
+		activeRank int
+		want       Reason
+	}{
+		{"of the same rank", 1, 1, 0, 0, Overload},
+		{"of a more urgent rank", 2, 1, 0, 0, Overload},
+		{"of a less urgent rank", 1, 2, 0, 0, ""},
+		{"not yet due", 1, 1, 100 * ms, 0, ""},
+		{"overdue", 1, 1, -100 * ms, 0, ""},
+		{"no more urgent rank is active", 1, 1, 0, 1, ""},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			now := 10 * time.Second
+			p := fullPool(now, 20, 19)
+			p.lastRequestByRank[c.activeRank] = now
+			p.scarcity.returns.promise(1, promise{now + c.dueIn, c.dueRank})
+			r := workspaceRequest(now, "w", "k")
+			r.Rank = c.rank
+			g.Expect(p.Acquire(now, r).Refused).To(Equal(c.want))
+		})
+	}
+}
