dispatch: explain a decision without making it

Operators ask why a request goes to a server or is refused.

decide returns an outcome instead of a decision, so that recording a grant is separate; usable asks exclusion, which names the reason.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -15,6 +15,10 @@
 	wait, service, finish time.Duration
 	cost                  time.Duration
 	trial                 bool // the request is granted as a trial
+	// filter and allServers tell among which servers the choice was made: allServers is
+	// set for the second pass of choose.
+	filter     serverFilter
+	allServers bool
 	// countsAsInTime is set if the answer is expected within the objective, or if the
 	// server is preferred as if it were: for its trial request, or to fetch the object
 	// of a large body.
@@ -22,7 +26,7 @@
 }
 
 // serverFilter selects the servers that choose considers.
-type serverFilter int
+type serverFilter int8
 
 const (
 	// healthyServers are the servers that are expected to answer.
@@ -66,6 +70,7 @@
 				best, bestEst = s, est
 			}
 		}
+		bestEst.filter, bestEst.allServers = filter, pass > 0
 	}
 	return best, bestEst
 }
@@ -90,31 +95,43 @@
 	return e.cost < other.cost
 }
 
-// usable reports whether the request may be sent to the server. A server without a
-// free slot is usable unless the filter requires one; one that is marked down or
+// usable reports whether the request may be sent to the server; see exclusion.
+func (p *Pool) usable(now time.Duration, r Request, s *server, filter serverFilter) bool {
+	return p.exclusion(now, r, s, filter) == ""
+}
+
+// exclusion returns why the request may not be sent to the server, "" if it may. A server
+// without a free slot is usable unless the filter requires one; one that is marked down or
 // refused a request lately is usable only with anyServer, and a paced one without room
 // only while paceIgnored is set. The other conditions always hold.
-func (p *Pool) usable(now time.Duration, r Request, s *server, filter serverFilter) bool {
-	if s.draining || s.replaced || s.leaving(now) || s.evacuated || slices.Contains(r.Exclude, s.id) {
-		return false
-	}
-	if len(r.Allowed) > 0 && !slices.Contains(r.Allowed, s.region) {
-		return false
-	}
-	if s.cold(now) && !p.mayUseCold(now, s) {
-		return false
-	}
-	if filter == freeServers && s.load(now) >= float64(s.slots) {
-		return false
-	}
-	if filter != anyServer && !s.available(now) {
-		return false
-	}
-	if !p.paceIgnored && !p.hasPaceRoom(now, s) {
+func (p *Pool) exclusion(now time.Duration, r Request, s *server, filter serverFilter) Exclusion {
+	switch {
+	case s.draining:
+		return ExcludedDraining
+	case s.replaced:
+		return ExcludedReplaced
+	case s.leaving(now):
+		return ExcludedLeaving
+	case s.evacuated:
+		return ExcludedEvacuated
+	case slices.Contains(r.Exclude, s.id):
+		return ExcludedByHost
+	case len(r.Allowed) > 0 && !slices.Contains(r.Allowed, s.region):
+		return ExcludedRegion
+	case s.cold(now) && !p.mayUseCold(now, s):
+		return ExcludedCold
+	case filter == freeServers && s.load(now) >= float64(s.slots):
+		return ExcludedFull
+	case filter != anyServer && !s.available(now):
+		if now < s.shedUntil {
+			return ExcludedRefused
+		}
+		return ExcludedDown
+	case !p.paceIgnored && !p.hasPaceRoom(now, s):
 		p.paceSkipped = true
-		return false
+		return ExcludedPaced
 	}
-	return true
+	return ""
 }
 
 // mayUseCold reports whether the pool may send a request to a cold server now. Only
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -304,7 +304,7 @@
 // decide chooses a server for the request or refuses it. returned is set for the return
 // of a refused caller at its scheduled time: it is not refused for the load of the servers
 // or the share of its workspace.
-func (p *Pool) decide(now time.Duration, r Request, returned bool) Decision {
+func (p *Pool) decide(now time.Duration, r Request, returned bool) outcome {
 	c := p.class(r.Class, r.Objective-now)
 	if now-p.occupancyAt > maxOccupancyAge {
 		p.occupancy, p.occupancyAt = p.currentOccupancy(now), now
@@ -315,10 +315,10 @@
 		best, est = p.choose(now, r, c, anyServer)
 	}
 	if best != nil && p.yieldsToUrgent(now, r, best) {
-		return p.refuse(now, Overload, best, est)
+		return refusal(Overload, becauseUrgent, best, est)
 	}
 	if best != nil && !returned && p.aboveShare(now, r, best) {
-		return p.refuse(now, Overload, best, est)
+		return refusal(Overload, becauseShare, best, est)
 	}
 	if best != nil && p.overloaded(now, best, est) {
 		// While many slots are free, take a server with a free one, even if it has to
@@ -326,28 +326,28 @@
 		// take slot time from several requests whose objects are held already.
 		returned = returned && best.load(now) <= maxReturnLoad*float64(best.slots)
 		if p.occupancy > spareOccupancy && !returned {
-			return p.refuse(now, Overload, best, est)
+			return refusal(Overload, becauseBusy, best, est)
 		}
 		free, freeEst := p.choose(now, r, c, freeServers)
 		switch {
 		case free != nil:
 			best, est = free, freeEst
 		case !returned:
-			return p.refuse(now, Overload, nil, freeEst)
+			return refusal(Overload, becauseNoFreeSlot, nil, freeEst)
 		}
 	}
 	switch {
 	case best == nil:
-		return p.refuse(now, NoServer, nil, est)
+		return refusal(NoServer, becauseNoServer, nil, est)
 	case est.finish > r.Deadline-now-deadlineMargin:
 		s, trialEst, reason := p.acquireTrial(now, r, c, best, est)
 		if s == nil {
-			return p.refuse(now, reason, best, est)
+			return refusal(reason, becauseLate, best, est)
 		}
 		trialEst.trial = true
-		return p.grant(now, r, s, trialEst)
+		return outcome{server: s, est: trialEst}
 	}
-	return p.grant(now, r, best, est)
+	return outcome{server: best, est: est}
 }
 
 // yieldsToUrgent reports whether a request is refused in favor of more urgent
@@ -398,12 +398,27 @@
 	return d
 }
 
+// grant returns the decision for a server and records that it was granted.
 func (p *Pool) grant(now time.Duration, r Request, s *server, est estimate) Decision {
+	d := p.grantDecision(now, r, s, est)
+	d.Grant = p.recordGrant(now, r, s, est)
+	return d
+}
+
+// grantDecision returns the decision for a server, without the grant's number.
+func (p *Pool) grantDecision(now time.Duration, r Request, s *server, est estimate) Decision {
+	return Decision{
+		Server: s.id, HoldsObject: est.holdsObject, Wait: est.wait, Service: est.service, Load: s.load(now), Busy: p.occupancy,
+		HedgeDelay: p.hedgeDelay(now, r, s, est),
+	}
+}
+
+// recordGrant records that a server was granted, and returns the grant's number.
+func (p *Pool) recordGrant(now time.Duration, r Request, s *server, est estimate) uint64 {
 	p.lastGrantID++
-	load := s.load(now)
 	g := &grant{
 		server: s, key: r.Key, class: r.Class, heldObject: est.holdsObject, sentAt: now, wait: est.wait,
-		expectedService: est.service, deadline: r.Deadline, unqueued: load < float64(s.slots), trial: est.trial, factor: s.reportedFactor,
+		expectedService: est.service, deadline: r.Deadline, unqueued: s.load(now) < float64(s.slots), trial: est.trial, factor: s.reportedFactor,
 	}
 	p.grants[p.lastGrantID] = g
 	if g.trial {
@@ -427,10 +442,7 @@
 		}
 	}
 	p.shiftLimiter.record(now, s.region)
-	return Decision{
-		Grant: p.lastGrantID, Server: s.id, HoldsObject: est.holdsObject, Wait: est.wait, Service: est.service, Load: load, Busy: p.occupancy,
-		HedgeDelay: p.hedgeDelay(now, r, s, est),
-	}
+	return p.lastGrantID
 }
 
 // objectKey returns the key of an object that is unique among all classes, "" if
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -135,16 +135,16 @@
 // decideAtPace decides a request as decide does, and again with all paced servers if it
 // would be refused because of the pace alone: a paced server is better than none. The
 // bound on shifts and the exclusion of servers marked down come before the pace.
-func (p *Pool) decideAtPace(now time.Duration, r Request, returned bool) Decision {
+func (p *Pool) decideAtPace(now time.Duration, r Request, returned bool) outcome {
 	p.paceSkipped = false
-	d := p.decide(now, r, returned)
-	if d.Refused == "" || !p.paceSkipped {
-		return d
+	o := p.decide(now, r, returned)
+	if o.refused == "" || !p.paceSkipped {
+		return o
 	}
 	p.paceSkipped, p.paceIgnored = false, true
-	d = p.decide(now, r, returned)
-	p.paceIgnored = false
-	return d
+	o = p.decide(now, r, returned)
+	p.paceIgnored, o.paceIgnored = false, true
+	return o
 }
 
 // hasPaceRoom reports whether the server may get one more request by its own limit and
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -56,6 +57,16 @@
 	return &returns{promises: map[uint64][]time.Duration{}, nextByRank: map[int]time.Duration{}, nextByWorkspace: map[uint64]time.Duration{}}
 }
 
+func (t *returns) clone() *returns {
+	copied := *t
+	copied.nextByRank, copied.nextByWorkspace = maps.Clone(t.nextByRank), maps.Clone(t.nextByWorkspace)
+	copied.promises = make(map[uint64][]time.Duration, len(t.promises))
+	for k, list := range t.promises {
+		copied.promises[k] = slices.Clone(list)
+	}
+	return &copied
+}
+
 // returnKey is a hash, because object keys may be long.
 func returnKey(r Request) uint64 {
 	return xxhash.Sum64String(r.Workspace + "\x00" + r.Class + "\x00" + r.Key)
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -36,6 +36,15 @@
 	return &scarcity{shares: fairshare.New(), returns: newReturns()}
 }
 
+func (c *scarcity) clone() *scarcity {
+	if c == nil {
+		return nil
+	}
+	copied := *c
+	copied.shares, copied.returns = c.shares.Clone(), c.returns.clone()
+	return &copied
+}
+
 // arrived counts a request and reports whether it is the return of a refused one at its
 // scheduled time.
 func (c *scarcity) arrived(now time.Duration, r Request) bool {
@@ -94,17 +103,31 @@
 // Acquire chooses a server for the request or refuses it; no request is queued in
 // the pool. Each grant must be ended with Release.
 func (p *Pool) Acquire(now time.Duration, r Request) Decision {
-	p.requested, p.requestedAt = true, now
-	d := p.decideAtPace(now, r, p.scarcity.arrived(now, r))
-	switch {
-	case d.Refused == "":
+	o, d := p.resolve(now, r)
+	if o.refused == "" {
+		d.Grant = p.recordGrant(now, r, o.server, o.est)
 		p.scarcity.granted(now, r)
-	case p.scarcity != nil && d.Refused != NoServer && !r.Hedge:
-		d.RetryAfter = p.scarcity.retryAfter(now, r)
 	}
 	return d
 }
 
+// resolve makes the decision of Acquire, and records that the request has arrived but not
+// that a server was granted.
+func (p *Pool) resolve(now time.Duration, r Request) (outcome, Decision) {
+	p.requested, p.requestedAt = true, now
+	returned := p.scarcity.arrived(now, r)
+	o := p.decideAtPace(now, r, returned)
+	o.returned = returned
+	if o.refused == "" {
+		return o, p.grantDecision(now, r, o.server, o.est)
+	}
+	d := p.refuse(now, o.refused, o.server, o.est)
+	if p.scarcity != nil && d.Refused != NoServer && !r.Hedge {
+		d.RetryAfter = p.scarcity.retryAfter(now, r)
+	}
+	return o, d
+}
+
 // aboveShare reports whether a request is refused because its workspace asks for more
 // than its share. It is not while the service has slots to spare, so that a share that no
 // other workspace uses is not lost.
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -9,6 +9,7 @@
 package fairshare
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -54,6 +55,18 @@
 	return &Shares{workspaces: map[workspaceKey]*workspace{}, allocations: map[int]allocation{}}
 }
 
+// Clone returns a copy that shares nothing with s.
+func (s *Shares) Clone() *Shares {
+	copied := *s
+	copied.workspaces, copied.allocations = make(map[workspaceKey]*workspace, len(s.workspaces)), maps.Clone(s.allocations)
+	values := make([]workspace, 0, len(s.workspaces))
+	for k, w := range s.workspaces {
+		values = append(values, *w)
+		copied.workspaces[k] = &values[len(values)-1]
+	}
+	return &copied
+}
+
 // Arrived counts a request of a workspace, whether it is granted or not.
 func (s *Shares) Arrived(now time.Duration, rank int, name string) {
 	k := workspaceKey{rank, name}
