--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -122,15 +122,7 @@
 func (g *Gateway) acquire(ctx context.Context, pr *pendingRequest, hedge bool) decision {
 	for range maxUnsentAttempts { // here a bound on decisions; nothing is sent
 		held := g.holds.held()
-		dec := g.selector.Acquire(ctx, AcquireParams{
-			Service: pr.service, Class: pr.route.Name, Key: g.requestAffinity(pr),
-			Hedge: hedge,
-			Host:  g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
-			Rank: pr.rank, Workspace: pr.workspaceName(), Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
-			ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
-			NoTrial: g.endsBefore(pr.deadline), NoHedge: !mayHedge(pr),
-			Exclude: slices.Concat(pr.exclude, held), Allowed: pr.regions,
-		})
+		dec := g.selector.Acquire(ctx, g.acquireParams(pr, held, hedge))
 		if dec.Refused != "" {
 			if len(held) > 0 {
 				g.setHeldRetryAfter(pr, &dec)
@@ -154,6 +146,20 @@
 	return decision{Decision: dispatch.Decision{Refused: dispatch.NoServer, RetryAfter: retryAfterUnconfigured}, decidedBy: "self"}
 }
 
+// acquireParams describes the next attempt of a request to the dispatcher. held are the
+// servers that get no requests from this host now.
+func (g *Gateway) acquireParams(pr *pendingRequest, held []string, hedge bool) AcquireParams {
+	return AcquireParams{
+		Service: pr.service, Class: pr.route.Name, Key: g.requestAffinity(pr),
+		Hedge: hedge,
+		Host:  g.cfg.Self.Name, FailureDomain: g.cfg.Self.FailureDomain,
+		Rank: pr.rank, Workspace: pr.workspaceName(), Bytes: max(pr.request.Length, int64(len(pr.request.Body))),
+		ObjectiveMillis: toMillis(time.Until(pr.objective)), RemainingMillis: toMillis(g.timeLeft(pr)),
+		NoTrial: g.endsBefore(pr.deadline), NoHedge: !mayHedge(pr),
+		Exclude: slices.Concat(pr.exclude, held), Allowed: pr.regions,
+	}
+}
+
 // setHeldRetryAfter sets the Retry-After of a refusal to when the first server may get
 // requests again, if all servers that the request may be sent to asked for a pause.
 func (g *Gateway) setHeldRetryAfter(pr *pendingRequest, dec *decision) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,7 +81,10 @@
 	// ChangeDeadline is the time within which a new configuration takes effect, 0 for
 	// 2.5 s. Unknown keys are not rejected while Age is above it.
 	ChangeDeadline time.Duration
-	Metrics        *Metrics
+	// ExplainQuota returns the state of a workspace's quota for Explain. It may be nil, and
+	// returns nil if the workspace has none.
+	ExplainQuota func(workspace string) *QuotaState
+	Metrics      *Metrics
 }
 
 // Gateway forwards callers' requests to backend servers. It implements Handler.
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -376,15 +376,12 @@
 }
 
 func (sel *Selector) acquire(ctx context.Context, p AcquireParams) decision {
-	s := sel.snapshot.Load()
-	asked := 0
-	for _, h := range s.Dispatchers(sel.self.Region, p.Service) {
+	hosts := sel.snapshot.Load().Dispatchers(sel.self.Region, p.Service)
+	for i, asked := sel.nextDispatcher(hosts, 0, 0), 0; i >= 0; i = sel.nextDispatcher(hosts, i+1, asked) {
+		h := hosts[i]
 		if h.Name == sel.self.Name {
 			return sel.acquireLocally(sharedPool, sel.awaitKnowledge(ctx, p), "self")
 		}
-		if asked >= maxDispatchers || sel.isSuspected(h.Name) {
-			continue
-		}
 		asked++
 		dec, err := sel.askDispatcher(ctx, h, p)
 		if err == nil {
@@ -399,6 +396,19 @@
 	return sel.acquireLocally(fallbackPool, p, "alone")
 }
 
+// nextDispatcher returns the index of the first host from the given index on that decides
+// next, after a number of others were asked: this host, or another one that may be asked. It
+// returns -1 if there is none, so that the fallback pool decides.
+func (sel *Selector) nextDispatcher(hosts []*fleet.Host, from, asked int) int {
+	for i := from; i < len(hosts); i++ {
+		name := hosts[i].Name
+		if name == sel.self.Name || asked < maxDispatchers && !sel.isSuspected(name) {
+			return i
+		}
+	}
+	return -1
+}
+
 // awaitKnowledge waits for the knowledge of this host's shared pool, if it is being loaded.
 // It returns the request with the time that is left then.
 func (sel *Selector) awaitKnowledge(ctx context.Context, p AcquireParams) AcquireParams {
--- a/internal/gateway/workspace.go
+++ b/internal/gateway/workspace.go
@@ -23,12 +23,9 @@
 // answer instead if the request has no route or needs a key that it doesn't have.
 func (g *Gateway) route(pr *pendingRequest, t *routetable.Table) (*Answer, string) {
 	for {
-		pr.configVersion = t.Version
-		pr.route = t.Lookup(pr.request.HTTP.Host, pr.request.HTTP.URL.EscapedPath())
-		if pr.route == nil {
+		if !pr.findRoute(t) {
 			return failure(http.StatusNotFound, "no route"), "no_route"
 		}
-		pr.rank, pr.regions = pr.route.Rank, commonRegions(pr.route.Regions, nil)
 		if t.Workspaces == nil {
 			return nil, ""
 		}
@@ -57,6 +54,18 @@
 	}
 }
 
+// findRoute sets the route of a request, with its rank and regions, and reports whether the
+// table has one.
+func (pr *pendingRequest) findRoute(t *routetable.Table) bool {
+	pr.configVersion = t.Version
+	pr.route = t.Lookup(pr.request.HTTP.Host, pr.request.HTTP.URL.EscapedPath())
+	if pr.route == nil {
+		return false
+	}
+	pr.rank, pr.regions = pr.route.Rank, commonRegions(pr.route.Regions, nil)
+	return true
+}
+
 // skipBody marks an answer to a request whose body has not been used.
 func skipBody(a *Answer, outcome string) (*Answer, string) {
 	a.SkipBody = true
