--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,6 +1,7 @@
 // Package ctl implements the commands of galenabeamctl, the operators' command
 // line. Commands that read or change a deployment use only its administration API,
-// which entry hosts serve if galenabeamd runs without -platform.
+// which entry hosts serve if galenabeamd runs without -platform. explain-request uses the
+// metrics address of entry hosts that run with -platform.
 package ctl
 
 import (
@@ -79,6 +80,7 @@
 		{"drain list", "", "Lists the drains in force with their progress.", true, prepareDrainList},
 		{"drain abort", "KIND TARGET", "Aborts a drain.", true, prepareDrainAbort},
 		{"explain", "ID [LOG...]", "Prints what the logs of entry hosts say about a request. Offline; reads standard input if no LOG is given.", false, prepareExplain},
+		{"explain-request", "", "Prints where a request would go now and why, without sending it. For entry hosts with -platform.", true, prepareExplainRequest},
 		{"call", "", "Sends one request through the system.", true, prepareCall},
 		{"report", "BEFORE AFTER", "Writes an HTML page that compares two benchmark or quickstart results.", false, prepareReport},
 		{"quickstart", "", "Runs a demonstration on loopback addresses.", true, prepareQuickstart},
