--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,9 @@
 	// configuredAt is when the current configuration took effect, as a
 	// time.Duration on the selector's clock.
 	configuredAt atomic.Int64
+	// explainQuota returns the state of a workspace's quota for Explain, nil if it has
+	// none. It is nil without quotas.
+	explainQuota func(workspace string) *QuotaState
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -126,6 +129,7 @@
 	}
 	if cfg.Quota != nil {
 		g.quotas = NewQuotas(*cfg.Quota, cfg.Self, cfg.PeerClient, cfg.Metrics, cfg.Log)
+		g.explainQuota = g.quotas.state
 	}
 	return g
 }
--- a/internal/gateway/quota_attempts_test.go
+++ b/internal/gateway/quota_attempts_test.go
@@ -160,3 +160,19 @@
 	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(f.tokensLeft()).To(Equal(2))
 }
+
+// TestExplainQuota guards against an explanation that leaves out a quota, or names one of a
+// workspace that has none.
+func TestExplainQuota(t *testing.T) {
+	g := NewWithT(t)
+	q := &Quotas{
+		self: fleet.Host{Region: "r"}, now: func() time.Duration { return 0 }, limits: map[string]quota.Limit{"limited": {RatePerSecond: 1}},
+		issuers: map[string]*fleet.Issuer{"r": {Host: "h9"}}, over: map[string]*overState{},
+		client: quota.NewClient("r", quota.NewSafeShares(0, quota.Bounds{Window: 5 * time.Second}, 1)),
+	}
+	g.Expect(q.state("unlimited")).To(BeNil())
+	g.Expect(q.state("limited")).To(Equal(&QuotaState{Issuer: "h9"}))
+	q.over["limited"] = &overState{}
+	q.issuers = nil
+	g.Expect(q.state("limited")).To(Equal(&QuotaState{OverQuota: true}))
+}
