--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -81,6 +82,16 @@
 	return &returns{promises: map[uint64][]promise{}, due: map[duePromise]int{}, nextByRank: map[int]time.Duration{}, nextByWorkspace: map[uint64]time.Duration{}}
 }
 
+func (t *returns) clone() *returns {
+	copied := *t
+	copied.nextByRank, copied.nextByWorkspace = maps.Clone(t.nextByRank), maps.Clone(t.nextByWorkspace)
+	copied.due, copied.promises = maps.Clone(t.due), make(map[uint64][]promise, len(t.promises))
+	for k, list := range t.promises {
+		copied.promises[k] = slices.Clone(list)
+	}
+	return &copied
+}
+
 // returnKey is a hash, because object keys may be long.
 func returnKey(r Request) uint64 {
 	return xxhash.Sum64String(r.Workspace + "\x00" + r.Class + "\x00" + r.Key)
