dispatch: refuse unknown classes without a free slot as late again

TestUnchangedWithoutOptions failed in one of several thousand checks: where no feature is on, the reason of this refusal had changed from late to overload. 20,000 checks pass.

--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -74,7 +74,7 @@
 		}
 		free, freeEst := p.choose(now, r, c, freeServers)
 		if free == nil {
-			return nil, est, Overload // what is known is that no slot is free
+			return nil, est, Late
 		}
 		best, est = free, freeEst
 	}
