dispatch: do not fetch objects for returns while slots are scarce

A returning caller was sent to any free server while a more urgent rank was active. Where servers keep objects, each such request took the slot time of several others. It now takes a free server only if that holds the object, or a fetch is not known to be costly.

--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -68,6 +68,15 @@
 	return min(c.missAverage, c.hitAverage)
 }
 
+// costlyFetchRatio is the ratio of missTime to hitTime above which a fetch is costly.
+const costlyFetchRatio = 1.5
+
+// fetchIsCostly reports whether requests are known to take much longer at a server that does
+// not hold their object.
+func (c *class) fetchIsCostly() bool {
+	return c.missObserved && c.hitObserved && float64(c.missTime()) > costlyFetchRatio*float64(c.hitTime())
+}
+
 // observeServiceTime adds a served request to the moving averages, unless it may have
 // waited in the server's queue: its elapsed time is then not the service time. What the
 // server's reported percentage explains is left out first, and then its slowness, so that
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -235,9 +235,9 @@
 }
 
 // yieldsToReturns reports whether a request is refused in favor of refused callers of its
-// rank, or of a more urgent one, that are due to return. It applies while a more urgent rank is active: its requests and those
-// of new callers would otherwise take all slots that become free, and a return, which does
-// not queue then, would find none.
+// rank, or of a more urgent one, that are due to return. It applies while a more urgent rank
+// is active: its requests and those of new callers would otherwise take all slots that become
+// free, and a return, which does not queue then, would find none.
 func (p *Pool) yieldsToReturns(now time.Duration, r Request) bool {
 	return p.scarcity != nil && p.occupancy > yieldOccupancy && p.moreUrgentActive(now, r.Rank) && p.scarcity.returns.anyDue(now, r.Rank)
 }
@@ -249,7 +249,7 @@
 	if best.load(now) < float64(best.slots) || !p.moreUrgentActive(now, r.Rank) {
 		return best, est, true
 	}
-	if free, freeEst := p.choose(now, r, c, freeServers); free != nil {
+	if free, freeEst := p.choose(now, r, c, freeServers); free != nil && (freeEst.holdsObject || !c.fetchIsCostly()) {
 		return free, freeEst, true
 	}
 	return best, est, false
