--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -287,9 +287,17 @@
 		return 200, map[string]any{"ttl_time": l.ttl.String()}
 	case r.URL.Path == "/v1/kv-txn":
 		var body struct {
-			Puts []item `json:"puts"`
+			Precondition []item   `json:"precondition"`
+			Puts         []item   `json:"puts"`
+			Remove       []string `json:"remove"`
 		}
 		_ = json.NewDecoder(r.Body).Decode(&body)
+		for _, c := range body.Precondition {
+			// The revision of an item that does not exist is 0.
+			if s.items[c.Key].Revision != c.Revision {
+				return 412, nil
+			}
+		}
 		for _, p := range body.Puts {
 			if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
 				return 403, nil
@@ -301,6 +309,9 @@
 		for _, p := range body.Puts {
 			s.write(p)
 		}
+		for _, key := range body.Remove {
+			s.write(item{Key: key, Tombstone: true})
+		}
 		return 200, map[string]any{"revision": s.rev}
 	}
 	return 400, nil
