soak: check that hosts with an old copy of the store reject no key

A host whose copy of the store is old must not answer 401 to a key that it does not know; the earlier check covered only hosts without disturbances. Greedy callers now send in bursts, so that the workspace's whole burst is used. Answers that stay unread are also cut off with a normal end of the connection.

--- a/internal/soak/bodies_test.go
+++ b/internal/soak/bodies_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 )
@@ -20,9 +22,9 @@
 	maxUploadBytes = 900 << 10
 	// unreadTimeout is the time after which a backend server cuts off an answer that is not
 	// read, and less than slowPause.
-	unreadTimeout = 1200 * time.Millisecond
+	unreadTimeout = 1800 * time.Millisecond
 	// slowPause is the time for which a slow caller stops reading an answer.
-	slowPause = 2500 * time.Millisecond
+	slowPause = 3 * time.Second
 	// socketBuffer is the size in bytes of the socket buffers of slow readers and of large
 	// answers.
 	socketBuffer = 128 << 10
@@ -93,8 +95,8 @@
 }
 
 // writeLarge writes a large answer, framed by its length, by chunks or by the end of the
-// connection. It cuts off an answer that stays unread, and reports whether the connection
-// remains usable.
+// connection. It cuts off an answer that stays unread, with a reset or with a normal end of
+// the connection, and reports whether the connection remains usable.
 func (b *backend) writeLarge(c net.Conn, id, answer, extra string) bool {
 	_ = c.(*net.TCPConn).SetWriteBuffer(socketBuffer)
 	framing := len(id) + int(id[len(id)-1]) // differs from request to request
@@ -109,9 +111,10 @@
 		_ = c.SetWriteDeadline(time.Now().Add(unreadTimeout))
 		n, err := io.WriteString(c, text[:min(len(text), socketBuffer)])
 		if err != nil {
-			b.executionLog.cuts.Add(1)
-			if framing%3 == 2 {
-				// The normal end of the connection would end the answer.
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				b.executionLog.cuts.Add(1)
+			}
+			if framing%2 == 0 {
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
 			return false
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -68,6 +68,7 @@
 	requestCount int
 	workspace    string        // "" if the configurations have none
 	greedy       bool          // sends as fast as it can
+	began        time.Time     // of the run
 	readPause    time.Duration // after the next read
 }
 
@@ -117,7 +118,10 @@
 		if ctx.Err() != nil || !c.send(conn, in, h, incarnation) {
 			return
 		}
-		time.Sleep(c.pause())
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.pause()):
+		}
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -12,8 +12,9 @@
 	for promise, list := range violations {
 		sr.t.Errorf("seed %d: %s: %d times, first: %s", sr.seed, promise, len(list), list[0])
 	}
-	sr.t.Logf("seed %d: %d requests, %d of %d served at the end, %d answers cut off, %d resets before the body was read",
-		sr.seed, len(sr.requestLog.list), served, total, sr.executionLog.cuts.Load(), sr.executionLog.resets.Load())
+	most, _ := sr.quotaUse()
+	sr.t.Logf("seed %d: %d requests, %d of %d served at the end, at most %d greedy ones in 5 s, %d answers cut off, %d resets before the body was read",
+		sr.seed, len(sr.requestLog.list), served, total, most["greedy"], sr.executionLog.cuts.Load(), sr.executionLog.resets.Load())
 }
 
 // findings returns the violations by promise. Of the requests sent after servedFrom,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,7 +26,7 @@
 	backendsPerService = 4 // there are two services
 	callerCount        = 10
 	// greedyCount is the number of callers that send far beyond their workspace's rate.
-	greedyCount = 4
+	greedyCount = 6
 	// faultFreeTime is the length of the last phase of a run, which has no faults.
 	// In its last servedWindow, workspaces with a quota must be served: an issuer in a
 	// restored store waits up to 12.2 s.
@@ -242,7 +242,7 @@
 		hostsByFront[net.JoinHostPort(h.ip, "8001")] = h
 	}
 	for i := range callerCount + greedyCount {
-		c := &caller{name: fmt.Sprint("c", i), hosts: hostsByFront, directories: sr.hosts, rng: rand.New(rand.NewSource(sr.seed*100 + int64(i))), requestLog: sr.requestLog, probeVersion: sr.newestVersion}
+		c := &caller{name: fmt.Sprint("c", i), hosts: hostsByFront, directories: sr.hosts, rng: rand.New(rand.NewSource(sr.seed*100 + int64(i))), requestLog: sr.requestLog, probeVersion: sr.newestVersion, began: sr.began}
 		if sr.withWorkspaces() {
 			c.workspace = []string{"steady", "modest", "local"}[i%3]
 		}
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -44,6 +44,7 @@
 	loseAnswers  bool          // each third call takes effect but gets no answer
 	calls        int
 	disturbances []disturbance
+	restores     []time.Time
 }
 
 // storeContent is what a copy of the store contains.
@@ -116,6 +117,7 @@
 	s.copies = s.copies[:n+1]
 	s.storeContent = c.content.clone()
 	s.era++
+	s.restores = append(s.restores, time.Now())
 	s.compactedTo = min(s.compactedTo, s.rev)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -155,6 +157,13 @@
 	return !overlaps(s.disturbances, from, to)
 }
 
+// restoredBetween reports whether the store was restored between two times.
+func (s *store) restoredBetween(from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.restores, func(t time.Time) bool { return t.After(from) && t.Before(to) })
+}
+
 // write applies a change and records it as an event. The caller holds the lock.
 func (s *store) write(i item) {
 	s.rev++
--- a/internal/soak/workspace_check_test.go
+++ b/internal/soak/workspace_check_test.go
@@ -7,14 +7,13 @@
 	"time"
 )
 
+// transitTime bounds the time for which answers of the store are on a delayed link. Hosts do
+// not know that time when they take the age of their copy.
+const transitTime = 500 * time.Millisecond
+
 // mustServe reports whether all configurations serve a request and no quota refuses it.
 func (sr *soakRun) mustServe(r *request) bool {
-	for _, v := range sr.versions {
-		if w, ok := v.admits(r); !ok || w == "greedy" {
-			return false
-		}
-	}
-	return true
+	return admitAll(sr.versions, r) && !slices.Equal(r.keys, []string{permanentKey("greedy")})
 }
 
 // inForce returns the versions that may have been in force at the host of a request from
@@ -55,15 +54,32 @@
 			report("allowed regions", "%s at %v ran at %s", r.id, at, e.server)
 		}
 	}
-	if r.status != 401 {
-		return
+	if r.status == 401 && admitAll(sr.inForce(r, r.ended), r) {
+		report("valid keys are accepted", "%s at %v at %s got 401 with keys %q", r.id, at, r.host.name, r.keys)
+	}
+	if r.status == 401 && sr.addedLongAgo(r) {
+		report("unconfirmed keys are not rejected", "%s at %v at %s got 401 with keys %q", r.id, at, r.host.name, r.keys)
 	}
-	for _, v := range sr.inForce(r, r.ended) {
-		if _, ok := v.admits(r); !ok {
-			return
+}
+
+// admitAll reports whether all versions serve a request.
+func admitAll(versions []version, r *request) bool {
+	return !slices.ContainsFunc(versions, func(v version) bool { _, ok := v.admits(r); return !ok })
+}
+
+// addedLongAgo reports whether the store has had the key of a request for so long, and without
+// a restore, that a host which does not know it must have an old copy, whatever the faults.
+func (sr *soakRun) addedLongAgo(r *request) bool {
+	oldest, end := -1, len(sr.versions)
+	for i, v := range sr.versions {
+		if v.confirmed.Add(configApply + transitTime).Before(r.sent) {
+			oldest = i
 		}
 	}
-	report("valid keys are accepted", "%s at %v at %s got 401 with keys %q", r.id, at, r.host.name, r.keys)
+	for end > 0 && sr.versions[end-1].submitted.After(r.ended) {
+		end--
+	}
+	return oldest >= 0 && admitAll(sr.versions[oldest:end], r) && !sr.store.restoredBetween(sr.versions[oldest].confirmed, r.ended)
 }
 
 // servedAs reports whether one of the versions serves a request for the workspace that a
@@ -75,9 +91,9 @@
 	})
 }
 
-// checkQuotas guards against more requests of a workspace than its quota allows over all
-// hosts, and against a workspace within its quota that is not served after the faults.
-func (sr *soakRun) checkQuotas(servedFrom time.Time, report func(string, string, ...any)) {
+// quotaUse returns the most requests of each workspace that ran within quotaWindow, and the
+// end of that window.
+func (sr *soakRun) quotaUse() (most map[string]int, end map[string]time.Time) {
 	ran := map[string][]time.Time{}
 	for _, executions := range sr.executionLog.executions {
 		for _, e := range executions {
@@ -86,16 +102,29 @@
 			}
 		}
 	}
-	for _, t := range sr.versions[0].tenants {
-		if t.Rate == 0 {
-			continue
-		}
-		times, limit := ran[t.Name], t.quotaLimit()
+	most, end = map[string]int{}, map[string]time.Time{}
+	for w, times := range ran {
 		slices.SortFunc(times, time.Time.Compare)
-		for i := limit; i < len(times); i++ {
-			if d := times[i].Sub(times[i-limit]); d < quotaWindow {
-				report("quotas", "%d requests of %s ran within %v, until %v", limit+1, t.Name, d, times[i].Sub(sr.began))
+		first := 0
+		for i, t := range times {
+			for t.Sub(times[first]) >= quotaWindow {
+				first++
 			}
+			if n := i - first + 1; n > most[w] {
+				most[w], end[w] = n, t
+			}
+		}
+	}
+	return most, end
+}
+
+// checkQuotas guards against more requests of a workspace than its quota allows over all
+// hosts, and against a workspace within its quota that is not served after the faults.
+func (sr *soakRun) checkQuotas(servedFrom time.Time, report func(string, string, ...any)) {
+	most, end := sr.quotaUse()
+	for _, t := range sr.versions[0].tenants {
+		if limit := t.quotaLimit(); t.Rate > 0 && most[t.Name] > limit {
+			report("quotas", "%d requests of %s ran within %v until %v, limit %d", most[t.Name], t.Name, quotaWindow, end[t.Name].Sub(sr.began), limit)
 		}
 	}
 	good, total := 0, 0
--- a/internal/soak/workspace_findings_test.go
+++ b/internal/soak/workspace_findings_test.go
@@ -24,6 +24,12 @@
 	h.run.store.disturbances = []disturbance{{start: r.sent.Add(-time.Second), end: r.sent}}
 }
 
+// sendAfterUpdate changes the time of a request: d after the second version.
+func (h *history) sendAfterUpdate(r *request, d time.Duration) {
+	r.sent = h.run.versions[1].confirmed.Add(d)
+	r.ended = r.sent.Add(100 * time.Millisecond)
+}
+
 // addRuns adds requests of a workspace that run in a period.
 func (h *history) addRuns(workspace string, n int, from, period time.Duration) {
 	for i := range n {
@@ -57,14 +63,29 @@
 	{promise: "valid keys are accepted", violate: func(h *history) {
 		h.setKey(h.probe, rotatingKey(2), "steady")
 		h.refuse(h.probe, 401)
+		h.sendAfterUpdate(h.probe, configApply+transitTime/2)
 	}},
 	{promise: "valid keys are accepted", violate: func(h *history) {
+		// The store was restored, but all versions have the key.
+		h.run.store.restores = []time.Time{h.idempotent.sent.Add(-time.Second)}
 		h.disturb(h.idempotent)
 		h.refuse(h.idempotent, 401)
 	}},
+	{promise: "unconfirmed keys are not rejected", violate: func(h *history) {
+		h.setKey(h.probe, rotatingKey(2), "steady")
+		h.refuse(h.probe, 401)
+		h.disturb(h.probe)
+	}},
+	{promise: "a key is refused after it was lost in a restore", violate: func(h *history) {
+		h.setKey(h.probe, rotatingKey(2), "steady")
+		h.refuse(h.probe, 401)
+		h.disturb(h.probe)
+		h.run.store.restores = []time.Time{h.probe.sent.Add(-time.Second)}
+	}, allowed: true},
 	{promise: "a new key is refused during a store outage", violate: func(h *history) {
 		h.setKey(h.probe, rotatingKey(2), "steady")
 		h.refuse(h.probe, 401)
+		h.sendAfterUpdate(h.probe, configApply)
 		h.disturb(h.probe)
 	}, allowed: true},
 	{promise: "a removed key is refused", violate: func(h *history) {
--- a/internal/soak/workspace_test.go
+++ b/internal/soak/workspace_test.go
@@ -26,6 +26,9 @@
 	unknownKey = keyPrefix + "unknown"
 	// greedyPause is the time between an answer and a greedy caller's next request.
 	greedyPause = 4 * time.Millisecond
+	// Greedy callers send for greedyOn of each greedyPeriod, so that their burst is full again.
+	greedyPeriod = 7 * time.Second
+	greedyOn     = 3 * time.Second
 
 	quotaWindow  = 5 * time.Second
 	quotaOverage = 0.1
@@ -86,10 +89,13 @@
 
 // pause returns the time between an answer and the next request.
 func (c *caller) pause() time.Duration {
-	if c.greedy {
-		return greedyPause
+	if !c.greedy {
+		return requestPause
+	}
+	if at := time.Since(c.began) % greedyPeriod; at > greedyOn {
+		return greedyPeriod - at
 	}
-	return requestPause
+	return greedyPause
 }
 
 // credentialLines chooses the credentials of a request and returns its header lines of
