soak: break answers in each seed, invalidate cached results

After the faults, a server of each service now does both. Go cached a passed soak although the daemon had changed, because the daemon is built by a command; the test now imports its code.

--- a/internal/soak/bodies_test.go
+++ b/internal/soak/bodies_test.go
@@ -56,7 +56,7 @@
 		r.path, r.large, r.slow = largePath, true, n < 1
 	case r.idempotent && n < 14:
 		r.path, r.public = "/public/x", true
-	case !r.idempotent && n < 4:
+	case !r.idempotent && n < 15:
 		r.path, r.large = "/upload/x", true
 		body += strings.Repeat(".", c.rng.Intn(maxUploadBytes))
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -117,9 +117,9 @@
 	return nil
 }
 
-// resetUploads makes the newest serving backend server of each service reset its uploads for
-// the duration. The oldest one may be draining soon.
-func (sr *soakRun) resetUploads(duration time.Duration) {
+// breakAnswers makes the newest serving backend server of each service reset its uploads and
+// then answer with wrong statuses, each for the duration. The oldest one may be draining soon.
+func (sr *soakRun) breakAnswers(duration time.Duration) {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
 	newest := map[string]*backend{}
@@ -129,8 +129,9 @@
 		}
 	}
 	for _, b := range newest {
-		b.answerFault.Store(resetInUpload)
-		time.AfterFunc(duration, func() { b.answerFault.Store(0) })
+		for i, fault := range []int32{resetInUpload, status000, status999, 0} {
+			time.AfterFunc(time.Duration(i)*duration, func() { b.answerFault.Store(fault) })
+		}
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,10 @@
 	"sync"
 	"testing"
 	"time"
+
+	// The test runs the daemon as a process. With the import, a change of the daemon
+	// invalidates cached results of the test.
+	_ "github.com/galenabeam/galenabeam/platform"
 )
 
 // Sizes of a run. SOAK_SEEDS, SOAK_FIRST and SOAK_SECONDS change the number of
@@ -35,9 +39,9 @@
 	// server then drains and a configuration is submitted, so that every seed checks
 	// the promises with a time bound.
 	recoveredAfter = recoveryTime + 300*time.Millisecond
-	// resetTime is the time after recoveredAfter for which a server of each service resets its
-	// uploads.
-	resetTime = 500 * time.Millisecond
+	// breakTime is the time after recoveredAfter for which a server of each service resets its
+	// uploads, and then for which it answers with each of the wrong statuses.
+	breakTime = 500 * time.Millisecond
 	// servedWindow is the last part of that phase, in which minServedShare of the
 	// requests must be served.
 	servedWindow   = 2 * time.Second
@@ -272,7 +276,7 @@
 	var drainDone sync.WaitGroup
 	drainDone.Add(1)
 	go func() { defer drainDone.Done(); sr.drain(sr.servingBackend()) }()
-	sr.resetUploads(resetTime)
+	sr.breakAnswers(breakTime)
 	sr.submit()
 	time.Sleep(faultFreeTime - recoveredAfter)
 	drainDone.Wait()
