gateway: count suspension as time in which an answer is unread

The steady clock does not count the suspension of a machine, in which a server may give up an answer that is not read. Found by reading; no test suspends a machine.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenabeam/galenabeam/internal/boottime"
 	"github.com/galenabeam/galenabeam/internal/dispatch"
 	"github.com/galenabeam/galenabeam/internal/fleet"
 	"github.com/galenabeam/galenabeam/internal/serverhold"
@@ -91,7 +92,8 @@
 	headers Headers
 	// dialContext connects to an address.
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
-	// now returns the time by which answers are left unread; see maxUnreadTime.
+	// now returns the time by which answers are left unread; see maxUnreadTime. It counts
+	// time in which this host was suspended and read nothing.
 	now func() time.Time
 	// bodies is the budget of all buffered answers.
 	bodies memoryBudget
@@ -117,9 +119,12 @@
 
 func newUpstream(h Headers) *upstream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &upstream{headers: h, dialContext: dialer.DialContext, now: time.Now, idle: map[serverhold.Server][]*upstreamConn{}}
+	return &upstream{headers: h, dialContext: dialer.DialContext, now: bootTime, idle: map[serverhold.Server][]*upstreamConn{}}
 }
 
+// bootTime returns boottime.Now as a time.
+func bootTime() time.Time { return time.Unix(0, boottime.Now().Nanoseconds()) }
+
 // do sends a request and reads the answer. It returns when the answer is complete
 // or, for a large one, when its first maxBufferedAnswer bytes have arrived.
 func (u *upstream) do(ctx context.Context, c *upstreamCall) reply {
