gateway: round Retry-After of 429 up

The time until the next token was formatted with the nearest millisecond, so a caller that followed it could return before its token was minted. It is now rounded up as in 503 answers.

TestOverQuotaRetryAfter failed before: 250.4 ms was sent as 0.250.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -227,7 +226,7 @@
 // overQuota returns a 429 answer. Like a refusal, it means that the request has not run.
 func overQuota(retryAfter time.Duration) *Answer {
 	a := failure(http.StatusTooManyRequests, "the quota of the workspace is used up")
-	a.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	a.Header.Set("Retry-After", formatRetryAfter(retryAfter))
 	return a
 }
 
--- a/internal/gateway/quota_attempts_test.go
+++ b/internal/gateway/quota_attempts_test.go
@@ -71,6 +71,17 @@
 	g.Expect(s.runs.Load()).To(BeZero())
 }
 
+// TestOverQuotaRetryAfter guards against a Retry-After that is rounded down: a caller that
+// follows it returns before its token is minted.
+func TestOverQuotaRetryAfter(t *testing.T) {
+	g := NewWithT(t)
+	for d, want := range map[time.Duration]string{
+		250400 * time.Microsecond: "0.251", 600 * time.Microsecond: "0.001", 1499 * time.Microsecond: "0.002", 250 * time.Millisecond: "0.250",
+	} {
+		g.Expect(overQuota(d).Header.Get("Retry-After")).To(Equal(want), d.String())
+	}
+}
+
 // TestNoIssuerAnswer guards against a caller that is blamed when no issuer is known.
 func TestNoIssuerAnswer(t *testing.T) {
 	g := NewWithT(t)
