quota: report used-up quotas only after the own issuer

A slow issuer gave 429 to callers within their quota: after 30 ms without an answer a host also asked one other region, and an empty answer there, or the lack of another region, counted as used up. The wallet now keeps the time of the own issuer's empty answer and takes a quota to be used up only within MaxWait of it. After that answer the host asks each other region in turn while an answer can come before the deadline.

TestSlowOwnIssuer, TestAsksEachOtherRegion and TestFollowUpWithoutAnswer failed before; go test ./internal/quota ./internal/gateway passes.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -52,6 +52,8 @@
 	Tenure uint64
 	kind   messageKind
 	sentAt time.Duration
+	// tried are the other regions that were asked for the same wants before.
+	tried []string
 }
 
 type messageKind int
@@ -82,6 +84,7 @@
 	waiters              []waiter
 	resolved             []Resolution
 	messages             map[uint64]*Message
+	followUps            []followUp
 	lastID               uint64
 	rotation             int
 	suspected            map[string]time.Duration // until when a region is not asked
@@ -160,7 +163,7 @@
 		r := Resolution{ID: w.id}
 		if token, ok := c.wallet.TakeAgain(now, w.workspace); ok {
 			r.Verdict, r.Token = Granted, token
-		} else if verdict, retryAfter := c.wallet.UsedUp(now, w.workspace); verdict != Waiting {
+		} else if verdict, retryAfter := c.usedUp(now, w); verdict != Waiting {
 			r.Verdict, r.RetryAfter = verdict, retryAfter
 		} else if !unreachable && now < w.deadline {
 			return false
@@ -178,6 +181,14 @@
 	})
 }
 
+// usedUp is Wallet.UsedUp for a request that waits.
+func (c *Client) usedUp(now time.Duration, w waiter) (Verdict, time.Duration) {
+	if now >= w.deadline {
+		c.wallet.EndFollowUp(now, w.workspace)
+	}
+	return c.wallet.UsedUp(now, w.workspace)
+}
+
 // allSuspected reports whether issuers are known and none of them has answered lately.
 func (c *Client) allSuspected(now time.Duration) bool {
 	for _, region := range c.regions {
@@ -198,19 +209,7 @@
 	if slices.Contains(c.regions, c.region) && !c.isSuspected(now, c.region) {
 		return c.region
 	}
-	return c.other(now)
-}
-
-// other returns another region than the own one, each in turn, "" if there is none.
-func (c *Client) other(now time.Duration) string {
-	for range c.regions {
-		c.rotation++
-		region := c.regions[c.rotation%len(c.regions)]
-		if region != c.region && !c.isSuspected(now, region) {
-			return region
-		}
-	}
-	return ""
+	return c.other(now, nil)
 }
 
 // Messages returns the messages to send now.
@@ -218,6 +217,7 @@
 	c.resolve(now)
 	var list []Message
 	target := c.target(now)
+	list = c.sendFollowUps(now, list)
 	if len(c.waiters) > 0 {
 		list = c.askElsewhere(now, list)
 	}
@@ -238,28 +238,6 @@
 	return list
 }
 
-// askElsewhere appends the message to another region for what the own one lacks.
-func (c *Client) askElsewhere(now time.Duration, list []Message) []Message {
-	wants := c.wallet.ElsewhereWants(now)
-	for id, m := range c.messages {
-		if m.kind == urgent && m.Region == c.region && now-m.sentAt >= earlyElsewhere && c.early < id {
-			c.early = id
-			wants = append(wants, c.wallet.MissingWants(now)...)
-		}
-	}
-	if len(wants) == 0 {
-		return list
-	}
-	region := c.other(now)
-	if region == "" {
-		c.wallet.Failed(LendRequest{Wants: wants})
-		c.wallet.SetUsedUp(now, wants)
-		c.resolve(now)
-		return list
-	}
-	return append(list, c.message(now, elsewhere, region, wants))
-}
-
 func (c *Client) urgentInFlight() bool {
 	for _, m := range c.messages {
 		if m.kind == urgent {
@@ -291,6 +269,9 @@
 	delete(c.messages, id)
 	delete(c.suspected, m.Region)
 	c.wallet.Receive(now, m.sentAt, m.Region, m.kind != elsewhere, LendRequest{Wants: m.Wants}, reply)
+	if m.kind == elsewhere {
+		c.askNext(now, m, emptyWants(m.Wants, reply.Loans))
+	}
 	c.resolve(now)
 }
 
@@ -309,7 +290,7 @@
 	c.suspected[m.Region] = now + pause
 	c.wallet.Failed(LendRequest{Wants: m.Wants})
 	if m.kind == elsewhere && !c.isSuspected(now, c.region) {
-		c.wallet.SetUsedUp(now, m.Wants)
+		c.askNext(now, m, m.Wants)
 	}
 	c.nextUrgent = now
 	c.resolve(now)
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -18,6 +18,10 @@
 	// usedUpTime is the time for which requests are refused without asking again after
 	// the issuer reported that the quota is used up.
 	usedUpTime = FetchPeriod
+	// ownEmptyTime is the time after the own issuer's answer that it lacks tokens within
+	// which the same answer of another region means that the quota is used up. Requests
+	// that waited for both wait no longer.
+	ownEmptyTime = MaxWait
 	// accountIdle is the time after the last request for which a workspace is kept.
 	accountIdle = 2 * time.Second
 )
@@ -56,9 +60,13 @@
 	waiting, requested int
 	lastUsed           time.Duration
 	usedUpUntil        time.Duration
-	elsewhere, fresh   bool // see Loan
-	retryAt            time.Duration
-	retryStep          time.Duration
+	// ownEmptyUntil is ownEmptyTime after the own issuer answered that it lacks tokens, 0
+	// if its last answer brought some. followedUpUntil replaces it once another region
+	// lacks them too and the next one was asked.
+	ownEmptyUntil, followedUpUntil time.Duration
+	elsewhere, fresh               bool // see Loan
+	retryAt                        time.Duration
+	retryStep                      time.Duration
 }
 
 // Wallet holds the tokens of one host. Every token is used until holderFraction of its
@@ -203,28 +211,61 @@
 		if expires := sentAt + holderTime(l.valid()); l.Tokens > 0 && expires > now {
 			a.add(&held{region: region, tenure: reply.Tenure, id: l.ID, left: l.Tokens, expires: expires})
 		}
-		if !l.Empty {
-			continue
-		}
 		if own {
-			a.fresh = l.Fresh
-			a.retryAt, a.retryStep = now+time.Duration(l.RetryMillis)*time.Millisecond, time.Duration(l.StepMicros)*time.Microsecond
-		}
-		if a.elsewhere = own && l.Elsewhere; !a.elsewhere {
-			a.usedUpUntil = now + usedUpTime
+			a.receiveOwn(now, l)
 		}
 	}
 }
 
-// SetUsedUp records that no other region has tokens either.
+// receiveOwn records what an answer of the own issuer says about the quota.
+func (a *account) receiveOwn(now time.Duration, l Loan) {
+	a.followedUpUntil = 0
+	if !l.Empty {
+		a.ownEmptyUntil = 0
+		return
+	}
+	a.fresh, a.ownEmptyUntil = l.Fresh, now+ownEmptyTime
+	a.retryAt, a.retryStep = now+time.Duration(l.RetryMillis)*time.Millisecond, time.Duration(l.StepMicros)*time.Microsecond
+	if a.elsewhere = l.Elsewhere; !a.elsewhere {
+		a.usedUpUntil = now + usedUpTime
+	}
+}
+
+// SetUsedUp records that no other region has tokens either. It has no effect on workspaces
+// for which the own issuer has not answered that it lacks them: it may only be slow.
 func (w *Wallet) SetUsedUp(now time.Duration, wants []Want) {
 	for _, want := range wants {
-		if a := w.accounts[want.Workspace]; a != nil && a.retryStep > 0 {
+		if a := w.accounts[want.Workspace]; a != nil && now < a.ownEmptyUntil {
 			a.usedUpUntil = now + usedUpTime
 		}
 	}
 }
 
+// FollowUp returns what to ask the next other region for after one lacks tokens. It
+// reports false if nothing is missing, or if the own issuer may still have tokens.
+func (w *Wallet) FollowUp(now time.Duration, workspace string) (Want, bool) {
+	a := w.accounts[workspace]
+	if a == nil || now >= a.ownEmptyUntil {
+		return Want{}, false
+	}
+	a.dropExpired(now)
+	missing := a.missing()
+	if missing <= 0 {
+		return Want{}, false
+	}
+	a.requested += missing
+	a.followedUpUntil = a.ownEmptyUntil
+	return Want{Workspace: workspace, Tokens: missing, Urgent: missing}, true
+}
+
+// EndFollowUp records that requests cannot wait for the answer to a FollowUp: the quota is
+// then used up as far as is known.
+func (w *Wallet) EndFollowUp(now time.Duration, workspace string) {
+	if a := w.accounts[workspace]; a != nil && now < a.followedUpUntil {
+		a.usedUpUntil = now + usedUpTime
+	}
+}
+
 // Failed records that a request was not answered. The tokens that it returned are lost.
 func (w *Wallet) Failed(r LendRequest) { w.forget(r) }
 
