quota: mint from the process start after a restart of the host

After all hosts had restarted, requests of the first second got 503 for want of tokens. If the first write of a process takes over the item of an earlier process of its host, no issuer of the region has lent since the process started. Its issuer now mints from then on; the level stays at most the cap.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -45,6 +45,7 @@
 	log     logrus.FieldLogger
 	metrics *Metrics
 	now     func() time.Duration
+	started time.Duration
 
 	mu     sync.Mutex
 	client *quota.Client
@@ -70,7 +71,7 @@
 func newQuotas(cfg QuotaConfig, self fleet.Host, peers PeerClient, m *Metrics, log logrus.FieldLogger, now func() time.Duration) *Quotas {
 	slices.Sort(cfg.Regions)
 	q := &Quotas{
-		cfg: cfg, self: self, peers: peers, log: log, metrics: m, now: now,
+		cfg: cfg, self: self, peers: peers, log: log, metrics: m, now: now, started: now(),
 		client: quota.NewClient(self.Region, quota.NewSafeShares(now(), cfg.Bounds, len(cfg.Regions))),
 		tenure: quota.NewTenure(self.Name, self.Incarnation), waiting: map[uint64]chan quota.Resolution{},
 		over: map[string]*overState{}, safeShareLogged: map[string]time.Duration{}, refusedNames: map[string]bool{}, shownTokens: map[string]bool{},
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -130,11 +130,16 @@
 	}
 	if q.issuer == nil || q.epoch != q.tenure.Epoch() {
 		q.epoch = q.tenure.Epoch()
-		q.issuer = quota.NewIssuer(quota.IssuerOptions{
+		o := quota.IssuerOptions{
 			Bounds: q.cfg.Bounds, Regions: len(q.cfg.Regions), Index: q.regionIndex(),
 			// Incarnations are microseconds, so no two processes share such a number.
 			Tenure: uint64(q.self.Incarnation) + q.epoch,
-		})
+		}
+		if q.tenure.TookOver() {
+			// The earlier issuer's process ended before this one started.
+			o.MintFrom = q.started
+		}
+		q.issuer = quota.NewIssuer(o)
 		q.issuer.SetLimits(now, q.limits)
 	}
 	return q.issuer
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -27,6 +27,7 @@
 	regions    int
 	index      int
 	tenure     uint64
+	mintFrom   time.Duration
 	nextLoan   uint64
 	workspaces map[string]*mint
 	// short holds the workspaces with demand that the own supply may not cover.
@@ -61,11 +62,14 @@
 	Regions, Index int
 	// Tenure differs between all issuers that the region has had.
 	Tenure uint64
+	// MintFrom is the time from which the workspaces of the first limits mint, 0 for that
+	// of the first SetLimits. No issuer of the region may have lent since.
+	MintFrom time.Duration
 }
 
 // NewIssuer returns an issuer without limits and tokens.
 func NewIssuer(o IssuerOptions) *Issuer {
-	return &Issuer{bounds: o.Bounds, regions: max(o.Regions, 1), index: o.Index, tenure: o.Tenure, workspaces: map[string]*mint{}, short: map[string]*mint{}}
+	return &Issuer{bounds: o.Bounds, regions: max(o.Regions, 1), index: o.Index, tenure: o.Tenure, mintFrom: o.MintFrom, workspaces: map[string]*mint{}, short: map[string]*mint{}}
 }
 
 // SetLimits replaces the limits of all workspaces; those with a rate of 0 have none. Lower
@@ -78,20 +82,27 @@
 			delete(i.short, name)
 		}
 	}
+	from := now
+	if i.mintFrom != 0 {
+		from = min(i.mintFrom, now)
+		i.mintFrom = 0
+	}
 	for name, l := range limits {
 		if l.RatePerSecond <= 0 {
 			continue
 		}
 		m := i.workspaces[name]
 		if m == nil {
-			m = &mint{mintedAt: now, fullLevel: math.Inf(1)}
+			m = &mint{mintedAt: from, fullLevel: math.Inf(1)}
 			i.workspaces[name] = m
+		} else {
+			m.advance(now)
 		}
-		m.advance(now)
 		m.limit, m.cap, m.rate = l, i.bounds.regionCap(l, i.regions, i.index), mintRate(l, i.regions)
 		if m.cap == 0 {
 			m.rate = 0
 		}
+		m.advance(now)
 		m.clamp()
 	}
 }
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -196,3 +196,33 @@
 		})
 	}
 }
+
+// TestRestartOfAllHosts guards against requests of the first second after a restart of all
+// hosts that are refused because the new issuers have no tokens yet. With all demand at one
+// host, 0.6 was served when they minted only from the time at which they held.
+func TestRestartOfAllHosts(t *testing.T) {
+	g := NewWithT(t)
+	served, asked := 0, 0
+	limits := map[string]Limit{"w": {200, 200}}
+	for seed := range uint64(5) {
+		s := newSim(seed, loadHosts, limits)
+		s.runUntil(loadWarmUp / 2)
+		s.load("w", 2*loadWarmUp, func() (float64, *simHost) {
+			return 0.9 * 200, s.alive(func(h *simHost) bool { return h == s.hosts[22] })
+		})
+		s.at(loadWarmUp, func() {
+			for _, h := range s.hosts {
+				h.kill(2 * time.Second)
+			}
+		})
+		s.runUntil(loadWarmUp + 2*time.Second)
+		clear(s.asked)
+		clear(s.served)
+		s.runUntil(loadWarmUp + 3*time.Second)
+		served, asked = served+s.served["w"], asked+s.asked["w"]
+		s.runUntil(2 * loadWarmUp)
+		g.Expect(s.violation()).To(BeEmpty())
+	}
+	t.Logf("served %d of %d in the first second", served, asked)
+	g.Expect(float64(served) / float64(asked)).To(BeNumerically(">=", 0.75))
+}
--- a/internal/quota/simproc_test.go
+++ b/internal/quota/simproc_test.go
@@ -183,7 +183,11 @@
 func (p *simProc) newIssuer() {
 	h, s := p.host, p.host.sim
 	p.epoch = p.tenure.Epoch()
-	p.issuer = NewIssuer(IssuerOptions{Bounds: s.bounds, Regions: len(simRegions), Index: slices.Index(simRegions, h.region), Tenure: uint64(h.incarnation)<<32 | uint64(h.rank)<<16 | p.epoch})
+	o := IssuerOptions{Bounds: s.bounds, Regions: len(simRegions), Index: slices.Index(simRegions, h.region), Tenure: uint64(h.incarnation)<<32 | uint64(h.rank)<<16 | p.epoch}
+	if p.tenure.TookOver() {
+		o.MintFrom = p.started
+	}
+	p.issuer = NewIssuer(o)
 	p.issuer.SetLimits(h.clock(), s.limits)
 	if s.fault == issuerStartsFull {
 		for _, m := range p.issuer.workspaces {
--- a/internal/quota/tenure.go
+++ b/internal/quota/tenure.go
@@ -104,6 +104,9 @@
 	nextCall  time.Duration
 	closing   bool
 	released  bool
+	// wrote is set by the first call to write. takesOver is set if that call was to replace
+	// the item of an earlier process of this host, tookOver if it began the tenure.
+	wrote, takesOver, tookOver bool
 }
 
 // NewTenure returns the tenure of a process that does not hold.
@@ -118,6 +121,11 @@
 // because what the earlier one lent after its end is not known.
 func (t *Tenure) Epoch() uint64 { return t.epoch }
 
+// TookOver reports whether this process was the first to be the issuer since it started:
+// its tenure began with its first write, which replaced the item of an earlier process of
+// the same host.
+func (t *Tenure) TookOver() bool { return t.tookOver }
+
 // SetRank sets the position of this host among the candidates of its region, -1 if it is
 // none.
 func (t *Tenure) SetRank(rank int) { t.rank = rank }
@@ -193,6 +201,10 @@
 	if c.Action != None {
 		t.calling, t.sentAt, t.callEra = c.Action, now, c.Era
 	}
+	if c.Action == Write {
+		t.takesOver = !t.wrote && t.present() && t.item.Incarnation < t.incarnation
+		t.wrote = true
+	}
 	return c
 }
 
@@ -266,6 +278,7 @@
 	if action == Write {
 		if t.holdsUntil == 0 || now >= t.holdsUntil {
 			t.epoch++
+			t.tookOver = t.takesOver
 		}
 		t.confirmed, t.heldEra = false, t.callEra
 	}
--- a/internal/quota/tenure_test.go
+++ b/internal/quota/tenure_test.go
@@ -148,3 +148,42 @@
 	tenure.Done(time.Hour+renewPeriod, Conflict)
 	g.Expect(tenure.Holds(time.Hour + renewPeriod)).To(BeFalse())
 }
+
+// TestTookOver guards against an issuer that mints from the start of its process although
+// another one of the region may have lent since, and against one that does not although
+// none has.
+func TestTookOver(t *testing.T) {
+	earlier := &Item{Host: "a", Incarnation: 4, Revision: 3}
+	for _, c := range []struct {
+		desc   string
+		item   *Item
+		failed *Item // the item at a first write, which failed
+		want   bool
+	}{
+		{"takes over from an earlier process of its host", earlier, nil, true},
+		{"no item", nil, nil, false},
+		{"a write of this process whose answer was lost", &Item{Host: "a", Incarnation: 5, Revision: 3}, nil, false},
+		{"a second write", earlier, earlier, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			tenure, now := newTestTenure(), time.Hour
+			if c.failed != nil {
+				tenure.Observe(now, 0, c.failed)
+				g.Expect(tenure.Next(now).Action).To(Equal(Write))
+				tenure.Done(now, Unknown)
+				now += retryPeriod
+			}
+			tenure.Observe(now, 0, c.item)
+			g.Expect(tenure.Next(now).Action).To(Equal(Write))
+			tenure.Done(now, Succeeded)
+			g.Expect(tenure.Holds(now)).To(BeTrue())
+			g.Expect(tenure.TookOver()).To(Equal(c.want))
+			now += time.Minute
+			tenure.Observe(now, 0, earlier)
+			g.Expect(tenure.Next(now).Action).To(Equal(Write))
+			tenure.Done(now, Succeeded)
+			g.Expect(tenure.TookOver()).To(BeFalse(), "a later tenure")
+		})
+	}
+}
