quota: use safe shares only once the hosts are counted

After a restart of all hosts with the store away, each host knew only a few of the others, and the safe shares together exceeded their part of the limit. A safe share is now used only if the store has confirmed the copy at least safeShareSettle after the start of the process. The simulation takes the number of hosts from its mirror.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 	}
 	if cfg.Quota != nil {
 		g.quotas = NewQuotas(*cfg.Quota, cfg.Self, cfg.PeerClient, cfg.Metrics, cfg.Log)
+		g.quotas.age = cfg.Age
 		g.explainQuota = g.quotas.state
 	}
 	return g
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -46,6 +46,9 @@
 	metrics *Metrics
 	now     func() time.Duration
 	started time.Duration
+	// age returns the time since the store last confirmed the snapshot; see Config.Age.
+	// Without it, there are no safe shares.
+	age func() time.Duration
 
 	mu     sync.Mutex
 	client *quota.Client
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -30,6 +30,9 @@
 // arms the timer. It unlocks q.mu, which the caller holds.
 func (q *Quotas) pumpAndUnlock() {
 	now := q.now()
+	if q.age != nil {
+		q.client.SetConfirmed(now - q.age())
+	}
 	var remote []quota.Message
 	for {
 		messages := q.client.Messages(now)
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -110,6 +110,9 @@
 // SetHosts sets the number of known hosts.
 func (c *Client) SetHosts(n int) { c.safe.SetHosts(n) }
 
+// SetConfirmed records when the store last confirmed the copy from which SetHosts was set.
+func (c *Client) SetConfirmed(at time.Duration) { c.safe.SetConfirmed(at) }
+
 // Request asks for a token for an attempt. If the verdict is Waiting, the decision is
 // among the results of Resolved by the deadline; Messages must be called now.
 func (c *Client) Request(now time.Duration, id uint64, workspace string, l Limit, deadline time.Duration) Resolution {
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -226,3 +226,24 @@
 	t.Logf("served %d of %d in the first second", served, asked)
 	g.Expect(float64(served) / float64(asked)).To(BeNumerically(">=", 0.75))
 }
+
+// TestSafeSharesAfterRestart guards against safe shares of hosts that all restarted and knew
+// only a few of the others when the store failed.
+func TestSafeSharesAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	l := Limit{652, 652}
+	s := newSim(1, 60, map[string]Limit{"w": l})
+	s.runUntil(loadWarmUp)
+	for _, h := range s.hosts {
+		h.kill(time.Second)
+	}
+	s.at(loadWarmUp+time.Second+simMirrorTime, func() { s.store.down = true })
+	s.at(loadWarmUp+20*time.Second, func() {
+		// No issuer is left, so only safe shares are used.
+		s.checkers["w"] = &checker{bounds: Bounds{Window: testBounds.Window, Slack: float64(testBounds.SafeShare(l, 3, 1))}, limits: []limitChange{{}}}
+		s.load("w", loadWarmUp+30*time.Second, func() (float64, *simHost) { return 6000, s.alive(anyHost) })
+	})
+	s.runUntil(loadWarmUp + 31*time.Second)
+	t.Log(s.summary())
+	g.Expect(s.violation()).To(BeEmpty())
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -260,6 +260,7 @@
 				s = NewSafeShares(clock, b, 3)
 				s.SetHosts(hosts)
 			}
+			s.SetConfirmed(clock)
 			if s.Take(clock, "w", l) {
 				c.attempt(now)
 			}
@@ -272,3 +273,24 @@
 		}
 	})
 }
+
+// TestSafeShareNeedsHosts guards against safe shares for the few hosts that were known just
+// after a restart of all hosts, when the store has been away since.
+func TestSafeShareNeedsHosts(t *testing.T) {
+	b, l := testBounds, Limit{652, 652}
+	for _, c := range []struct {
+		desc      string
+		confirmed time.Duration // after the start
+		want      bool
+	}{
+		{"confirmed after it has settled", safeShareSettle, true},
+		{"confirmed before", safeShareSettle - 1, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			s := NewSafeShares(time.Hour, b, 3)
+			s.SetHosts(3)
+			s.SetConfirmed(time.Hour + c.confirmed)
+			NewWithT(t).Expect(s.Take(time.Hour+time.Minute, "w", l)).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/quota/safeshare.go
+++ b/internal/quota/safeshare.go
@@ -4,7 +4,8 @@
 
 const (
 	// safeShareSettle is the time after the start of a process before its safe share
-	// fills. After a restart of all hosts it must first know how many there are.
+	// fills, and after which its copy of the store must have been confirmed once. After a
+	// restart of all hosts it must first know how many there are.
 	safeShareSettle = 10 * time.Second
 	// safeShareSpacing stretches the time between two requests, so that also by a fast
 	// clock no more than the share fit into a closed window.
@@ -22,7 +23,9 @@
 	// hosts is the greatest number of hosts known so far: a host that others no longer
 	// list may still use its share.
 	hosts int
-	last  map[string]time.Duration
+	// confirmed is when the store last confirmed the copy in which they were counted.
+	confirmed time.Duration
+	last      map[string]time.Duration
 }
 
 // NewSafeShares returns the safe shares of a process that starts now.
@@ -33,10 +36,13 @@
 // SetHosts sets the number of known hosts.
 func (s *SafeShares) SetHosts(n int) { s.hosts = max(s.hosts, n) }
 
+// SetConfirmed records when the store last confirmed the copy from which SetHosts was set.
+func (s *SafeShares) SetConfirmed(at time.Duration) { s.confirmed = max(s.confirmed, at) }
+
 // Take reports whether a request of a workspace may run without a token, and counts it.
 func (s *SafeShares) Take(now time.Duration, workspace string, l Limit) bool {
 	n := s.bounds.SafeShare(l, s.regions, s.hosts)
-	if n < 1 || s.hosts == 0 {
+	if n < 1 || s.hosts == 0 || s.confirmed < s.started+safeShareSettle {
 		return false
 	}
 	last, ok := s.last[workspace]
--- a/internal/quota/simproc_test.go
+++ b/internal/quota/simproc_test.go
@@ -49,7 +49,6 @@
 	h.incarnation++
 	p := &simProc{host: h, started: h.clock(), view: map[string]Item{}}
 	p.client = NewClient(h.region, NewSafeShares(h.clock(), h.sim.bounds, len(simRegions)))
-	p.client.SetHosts(len(h.sim.hosts))
 	p.tenure = NewTenure(h.name, h.incarnation)
 	p.tenure.SetRank(h.rank)
 	h.proc = p
@@ -61,6 +60,7 @@
 // kill ends the process; it starts again after a time.
 func (h *simHost) kill(down time.Duration) {
 	h.proc = nil
+	delete(h.sim.store.hosts, h.name)
 	h.sim.after(down, func() {
 		if h.proc == nil {
 			h.start()
@@ -83,13 +83,15 @@
 	})
 }
 
-// mirror reads the items of issuers from the store.
+// mirror registers the host, and reads the number of hosts and the items of issuers.
 func (p *simProc) mirror() {
 	h, s := p.host, p.host.sim
 	if h.storeCut || s.store.down {
 		return
 	}
 	s.store.expire(s.now)
+	s.store.hosts[h.name] = true
+	hosts, readAt := len(s.store.hosts), h.clock()
 	era, items := s.store.era, map[string]Item{}
 	for region, i := range s.store.items {
 		items[region] = i.Item
@@ -97,6 +99,8 @@
 	s.after(simStoreDelay, func() {
 		p.on(func() {
 			p.view = items
+			p.client.SetHosts(hosts)
+			p.client.SetConfirmed(readAt)
 			var own *Item
 			if i, ok := items[h.region]; ok {
 				own = &i
--- a/internal/quota/simstore_test.go
+++ b/internal/quota/simstore_test.go
@@ -9,6 +9,8 @@
 type simStore struct {
 	down bool
 	era  uint64
+	// hosts are those that have registered since they started.
+	hosts map[string]bool
 	storeContent
 }
 
@@ -26,7 +28,7 @@
 }
 
 func newSimStore() *simStore {
-	return &simStore{storeContent: storeContent{items: map[string]simItem{}, leases: map[int]time.Duration{}}}
+	return &simStore{hosts: map[string]bool{}, storeContent: storeContent{items: map[string]simItem{}, leases: map[int]time.Duration{}}}
 }
 
 func (c storeContent) copy() storeContent {
