gateway: prepare pools only once this host is listed

Services without a route with affinity have no knowledge worth a load and are skipped. The fixture of TestExplain creates its pool, as its first configuration has no such route.

TestPoolsArePreparedOnceListed failed before.

--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -25,6 +25,10 @@
 		routes[0].Affinity, routes[0].Regions, routes[2].Public = true, []string{"r"}, true
 	}, workspace.Definition{Workspace: workspace.Workspace{Name: "acme", Rank: 4, HasRank: true, Regions: []string{"q", "r"}}, Keys: []string{explainedKey}},
 		workspace.Definition{Workspace: workspace.Workspace{Name: "far", Regions: []string{"q"}}, Keys: []string{"key-of-far"}})
+	// The first configuration has no route with affinity, so no pool was prepared.
+	f.g.selector.mu.Lock()
+	defer f.g.selector.mu.Unlock()
+	f.g.selector.pool(sharedPool, "s")
 	return f
 }
 
--- a/internal/gateway/knowledge_test.go
+++ b/internal/gateway/knowledge_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenabeam/galenabeam/internal/dispatch"
+	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/routetable"
 )
 
 // largeKnowledge is the knowledge of a pool of 109 servers that hold 20 of 192 objects each.
@@ -77,6 +80,43 @@
 	}
 }
 
+// TestPoolsArePreparedOnceListed guards against a host whose first snapshot does not list it
+// yet, and that therefore loads no saved knowledge before its first request, and against
+// loads for services without any.
+func TestPoolsArePreparedOnceListed(t *testing.T) {
+	table := func(affinity bool) *routetable.Table {
+		table, err := routetable.New(1, routetable.Limits{}, []routetable.Service{{Name: "s"}}, []routetable.Route{
+			{Name: "c", Host: "example.com", Prefix: "/", Services: []routetable.WeightedService{{Service: "s", Weight: 1}}, Affinity: affinity},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return table
+	}
+	for _, c := range []struct {
+		desc  string
+		table *routetable.Table
+		want  int
+	}{
+		{"a route with affinity", table(true), 1},
+		{"no route with affinity", table(false), 0},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			network, s, hosts := newFakeNetwork(4)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			self := s.Dispatchers("r", "s")[0]
+			others := slices.DeleteFunc(slices.Clone(hosts), func(h *fleet.Host) bool { return h.Name == self.Name })
+			sel := NewSelector(*self, dispatch.DefaultLimits, network, network, log)
+			sel.SetSnapshot(fleet.New(1, c.table, s.BackendsByService["s"], others, nil, nil))
+			g.Expect(sel.sharedPools).To(BeEmpty())
+			sel.SetSnapshot(fleet.New(2, c.table, s.BackendsByService["s"], hosts, nil, nil))
+			g.Expect(sel.sharedPools).To(HaveLen(c.want))
+		})
+	}
+}
+
 // BenchmarkKnowledgeCodec reports the bytes of saved knowledge, which saveRate bounds, and
 // the time to encode it on a dispatcher.
 func BenchmarkKnowledgeCodec(b *testing.B) {
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -209,7 +209,7 @@
 	}
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
-	if !sel.poolsPrepared && len(s.BackendsByService) > 0 {
+	if !sel.poolsPrepared && len(s.BackendsByService) > 0 && s.Hosts[sel.self.Name] != nil {
 		sel.poolsPrepared = true
 		sel.preparePools(s)
 	}
@@ -223,9 +223,13 @@
 
 // preparePools creates the shared pools of the services that this host dispatches, or will
 // dispatch if the first host in the order does not answer. Their saved knowledge is then
-// loaded before the first request. The caller holds sel.mu.
+// loaded before the first request. Services whose routes use no affinity have none. The
+// caller holds sel.mu.
 func (sel *Selector) preparePools(s *fleet.Snapshot) {
 	for service := range s.BackendsByService {
+		if s.Table != nil && !s.Table.UsesAffinity(service) {
+			continue
+		}
 		for i, h := range s.Dispatchers(sel.self.Region, service) {
 			if i >= maxDispatchers {
 				break
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -127,6 +127,18 @@
 	routeCount int
 }
 
+// UsesAffinity reports whether a route with Affinity sends requests to a service.
+func (t *Table) UsesAffinity(service string) bool {
+	for _, h := range t.hosts {
+		for _, r := range h.byPrefix {
+			if r.Affinity && slices.ContainsFunc(r.Services, func(w WeightedService) bool { return w.Service == service }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // hostRoutes are the routes of a host name.
 type hostRoutes struct {
 	byPrefix  map[string]*Route // by normalized prefix
