gateway: answer 503 if the deadline passes before a token

A request whose deadline passed while it waited for its first token got 504, which means that it may have run. It gets 503 with Retry-After now. A retry without a token no longer counts as a refusal because of the quota: its caller gets the answer of the first attempt.

TestDeadlineBeforeToken and TestRetryWithoutTokenIsNotRefusal failed before.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -29,6 +29,9 @@
 	minTokenWait = 20 * time.Millisecond
 )
 
+// outcomeOverQuota is the outcome of requests that are refused with 429.
+const outcomeOverQuota = "over_quota"
+
 // QuotaConfig enables quotas.
 type QuotaConfig struct {
 	Bounds quota.Bounds
@@ -139,6 +142,9 @@
 // answer if one of them is lacking.
 func (g *Gateway) begin(ctx context.Context, pr *pendingRequest) (decision, *Answer, string) {
 	if answer, outcome := g.takeToken(ctx, pr); answer != nil {
+		if outcome == outcomeOverQuota {
+			g.quotas.noteRefused(pr.workspace.Name)
+		}
 		return decision{}, answer, outcome
 	}
 	dec := g.acquire(ctx, pr, freshAttempt)
@@ -155,7 +161,8 @@
 }
 
 // takeToken takes the token for the next attempt of a request, and waits for one if
-// necessary. It returns an answer if there is none. A request of no workspace, or of one
+// necessary. It returns an answer if there is none, also after the deadline: the attempt has
+// not run. A request of no workspace, or of one
 // without a limit, needs none.
 func (g *Gateway) takeToken(ctx context.Context, pr *pendingRequest) (*Answer, string) {
 	if !g.needsToken(pr) {
@@ -169,10 +176,9 @@
 		pr.token, pr.hasToken = r.Token, true
 		return nil, ""
 	case quota.UsedUp:
-		g.quotas.noteRefused(pr.workspace.Name)
-		return overQuota(r.RetryAfter), "over_quota"
+		return overQuota(r.RetryAfter), outcomeOverQuota
 	}
-	if ctx.Err() != nil {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return g.answerExpired(ctx, pr)
 	}
 	return refusalWithoutIssuer(r.RetryAfter)
--- a/internal/gateway/quota_attempts_test.go
+++ b/internal/gateway/quota_attempts_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -187,3 +188,67 @@
 	q.issuers = nil
 	g.Expect(q.state("limited")).To(Equal(&QuotaState{OverQuota: true}))
 }
+
+// TestDeadlineBeforeToken guards against a 504, after which a request may have run, for one
+// whose deadline has passed before it got its first token.
+func TestDeadlineBeforeToken(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		outcome string
+		abort   bool
+		ctx     func() (context.Context, context.CancelFunc)
+	}{
+		{"deadline", "no_issuer", false, func() (context.Context, context.CancelFunc) {
+			return context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+		}},
+		{"the caller has left", "caller_left", true, func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			return ctx, cancel
+		}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			w := limitedWorkspace(100, 100)
+			f := startLimited(t, false, w)
+			ctx, cancel := c.ctx()
+			defer cancel()
+			_, answer, outcome := f.g.begin(ctx, &pendingRequest{workspace: &w.Workspace, objective: time.Now().Add(time.Second)})
+			g.Expect(outcome).To(Equal(c.outcome))
+			g.Expect(answer.Abort).To(Equal(c.abort))
+			if !c.abort {
+				g.Expect(answer.Status).To(Equal(http.StatusServiceUnavailable))
+				g.Expect(answer.Header.Get("Retry-After")).To(Equal("0.250"))
+			}
+		})
+	}
+}
+
+// TestRetryWithoutTokenIsNotRefusal guards against a request that counts as refused because
+// of its quota although its caller gets the answer of its first attempt.
+func TestRetryWithoutTokenIsNotRefusal(t *testing.T) {
+	g := NewWithT(t)
+	s := startBackend(t, func(_ *testBackend, c net.Conn, r *http.Request, _ string) bool {
+		return sendAnswer(c, r, 500, "failed")
+	})
+	f := startLimited(t, false, limitedWorkspace(100, 100), s)
+	q := f.g.quotas
+	q.mu.Lock()
+	q.now = sync.OnceValue(q.now) // the verdict of the issuer does not expire
+	q.client.SetIssuers([]string{"r"})
+	q.client.Request(q.now(), 1<<40, "acme", quota.Limit{}, q.now()+time.Second)
+	for _, m := range q.client.Messages(q.now()) {
+		q.client.Answered(q.now(), m.ID, quota.LendReply{Tenure: 1, Loans: []quota.Loan{{
+			Workspace: "acme", ID: 1, Tokens: 2, ValidMicros: time.Minute.Microseconds(), Empty: true, RetryMillis: 100, StepMicros: 1000,
+		}}})
+	}
+	q.client.Resolved() // the request takes one token
+	q.mu.Unlock()
+	status, _, _ := f.sendWith(t, "GET", "/get/a", "", "X-Credential: "+secretKey)
+	g.Expect(status).To(Equal(500))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	verdict := q.client.Request(q.now(), 1<<41, "acme", quota.Limit{}, q.now()).Verdict
+	g.Expect(verdict).To(Equal(quota.UsedUp))
+	g.Expect(q.over).To(BeEmpty())
+}
