quota, gateway: forget workspaces that have no limit any more

The times of safe shares, of log lines about them and the names in the metric of refusals were kept for each workspace that ever had a limit. They are dropped with the next configuration; the time of a safe share only once its bucket is full, so that a workspace that is removed and added gets no further request.

TestSafeSharesForget and TestForgetsRemovedWorkspaces failed without it.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -101,6 +101,8 @@
 		return
 	}
 	q.table, q.limits = s.Table, limitsOf(s.Table)
+	q.client.SetLimits(q.now(), q.limits)
+	q.forgetNames()
 	if q.issuer != nil {
 		q.issuer.SetLimits(q.now(), q.limits)
 	}
--- a/internal/gateway/quota_report.go
+++ b/internal/gateway/quota_report.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// forgetNames removes what is kept about workspaces without a limit, and their metrics. The
+// caller holds q.mu.
+func (q *Quotas) forgetNames() {
+	limited := func(name string) bool { _, ok := q.limits[name]; return ok }
+	maps.DeleteFunc(q.safeShareLogged, func(name string, _ time.Duration) bool { return !limited(name) })
+	for name := range q.refusedNames {
+		if !limited(name) {
+			delete(q.refusedNames, name)
+			q.metrics.forgetQuotaRefused(name)
+		}
+	}
+}
+
 // checkOver logs whether a workspace is within its quota again, quotaLogPeriod after the last
 // line about it.
 func (q *Quotas) checkOver(workspace string) {
@@ -110,6 +123,13 @@
 	}
 }
 
+// forgetQuotaRefused removes the counter of a workspace that has no limit any more.
+func (m *Metrics) forgetQuotaRefused(workspace string) {
+	if m != nil {
+		m.registry.Unregister("quota_refused;workspace=" + workspace)
+	}
+}
+
 // quotaMessage counts a message about quotas.
 func (m *Metrics) quotaMessage(method string) {
 	if m != nil {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -274,3 +274,26 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestForgetsRemovedWorkspaces guards against memory and metrics that grow with each
+// workspace that ever had a limit.
+func TestForgetsRemovedWorkspaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newQuotaHosts(workspace.Workspace{Name: "w", RatePerSecond: 100, Burst: 100}, "r0")
+		q, registry := n.byID["r0h0"], metrics.NewRegistry()
+		q.metrics = NewMetrics(registry)
+		for _, name := range []string{"w", "removed"} {
+			q.noteRefused(name)
+			q.logSafeShare(name)
+		}
+		set, err := workspace.NewSet([]workspace.Definition{{Workspace: workspace.Workspace{Name: "w", RatePerSecond: 50}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		q.setSnapshot(fleet.New(9, &routetable.Table{Workspaces: set}, nil, nil, nil, nil))
+		g.Expect(q.refusedNames).To(HaveLen(1))
+		g.Expect(q.safeShareLogged).To(HaveLen(1))
+		g.Expect(registry.Get("quota_refused;workspace=removed")).To(BeNil())
+		g.Expect(registry.Get("quota_refused;workspace=w")).NotTo(BeNil())
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -110,6 +110,9 @@
 // SetHosts sets the number of known hosts.
 func (c *Client) SetHosts(n int) { c.safe.SetHosts(n) }
 
+// SetLimits tells the client which workspaces have limits.
+func (c *Client) SetLimits(now time.Duration, limits map[string]Limit) { c.safe.SetLimits(now, limits) }
+
 // SetConfirmed records when the store last confirmed the copy from which SetHosts was set.
 func (c *Client) SetConfirmed(at time.Duration) { c.safe.SetConfirmed(at) }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -294,3 +294,22 @@
 		})
 	}
 }
+
+// TestSafeSharesForget guards against memory that grows with each workspace that had a
+// limit, and against a workspace that gets a further request by being removed and added.
+func TestSafeSharesForget(t *testing.T) {
+	g := NewWithT(t)
+	l := Limit{652, 652}
+	s := NewSafeShares(0, testBounds, 3)
+	s.SetHosts(3)
+	now := time.Minute
+	s.SetConfirmed(now)
+	g.Expect(s.Take(now, "w", l)).To(BeTrue())
+	g.Expect(s.Take(now, "kept", l)).To(BeTrue())
+	s.SetLimits(now, map[string]Limit{"kept": l})
+	g.Expect(s.Take(now, "w", l)).To(BeFalse())
+	now += 2 * testBounds.Window
+	s.SetLimits(now, map[string]Limit{"kept": l})
+	g.Expect(s.last).To(HaveLen(1))
+	g.Expect(s.last).To(HaveKey("kept"))
+}
--- a/internal/quota/safeshare.go
+++ b/internal/quota/safeshare.go
@@ -56,3 +56,14 @@
 	s.last[workspace] = now
 	return true
 }
+
+// SetLimits forgets workspaces without a limit whose bucket is full, so that a later limit
+// of the same name admits no more than without that.
+func (s *SafeShares) SetLimits(now time.Duration, limits map[string]Limit) {
+	full := time.Duration(safeShareSpacing * float64(s.bounds.Window))
+	for name, last := range s.last {
+		if limits[name].RatePerSecond <= 0 && now-last >= full {
+			delete(s.last, name)
+		}
+	}
+}
