gateway: write log lines about quotas without the lock

Changes of issuers and the use of safe shares were logged while q.mu was held, so a log that blocks stopped all requests that need tokens. The lines are now collected and written after the unlock.

TestLogsWithoutLock failed before.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -72,6 +72,8 @@
 	refusedNames         map[string]bool
 	shownTokens          map[string]bool
 	holding              bool
+	// lines are log lines to write after q.mu is unlocked; see unlock.
+	lines []func()
 }
 
 func newQuotas(cfg QuotaConfig, self fleet.Host, peers PeerClient, m *Metrics, log logrus.FieldLogger, now func() time.Duration) *Quotas {
@@ -94,7 +96,7 @@
 // setSnapshot takes the limits, the issuers and the number of hosts from a snapshot.
 func (q *Quotas) setSnapshot(s *fleet.Snapshot) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.client.SetHosts(len(s.Hosts))
 	q.setIssuers(s.Issuers)
 	if s.Table == nil || s.Table == q.table {
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -56,7 +56,7 @@
 	q.deliver()
 	q.arm(now)
 	issuers := q.issuers
-	q.mu.Unlock()
+	q.unlock()
 	for _, m := range remote {
 		go q.send(m, issuers[m.Region].PeerAddress)
 	}
@@ -160,7 +160,7 @@
 // HandleLend serves MethodLend.
 func (q *Quotas) HandleLend(_ context.Context, r quota.LendRequest) (quota.LendReply, error) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.now()
 	issuer := q.currentIssuer(now)
 	if issuer == nil {
@@ -174,7 +174,7 @@
 // HandleGive serves MethodGive.
 func (q *Quotas) HandleGive(_ context.Context, r quota.GiveRequest) (quota.GiveReply, error) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.now()
 	issuer := q.currentIssuer(now)
 	if issuer == nil {
@@ -200,7 +200,7 @@
 // ask asks the issuers of the other regions for tokens that are short.
 func (q *Quotas) ask() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.askArmed = false
 	now := q.now()
 	issuer := q.currentIssuer(now)
@@ -230,7 +230,7 @@
 	var reply quota.GiveReply
 	err := q.peers.Call(ctx, address, MethodGive, quota.GiveRequest{Region: q.self.Region, Wants: wants}, &reply)
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	if err != nil {
 		issuer.NoAnswer(q.now(), region, wants)
 		return
@@ -242,7 +242,7 @@
 // and the candidates in the snapshot. It reports whether quotas are in use.
 func (q *Quotas) ObserveStore(era uint64, s *fleet.Snapshot) bool {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	var item *quota.Item
 	if i := s.Issuers[q.self.Region]; i != nil {
 		item = &quota.Item{Host: i.Host, Incarnation: i.Incarnation, Era: i.Era, Revision: i.Revision}
@@ -266,7 +266,7 @@
 // for again.
 func (q *Quotas) NextCall() (quota.Call, time.Duration) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.now()
 	c := q.tenure.Next(now)
 	return c, q.tenure.NextAt(now) - now
@@ -275,7 +275,7 @@
 // CallDone reports the result of the call that NextCall returned.
 func (q *Quotas) CallDone(r quota.Result) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.tenure.Done(q.now(), r)
 	q.currentIssuer(q.now())
 }
@@ -283,7 +283,7 @@
 // Close makes this host stop lending. NextCall then returns the end of the lease.
 func (q *Quotas) Close() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.tenure.Close()
 	q.currentIssuer(q.now())
 }
@@ -291,6 +291,6 @@
 // Released reports whether the lease has been ended after Close.
 func (q *Quotas) Released() bool {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	return q.tenure.Released()
 }
--- a/internal/gateway/quota_report.go
+++ b/internal/gateway/quota_report.go
@@ -86,6 +86,20 @@
 	q.log.WithFields(logrus.Fields{"workspace": workspace, "refused": refused}).Info("workspace is within its quota again")
 }
 
+// unlock unlocks q.mu and then writes the log lines that were collected while it was held:
+// a log that blocks must not stop the requests that need tokens.
+func (q *Quotas) unlock() {
+	lines := q.lines
+	q.lines = nil
+	q.mu.Unlock()
+	for _, write := range lines {
+		write()
+	}
+}
+
+// logLater collects a log line. The caller holds q.mu and calls unlock.
+func (q *Quotas) logLater(write func()) { q.lines = append(q.lines, write) }
+
 // logSafeShare logs the use of the safe share. The caller holds q.mu.
 func (q *Quotas) logSafeShare(workspace string) {
 	now := q.now()
@@ -93,10 +107,13 @@
 		return
 	}
 	q.safeShareLogged[workspace] = now
-	q.log.WithField("workspace", workspace).Warn("no issuer answers; requests run on the safe share")
+	q.logLater(func() {
+		q.log.WithField("workspace", workspace).Warn("no issuer answers; requests run on the safe share")
+	})
 }
 
-// logIssuer logs a change of a region's issuer; before and i are nil if there is none.
+// logIssuer logs a change of a region's issuer; before and i are nil if there is none. The
+// caller holds q.mu.
 func (q *Quotas) logIssuer(region string, before, i *fleet.Issuer) {
 	fields := logrus.Fields{"region": region, "issuer": "", "before": ""}
 	if i != nil {
@@ -105,15 +122,16 @@
 	if before != nil {
 		fields["before"] = before.Host
 	}
-	q.log.WithFields(fields).Info("issuer changed")
+	q.logLater(func() { q.log.WithFields(fields).Info("issuer changed") })
 }
 
+// logTenure logs the start or the end of a tenure. The caller holds q.mu.
 func (q *Quotas) logTenure(holds bool) {
 	message := "this host is no longer its region's issuer"
 	if holds {
 		message = "this host is its region's issuer"
 	}
-	q.log.WithField("region", q.self.Region).Info(message)
+	q.logLater(func() { q.log.WithField("region", q.self.Region).Info(message) })
 }
 
 // quotaRefused counts a request that was refused because the quota is used up.
@@ -141,7 +159,7 @@
 // when this host is no longer the issuer.
 func (q *Quotas) updateGauges(r metrics.Registry) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.now()
 	issuer, is := q.currentIssuer(now), int64(0)
 	levels := map[string]int{}
@@ -179,7 +197,7 @@
 // Dump returns the state of quotas.
 func (q *Quotas) Dump() QuotaDump {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.now()
 	d := QuotaDump{Issuers: map[string]string{}, Held: q.client.Held(now, maxQuotaLabels)}
 	for region, i := range q.issuers {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/galenabeam/galenabeam/internal/fleet"
@@ -297,3 +298,34 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestLogsWithoutLock guards against a log that blocks all requests that need tokens.
+func TestLogsWithoutLock(t *testing.T) {
+	g := NewWithT(t)
+	n := newQuotaHosts(workspace.Workspace{Name: "w", RatePerSecond: 100, Burst: 100}, "r0")
+	q := n.byID["r0h0"]
+	var messages []string
+	log, _ := logtest.NewNullLogger()
+	log.AddHook(hookFunc(func(e *logrus.Entry) {
+		g.Expect(q.mu.TryLock()).To(BeTrue(), e.Message)
+		q.mu.Unlock()
+		messages = append(messages, e.Message)
+	}))
+	q.log = log
+	q.setSnapshot(fleet.New(9, nil, nil, nil, nil, nil))
+	q.Close()
+	q.mu.Lock()
+	q.logSafeShare("w")
+	q.unlock()
+	g.Expect(messages).To(Equal([]string{"issuer changed", "this host is no longer its region's issuer", "no issuer answers; requests run on the safe share"}))
+}
+
+// hookFunc is a logrus.Hook that is called for each entry.
+type hookFunc func(*logrus.Entry)
+
+func (hookFunc) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (f hookFunc) Fire(e *logrus.Entry) error {
+	f(e)
+	return nil
+}
