quota: choose the workspaces of metrics with the limits

Metrics and dumps sorted all workspaces while requests waited for the lock. The first MaxLevels names are now computed in SetLimits.

--- a/internal/gateway/quota_report.go
+++ b/internal/gateway/quota_report.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenabeam/galenabeam/internal/fleet"
+	"github.com/galenabeam/galenabeam/internal/quota"
 )
 
 const (
@@ -18,7 +19,7 @@
 	// quota again.
 	withinQuotaTime = 2 * time.Second
 	// maxQuotaLabels bounds the workspaces in metrics. Others are counted as otherLabel.
-	maxQuotaLabels = 100
+	maxQuotaLabels = quota.MaxLevels
 	otherLabel     = "other"
 )
 
@@ -165,7 +166,7 @@
 	levels := map[string]int{}
 	if issuer != nil {
 		is = 1
-		levels = issuer.Levels(now, maxQuotaLabels)
+		levels = issuer.Levels(now)
 	}
 	metrics.GetOrRegisterGauge("quota_issuer", r).Update(is)
 	for name := range q.shownTokens {
@@ -204,7 +205,7 @@
 		d.Issuers[region] = i.Host
 	}
 	if issuer := q.currentIssuer(now); issuer != nil {
-		d.Issuing, d.Levels = true, issuer.Levels(now, maxQuotaLabels)
+		d.Issuing, d.Levels = true, issuer.Levels(now)
 	}
 	for _, workspace := range slices.Sorted(maps.Keys(q.over)) {
 		if len(d.OverQuota) < maxQuotaLabels {
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -141,3 +141,19 @@
 		NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 35}).SetLimits(time.Minute, limits)
 	}
 }
+
+// BenchmarkLevels reports the time for which metrics and dumps keep requests from the issuer
+// of 50,000 workspaces.
+func BenchmarkLevels(b *testing.B) {
+	limits := map[string]Limit{}
+	for k := range 50000 {
+		limits[fmt.Sprint("w", k)] = Limit{5, 5}
+	}
+	i := NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 3})
+	i.SetLimits(0, limits)
+	now := time.Duration(0)
+	for b.Loop() {
+		now += time.Second
+		i.Levels(now)
+	}
+}
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -20,6 +20,9 @@
 // yet may retry.
 const unknownRetry = 250 * time.Millisecond
 
+// MaxLevels is the greatest number of workspaces in Issuer.Levels.
+const MaxLevels = 100
+
 // Issuer mints and lends the tokens of one region. A new one has no tokens: it does not
 // know what an earlier issuer lent. It may be used only while Tenure.Holds.
 type Issuer struct {
@@ -30,6 +33,9 @@
 	mintFrom   time.Duration
 	nextLoan   uint64
 	workspaces map[string]*mint
+	// shown are the first MaxLevels workspaces by name. They are not computed by Levels,
+	// because that would sort all workspaces while requests wait.
+	shown []string
 	// short holds the workspaces with demand that the own supply may not cover.
 	short map[string]*mint
 }
@@ -105,6 +111,8 @@
 		m.advance(now)
 		m.clamp()
 	}
+	names := slices.Sorted(maps.Keys(i.workspaces))
+	i.shown = slices.Clone(names[:min(len(names), MaxLevels)])
 }
 
 // clamp reduces the level to what the cap leaves.
@@ -265,12 +273,11 @@
 	return Loan{Workspace: workspace, ID: loan.id, Tokens: tokens, ValidMicros: valid.Microseconds()}
 }
 
-// Levels returns the tokens that can be lent, by workspace, of the first ones by name up
-// to a number.
-func (i *Issuer) Levels(now time.Duration, limit int) map[string]int {
-	names := slices.Sorted(maps.Keys(i.workspaces))
+// Levels returns the tokens that can be lent, by workspace, of the first MaxLevels ones by
+// name.
+func (i *Issuer) Levels(now time.Duration) map[string]int {
 	levels := map[string]int{}
-	for _, name := range names[:min(len(names), limit)] {
+	for _, name := range i.shown {
 		m := i.workspaces[name]
 		m.advance(now)
 		levels[name] = m.available()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -313,3 +314,20 @@
 	g.Expect(s.last).To(HaveLen(1))
 	g.Expect(s.last).To(HaveKey("kept"))
 }
+
+// TestLevelsFollowLimits guards against levels of workspaces that have no limit any more,
+// and against more of them than are shown.
+func TestLevelsFollowLimits(t *testing.T) {
+	g := NewWithT(t)
+	limits := map[string]Limit{"a": {30, 30}}
+	for k := range 2 * MaxLevels {
+		limits[fmt.Sprint("w", k)] = Limit{30, 30}
+	}
+	i := NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 3})
+	i.SetLimits(0, limits)
+	g.Expect(i.Levels(time.Minute)).To(HaveLen(MaxLevels))
+	g.Expect(i.Levels(time.Minute)).To(HaveKey("a"))
+	i.SetLimits(time.Minute, map[string]Limit{"b": {30, 30}})
+	g.Expect(i.Levels(time.Minute)).To(HaveLen(1))
+	g.Expect(i.Levels(time.Minute)).To(HaveKey("b"))
+}
