quota, platform: mint the whole rate where some regions have no cap

A region without a cap mints nothing, but the others minted only their part of the rate. The rate is now divided by the number of regions with a cap.

--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -104,7 +104,7 @@
 		} else {
 			m.advance(now)
 		}
-		m.limit, m.cap, m.rate = l, i.bounds.regionCap(l, i.regions, i.index), mintRate(l, i.regions)
+		m.limit, m.cap, m.rate = l, i.bounds.regionCap(l, i.regions, i.index), i.bounds.mintRate(l, i.regions)
 		if m.cap == 0 {
 			m.rate = 0
 		}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -85,15 +85,10 @@
 // at all. If the limit is so small that the caps would exceed it, only the first
 // regions have a cap, and the others borrow from them.
 func (b Bounds) regionCap(l Limit, regions, index int) float64 {
-	surplus := b.surplus(l)
-	if surplus >= minSafeSurplus {
-		surplus *= capSurplusFraction
-	}
-	share := (l.Burst + surplus) / float64(regions)
-	if share >= 1 {
+	if share := b.capShare(l, regions); share >= 1 {
 		return share
 	}
-	if float64(index) < math.Floor(b.allCaps(l)) {
+	if index < b.mintingRegions(l, regions) {
 		return 1
 	}
 	return 0
@@ -109,9 +104,27 @@
 	return int(max(left, 0) / float64(max(hosts, 1)))
 }
 
-// mintRate returns the tokens per second of one region's issuer, by its clock.
-func mintRate(l Limit, regions int) float64 {
-	return l.RatePerSecond / (1 + maxClockError) / float64(regions)
+// mintRate returns the tokens per second of the issuer of one region that has a cap, by its
+// clock. Regions without a cap mint nothing, so the others share the whole rate.
+func (b Bounds) mintRate(l Limit, regions int) float64 {
+	return l.RatePerSecond / (1 + maxClockError) / float64(max(b.mintingRegions(l, regions), 1))
+}
+
+// mintingRegions returns the number of regions that have a cap.
+func (b Bounds) mintingRegions(l Limit, regions int) int {
+	if b.capShare(l, regions) >= 1 {
+		return regions
+	}
+	return int(min(math.Floor(b.allCaps(l)), float64(regions)))
+}
+
+// capShare returns what each region would get of evenly divided caps.
+func (b Bounds) capShare(l Limit, regions int) float64 {
+	surplus := b.surplus(l)
+	if surplus >= minSafeSurplus {
+		surplus *= capSurplusFraction
+	}
+	return (l.Burst + surplus) / float64(regions)
 }
 
 // holderTime returns the time for which a holder uses tokens of a given validity.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -331,3 +331,28 @@
 	g.Expect(i.Levels(time.Minute)).To(HaveLen(1))
 	g.Expect(i.Levels(time.Minute)).To(HaveKey("b"))
 }
+
+// TestRegionsMintWholeRate guards against the part of a small workspace's rate that nobody
+// mints because some regions have no cap, and against more than the rate.
+func TestRegionsMintWholeRate(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		bounds  Bounds
+		limit   Limit
+		regions int
+	}{
+		{"all regions have a cap", testBounds, Limit{652, 652}, 3},
+		{"25 of 35 regions have a cap", testBounds, Limit{5, 5}, 35},
+		{"2 of 3 regions have a cap", Bounds{Window: 5 * time.Second, Overage: 0.1}, Limit{8, 2}, 3},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			sum := 0.0
+			for index := range c.regions {
+				i := NewIssuer(IssuerOptions{Bounds: c.bounds, Regions: c.regions, Index: index})
+				i.SetLimits(0, map[string]Limit{"w": c.limit})
+				sum += i.workspaces["w"].rate
+			}
+			NewWithT(t).Expect(sum).To(BeNumerically("~", c.limit.RatePerSecond/(1+maxClockError), 1e-6))
+		})
+	}
+}
