gateway: check the token again after the connect

A token could expire during a connect of up to a second, and the request then reached the server although its issuer no longer counted it. After the connect the attempt takes another token, or is not sent if there is none.

TestTokenExpiresDuringConnect failed before: the request was served.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -49,7 +49,7 @@
 	}()
 	startAttempt := func(dec decision) {
 		a := g.startAttempt(ctx, pr, dec, results)
-		a.token, pr.hasToken = pr.token, false
+		pr.hasToken = false
 		active = append(active, a)
 		running++
 	}
@@ -219,12 +219,16 @@
 	actx, cancel := context.WithCancel(ctx)
 	snapshot := g.snapshot.Load()
 	b := snapshot.Backends[dec.Server]
-	a := &attempt{decision: dec, backend: b, cancel: cancel, startTime: time.Now()}
+	a := &attempt{decision: dec, token: pr.token, backend: b, cancel: cancel, startTime: time.Now()}
 	pr.exclude = append(pr.exclude, dec.Server)
 	header := pr.request.HTTP.Header.Clone()
 	stripHopByHop(header)
 	g.setWorkspaceHeaders(pr, header)
 	c := &upstreamCall{backend: b, request: pr.request, header: header, id: pr.id, deadline: pr.deadline, repeatable: pr.route.Kind.Repeatable(), maxIdleConns: idleConnLimit(snapshot, pr.service)}
+	if g.needsToken(pr) {
+		name := pr.workspace.Name
+		c.ready = func() bool { return g.quotas.renew(name, &a.token) }
+	}
 	go func() {
 		if b == nil {
 			a.reply = reply{result: dispatch.Misdirected, err: errors.New("backend server is not in the current snapshot")}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -286,6 +286,18 @@
 	return q.client.TryTake(now, workspace)
 }
 
+// renew replaces a token that has expired. It reports false if there is no other.
+func (q *Quotas) renew(workspace string, t *quota.Token) bool {
+	if t.Valid(q.now()) {
+		return true
+	}
+	other, ok := q.try(workspace)
+	if ok {
+		*t = other
+	}
+	return ok
+}
+
 func (q *Quotas) untake(t quota.Token) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/gateway/quota_attempts_test.go
+++ b/internal/gateway/quota_attempts_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -252,3 +253,26 @@
 	g.Expect(verdict).To(Equal(quota.UsedUp))
 	g.Expect(q.over).To(BeEmpty())
 }
+
+// TestTokenExpiresDuringConnect guards against a request that reaches a server with a token
+// that its issuer no longer counts, because the connect took long.
+func TestTokenExpiresDuringConnect(t *testing.T) {
+	g := NewWithT(t)
+	s := startBackend(t, answerOK)
+	f := startLimited(t, false, limitedWorkspace(100, 100), s)
+	f.giveTokens(1)
+	q, dial := f.g.quotas, f.g.upstream.dialContext
+	var passed atomic.Int64
+	now := q.now
+	q.mu.Lock()
+	q.now = func() time.Duration { return now() + time.Duration(passed.Load()) }
+	q.mu.Unlock()
+	f.g.upstream.dialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		passed.Add(int64(time.Hour))
+		return dial(ctx, network, address)
+	}
+	status, _, header := f.sendWith(t, "GET", "/get/a", "", "X-Credential: "+secretKey)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(header).To(HaveKey("Retry-After"))
+	g.Expect(s.runs.Load()).To(BeZero())
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -61,8 +61,17 @@
 	repeatable bool
 	// maxIdleConns bounds the idle connections to the server.
 	maxIdleConns int
+	// ready is asked after the connect whether the request may still be sent; nil if it
+	// always may.
+	ready func() bool
 }
 
+// errTokenExpired means that the token of an attempt expired during the connect, and that
+// there is no other.
+var errTokenExpired = errors.New("the token of the attempt expired before it was sent")
+
+func (c *upstreamCall) mayStart() bool { return c.ready == nil || c.ready() }
+
 // reply is the result of an upstreamCall.
 type reply struct {
 	result dispatch.Result
@@ -130,12 +139,20 @@
 		}
 		return unconnected(err)
 	}
+	if !c.mayStart() {
+		u.putIdle(serverOf(c.backend), conn, c.maxIdleConns)
+		return reply{result: dispatch.Abandoned, err: errTokenExpired, connectTime: connectTime}
+	}
 	r := u.roundTrip(ctx, conn, c)
 	if errors.Is(r.err, errUnwritten) && conn.kept && ctx.Err() == nil {
 		// The server has closed the kept connection.
 		if conn, connectTime, err = u.dial(ctx, c); err != nil {
 			return unconnected(err)
 		}
+		if !c.mayStart() {
+			u.putIdle(serverOf(c.backend), conn, c.maxIdleConns)
+			return reply{result: dispatch.Abandoned, err: errTokenExpired, connectTime: connectTime}
+		}
 		r = u.roundTrip(ctx, conn, c)
 	}
 	r.connectTime = connectTime
