--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,8 +5,9 @@
 // needs one. Each token is counted by the issuer that minted it, from its minting until
 // it has been reported as spent or has expired everywhere:
 //
-//   - An issuer mints r/R per second, and only while its level and its outstanding tokens
-//     together are below its cap. The caps of all regions add up to C.
+//   - An issuer mints r/R per second, where R is the number of regions with a cap, and
+//     only while its level and its outstanding tokens together are below its cap. The caps
+//     of all regions add up to C.
 //   - A lent token expires at its holder no later than t after it was lent, so the
 //     tokens usable at a time A were lent after A - t. The issuers of time A - t had at
 //     most C in their levels, and at most r x t was minted since, however many issuers
