--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -55,8 +55,8 @@
 
 	mu     sync.Mutex
 	client *quota.Client
-	tenure *quota.Tenure
-	issuer *quota.Issuer // nil unless this process was the issuer in the tenure's epoch
+	term   *quota.Term
+	issuer *quota.Issuer // nil unless this process was the issuer in the term's epoch
 	epoch  uint64
 	// table is the one from which limits were computed.
 	table   *routetable.Table
@@ -81,7 +81,7 @@
 	q := &Quotas{
 		cfg: cfg, self: self, peers: peers, log: log, metrics: m, now: now, started: now(),
 		client: quota.NewClient(self.Region, quota.NewSafeShares(now(), cfg.Bounds, len(cfg.Regions))),
-		tenure: quota.NewTenure(self.Name, self.Incarnation), waiting: map[uint64]chan quota.Resolution{},
+		term:   quota.NewTerm(self.Name, self.Incarnation), waiting: map[uint64]chan quota.Resolution{},
 		over: map[string]*overState{}, safeShareLogged: map[string]time.Duration{}, refusedNames: map[string]bool{}, shownTokens: map[string]bool{},
 	}
 	q.client.SafeShareStarts = q.logSafeShare
--- a/internal/gateway/quota_attempts_test.go
+++ b/internal/gateway/quota_attempts_test.go
@@ -44,7 +44,7 @@
 	}
 	q.mu.Lock()
 	later = 11 * time.Second // below the lease
-	q.tenure.Done(q.now(), quota.Succeeded)
+	q.term.Done(q.now(), quota.Succeeded)
 	q.mu.Unlock()
 	f.g.SetSnapshot(s.Apply(s.Revision+1, fleet.Changes{Table: s.Table, Issuers: map[string]*fleet.Issuer{"r": {Host: "h", PeerAddress: "p"}}}))
 	return f
@@ -98,7 +98,7 @@
 	g.Expect(status).To(Equal(http.StatusOK), "a workspace without a rate needs no token")
 }
 
-// giveTokens puts tokens into the host's wallet as a loan of an issuer.
+// giveTokens puts tokens into the host's cache as a loan of an issuer.
 func (f *fixture) giveTokens(n int) {
 	q := f.g.quotas
 	q.mu.Lock()
@@ -106,7 +106,7 @@
 	q.client.SetIssuers([]string{"elsewhere"})
 	q.client.Request(q.now(), 1<<60, "acme", quota.Limit{}, q.now()+time.Second)
 	for _, m := range q.client.Messages(q.now()) {
-		q.client.Answered(q.now(), m.ID, quota.LendReply{Tenure: 1, Loans: []quota.Loan{{Workspace: "acme", ID: m.ID, Tokens: n + 1, ValidMicros: time.Minute.Microseconds()}}})
+		q.client.Answered(q.now(), m.ID, quota.LendReply{Term: 1, Loans: []quota.Loan{{Workspace: "acme", ID: m.ID, Tokens: n + 1, ValidMicros: time.Minute.Microseconds()}}})
 		n = -1
 	}
 	q.client.SetIssuers(nil)
@@ -239,7 +239,7 @@
 	q.client.SetIssuers([]string{"r"})
 	q.client.Request(q.now(), 1<<40, "acme", quota.Limit{}, q.now()+time.Second)
 	for _, m := range q.client.Messages(q.now()) {
-		q.client.Answered(q.now(), m.ID, quota.LendReply{Tenure: 1, Loans: []quota.Loan{{
+		q.client.Answered(q.now(), m.ID, quota.LendReply{Term: 1, Loans: []quota.Loan{{
 			Workspace: "acme", ID: 1, Tokens: 2, ValidMicros: time.Minute.Microseconds(), Empty: true, RetryMillis: 100, StepMicros: 1000,
 		}}})
 	}
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -14,8 +14,8 @@
 const (
 	// MethodLend fetches tokens from a region's issuer.
 	MethodLend = "quota.lend"
-	// MethodGive asks for tokens for another region's issuer.
-	MethodGive = "quota.give"
+	// MethodTransfer asks for tokens for another region's issuer.
+	MethodTransfer = "quota.transfer"
 )
 
 // Timeouts of messages to issuers.
@@ -63,7 +63,7 @@
 }
 
 func (q *Quotas) lendRequest(m quota.Message) quota.LendRequest {
-	return quota.LendRequest{Host: q.self.Name, Tenure: m.Tenure, Wants: m.Wants}
+	return quota.LendRequest{Host: q.self.Name, Term: m.Term, Wants: m.Wants}
 }
 
 // deliver passes decisions to the requests that wait for them. The caller holds q.mu.
@@ -123,22 +123,22 @@
 // currentIssuer returns the issuer of this process, nil if it may not lend. The caller holds
 // q.mu.
 func (q *Quotas) currentIssuer(now time.Duration) *quota.Issuer {
-	holds := q.tenure.Holds(now)
+	holds := q.term.Holds(now)
 	if holds != q.holding {
 		q.holding = holds
-		q.logTenure(holds)
+		q.logTerm(holds)
 	}
 	if !holds {
 		return nil
 	}
-	if q.issuer == nil || q.epoch != q.tenure.Epoch() {
-		q.epoch = q.tenure.Epoch()
+	if q.issuer == nil || q.epoch != q.term.Epoch() {
+		q.epoch = q.term.Epoch()
 		o := quota.IssuerOptions{
 			Bounds: q.cfg.Bounds, Regions: len(q.cfg.Regions), Index: q.regionIndex(),
 			// Incarnations are microseconds, so no two processes share such a number.
-			Tenure: uint64(q.self.Incarnation) + q.epoch,
+			Term: uint64(q.self.Incarnation) + q.epoch,
 		}
-		if q.tenure.TookOver() {
+		if q.term.TookOver() {
 			// The earlier issuer's process ended before this one started.
 			o.MintFrom = q.started
 		}
@@ -171,16 +171,16 @@
 	return reply, nil
 }
 
-// HandleGive serves MethodGive.
-func (q *Quotas) HandleGive(_ context.Context, r quota.GiveRequest) (quota.GiveReply, error) {
+// HandleTransfer serves MethodTransfer.
+func (q *Quotas) HandleTransfer(_ context.Context, r quota.TransferRequest) (quota.TransferReply, error) {
 	q.mu.Lock()
 	defer q.unlock()
 	now := q.now()
 	issuer := q.currentIssuer(now)
 	if issuer == nil {
-		return quota.GiveReply{}, errNotIssuer
+		return quota.TransferReply{}, errNotIssuer
 	}
-	return quota.GiveReply{Gifts: issuer.Give(now, r.Wants)}, nil
+	return quota.TransferReply{Transfers: issuer.Transfer(now, r.Wants)}, nil
 }
 
 // armAsk starts the timer for asking other regions if tokens may be short. The caller holds
@@ -226,19 +226,19 @@
 func (q *Quotas) askRegion(issuer *quota.Issuer, region, address string, wants []quota.Want, sentAt time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), otherIssuerTimeout)
 	defer cancel()
-	q.metrics.quotaMessage(MethodGive)
-	var reply quota.GiveReply
-	err := q.peers.Call(ctx, address, MethodGive, quota.GiveRequest{Region: q.self.Region, Wants: wants}, &reply)
+	q.metrics.quotaMessage(MethodTransfer)
+	var reply quota.TransferReply
+	err := q.peers.Call(ctx, address, MethodTransfer, quota.TransferRequest{Region: q.self.Region, Wants: wants}, &reply)
 	q.mu.Lock()
 	defer q.unlock()
 	if err != nil {
 		issuer.NoAnswer(q.now(), region, wants)
 		return
 	}
-	issuer.Receive(q.now(), sentAt, region, reply.Gifts)
+	issuer.Receive(q.now(), sentAt, region, reply.Transfers)
 }
 
-// ObserveStore tells the tenure the era of the copy of the store, together with the item
+// ObserveStore tells the term the era of the copy of the store, together with the item
 // and the candidates in the snapshot. It reports whether quotas are in use.
 func (q *Quotas) ObserveStore(era uint64, s *fleet.Snapshot) bool {
 	q.mu.Lock()
@@ -247,8 +247,8 @@
 	if i := s.Issuers[q.self.Region]; i != nil {
 		item = &quota.Item{Host: i.Host, Incarnation: i.Incarnation, Era: i.Era, Revision: i.Revision}
 	}
-	q.tenure.SetRank(rankOf(s.IssuerCandidates(q.self.Region), q.self.Name))
-	q.tenure.Observe(q.now(), era, item)
+	q.term.SetRank(rankOf(s.IssuerCandidates(q.self.Region), q.self.Name))
+	q.term.Observe(q.now(), era, item)
 	q.currentIssuer(q.now())
 	return len(q.limits) > 0 || q.issuer != nil
 }
@@ -268,15 +268,15 @@
 	q.mu.Lock()
 	defer q.unlock()
 	now := q.now()
-	c := q.tenure.Next(now)
-	return c, q.tenure.NextAt(now) - now
+	c := q.term.Next(now)
+	return c, q.term.NextAt(now) - now
 }
 
 // CallDone reports the result of the call that NextCall returned.
 func (q *Quotas) CallDone(r quota.Result) {
 	q.mu.Lock()
 	defer q.unlock()
-	q.tenure.Done(q.now(), r)
+	q.term.Done(q.now(), r)
 	q.currentIssuer(q.now())
 }
 
@@ -284,7 +284,7 @@
 func (q *Quotas) Close() {
 	q.mu.Lock()
 	defer q.unlock()
-	q.tenure.Close()
+	q.term.Close()
 	q.currentIssuer(q.now())
 }
 
@@ -292,5 +292,5 @@
 func (q *Quotas) Released() bool {
 	q.mu.Lock()
 	defer q.unlock()
-	return q.tenure.Released()
+	return q.term.Released()
 }
--- a/internal/gateway/quota_report.go
+++ b/internal/gateway/quota_report.go
@@ -126,8 +126,8 @@
 	q.logLater(func() { q.log.WithFields(fields).Info("issuer changed") })
 }
 
-// logTenure logs the start or the end of a tenure. The caller holds q.mu.
-func (q *Quotas) logTenure(holds bool) {
+// logTerm logs the start or the end of a term. The caller holds q.mu.
+func (q *Quotas) logTerm(holds bool) {
 	message := "this host is no longer its region's issuer"
 	if holds {
 		message = "this host is its region's issuer"
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -56,10 +56,10 @@
 		var p quota.LendRequest
 		_ = json.Unmarshal(raw, &p)
 		answer, err = q.HandleLend(ctx, p)
-	case MethodGive:
-		var p quota.GiveRequest
+	case MethodTransfer:
+		var p quota.TransferRequest
 		_ = json.Unmarshal(raw, &p)
-		answer, err = q.HandleGive(ctx, p)
+		answer, err = q.HandleTransfer(ctx, p)
 	}
 	time.Sleep(delay)
 	if ctx.Err() != nil {
@@ -109,7 +109,7 @@
 	return n
 }
 
-// renew keeps the issuers' tenures for a time.
+// renew keeps the issuers' terms for a time.
 func (n *quotaHosts) renew(until time.Duration) {
 	for passed := time.Duration(0); passed < until; passed += 500 * time.Millisecond {
 		for _, q := range n.byID {
@@ -223,7 +223,7 @@
 		n.byID["r0h0"].Close()
 		_, err = n.byID["r0h0"].HandleLend(context.Background(), request)
 		g.Expect(err).To(MatchError(errNotIssuer))
-		_, err = n.byID["r0h0"].HandleGive(context.Background(), quota.GiveRequest{Wants: request.Wants})
+		_, err = n.byID["r0h0"].HandleTransfer(context.Background(), quota.TransferRequest{Wants: request.Wants})
 		g.Expect(err).To(MatchError(errNotIssuer))
 		call, _ := n.byID["r0h0"].NextCall()
 		g.Expect(call.Action).To(Equal(quota.Release))
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -13,13 +13,13 @@
 // fullRequest returns a message of a host that wants and reports tokens of n workspaces,
 // and an issuer that answers it.
 func fullRequest(n int) (*Issuer, LendRequest) {
-	i := NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 3, Tenure: 1796601600000001})
+	i := NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 3, Term: 1796601600000001})
 	limits := map[string]Limit{}
 	for k := range n {
 		limits[fmt.Sprintf("kaje%02d", k)] = Limit{50, 50}
 	}
 	i.SetLimits(0, limits)
-	r := LendRequest{Host: "front-a-12", Tenure: 1796601600000001}
+	r := LendRequest{Host: "front-a-12", Term: 1796601600000001}
 	for name := range limits {
 		r.Wants = append(r.Wants, Want{Workspace: name, Tokens: 4, Demand: 4, Uses: []Use{{Loan: 1234567, Spent: 3, Returned: 1}}})
 	}
@@ -123,7 +123,7 @@
 		now += 2 * time.Millisecond
 		c.Request(now, uint64(k), names[k%len(names)], Limit{50, 50}, now+time.Second)
 		for _, m := range c.Messages(now) {
-			c.Answered(now, m.ID, i.Lend(now, LendRequest{Tenure: m.Tenure, Wants: m.Wants}))
+			c.Answered(now, m.ID, i.Lend(now, LendRequest{Term: m.Term, Wants: m.Wants}))
 		}
 		c.Resolved()
 	}
--- a/internal/quota/broken_test.go
+++ b/internal/quota/broken_test.go
@@ -18,7 +18,7 @@
 	{"a new issuer starts with a full level", issuerStartsFull, restartScript},
 	{"two hosts of a region issue at once", twoIssuers, overloadScript},
 	{"lent tokens do not expire", tokensDoNotExpire, hoardScript},
-	{"given tokens are added several times", giftsRepeated, oneRegionScript},
+	{"given tokens are added several times", transfersRepeated, oneRegionScript},
 	{"an item of an earlier era counts in a restored store", restoredItemCounts, restoreScript},
 }
 
@@ -62,7 +62,7 @@
 	for at := 5 * time.Second; at < 30*time.Second; at += 700 * time.Millisecond {
 		s.at(at, func() {
 			for _, h := range s.hosts {
-				if h.proc != nil && h.proc.tenure.Holds(h.clock()) {
+				if h.proc != nil && h.proc.term.Holds(h.clock()) {
 					h.kill(50 * time.Millisecond)
 				}
 			}
@@ -80,7 +80,7 @@
 		from := 5*time.Second + time.Duration(k)*600*time.Millisecond
 		s.at(from, func() {
 			s.request(h, "w")
-			h.proc.client.wallet.accounts["w"].demand = demand{fast: 1000, at: h.clock() + time.Hour} // it does not decay
+			h.proc.client.cache.accounts["w"].demand = demand{fast: 1000, at: h.clock() + time.Hour} // it does not decay
 		})
 		s.at(from+500*time.Millisecond, func() { h.group = k + 1 })
 	}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -49,7 +49,7 @@
 	ID     uint64
 	Region string
 	Wants  []Want
-	Tenure uint64
+	Term   uint64
 	kind   messageKind
 	sentAt time.Duration
 	// tried are the other regions that were asked for the same wants before.
@@ -78,7 +78,7 @@
 type Client struct {
 	region  string
 	regions []string // with a known issuer
-	wallet  *Wallet
+	cache   *TokenCache
 	safe    *SafeShares
 
 	waiters              []waiter
@@ -97,7 +97,7 @@
 
 // NewClient returns a client of a host in a region.
 func NewClient(region string, safe *SafeShares) *Client {
-	return &Client{region: region, wallet: NewWallet(), safe: safe, messages: map[uint64]*Message{}, suspected: map[string]time.Duration{}}
+	return &Client{region: region, cache: NewTokenCache(), safe: safe, messages: map[uint64]*Message{}, suspected: map[string]time.Duration{}}
 }
 
 // SetIssuers sets the regions that have an issuer.
@@ -119,34 +119,34 @@
 // Request asks for a token for an attempt. If the verdict is Waiting, the decision is
 // among the results of Resolved by the deadline; Messages must be called now.
 func (c *Client) Request(now time.Duration, id uint64, workspace string, l Limit, deadline time.Duration) Resolution {
-	if token, ok := c.wallet.Take(now, workspace); ok {
+	if token, ok := c.cache.Take(now, workspace); ok {
 		return Resolution{ID: id, Verdict: Granted, Token: token}
 	}
-	if verdict, retryAfter := c.wallet.UsedUp(now, workspace); verdict != Waiting {
+	if verdict, retryAfter := c.cache.UsedUp(now, workspace); verdict != Waiting {
 		return Resolution{ID: id, Verdict: verdict, RetryAfter: retryAfter}
 	}
-	c.wallet.Wait(now, workspace, 1)
+	c.cache.Wait(now, workspace, 1)
 	c.waiters = append(c.waiters, waiter{id: id, workspace: workspace, limit: l, deadline: min(deadline, now+MaxWait)})
 	return Resolution{ID: id}
 }
 
 // TryTake takes a token without waiting, for a hedged request.
 func (c *Client) TryTake(now time.Duration, workspace string) (Token, bool) {
-	return c.wallet.Take(now, workspace)
+	return c.cache.Take(now, workspace)
 }
 
 // Untake returns the token of an attempt that did not run.
-func (c *Client) Untake(now time.Duration, t Token) { c.wallet.Untake(now, t) }
+func (c *Client) Untake(now time.Duration, t Token) { c.cache.Untake(now, t) }
 
 // Reuse reports whether the next attempt of a request may use the token of one that did
 // not run.
-func (c *Client) Reuse(now time.Duration, t Token) bool { return c.wallet.Reuse(now, t) }
+func (c *Client) Reuse(now time.Duration, t Token) bool { return c.cache.Reuse(now, t) }
 
 // Cancel ends the wait of a request whose caller has left.
 func (c *Client) Cancel(now time.Duration, id uint64) {
 	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool {
 		if w.id == id {
-			c.wallet.Wait(now, w.workspace, -1)
+			c.cache.Wait(now, w.workspace, -1)
 		}
 		return w.id == id
 	})
@@ -167,7 +167,7 @@
 	unreachable := c.allSuspected(now)
 	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool {
 		r := Resolution{ID: w.id}
-		if token, ok := c.wallet.TakeAgain(now, w.workspace); ok {
+		if token, ok := c.cache.TakeAgain(now, w.workspace); ok {
 			r.Verdict, r.Token = Granted, token
 		} else if verdict, retryAfter := c.usedUp(now, w); verdict != Waiting {
 			r.Verdict, r.RetryAfter = verdict, retryAfter
@@ -181,18 +181,18 @@
 		} else {
 			r.Verdict = NoIssuer
 		}
-		c.wallet.Wait(now, w.workspace, -1)
+		c.cache.Wait(now, w.workspace, -1)
 		c.resolved = append(c.resolved, r)
 		return true
 	})
 }
 
-// usedUp is Wallet.UsedUp for a request that waits.
+// usedUp is TokenCache.UsedUp for a request that waits.
 func (c *Client) usedUp(now time.Duration, w waiter) (Verdict, time.Duration) {
 	if now >= w.deadline {
-		c.wallet.EndFollowUp(now, w.workspace)
+		c.cache.EndFollowUp(now, w.workspace)
 	}
-	return c.wallet.UsedUp(now, w.workspace)
+	return c.cache.UsedUp(now, w.workspace)
 }
 
 // allSuspected reports whether issuers are known and none of them has answered lately.
@@ -227,17 +227,17 @@
 	if len(c.waiters) > 0 {
 		list = c.askElsewhere(now, list)
 	}
-	if now >= c.nextTick && c.wallet.Active() {
+	if now >= c.nextTick && c.cache.Active() {
 		c.nextTick = now + FetchPeriod
-		wants := c.wallet.Wants(now, target)
+		wants := c.cache.Wants(now, target)
 		if target != "" && len(wants) > 0 {
 			list = append(list, c.message(now, periodic, target, wants))
 		} else {
-			c.wallet.Failed(LendRequest{Wants: wants})
+			c.cache.Failed(LendRequest{Wants: wants})
 		}
 	}
 	if len(c.waiters) > 0 && target != "" && now >= c.nextUrgent && !c.urgentInFlight() {
-		if wants := c.wallet.UrgentWants(now, target); len(wants) > 0 {
+		if wants := c.cache.UrgentWants(now, target); len(wants) > 0 {
 			list = append(list, c.message(now, urgent, target, wants))
 		}
 	}
@@ -261,7 +261,7 @@
 		c.nextUrgent = now + urgentSpacing
 	}
 	c.lastID++
-	m := Message{ID: c.lastID, Region: region, Wants: wants, Tenure: c.wallet.tenures[region], kind: kind, sentAt: now}
+	m := Message{ID: c.lastID, Region: region, Wants: wants, Term: c.cache.terms[region], kind: kind, sentAt: now}
 	c.messages[m.ID] = &m
 	return m
 }
@@ -274,7 +274,7 @@
 	}
 	delete(c.messages, id)
 	delete(c.suspected, m.Region)
-	c.wallet.Receive(now, m.sentAt, m.Region, m.kind != elsewhere, LendRequest{Wants: m.Wants}, reply)
+	c.cache.Receive(now, m.sentAt, m.Region, m.kind != elsewhere, LendRequest{Wants: m.Wants}, reply)
 	if m.kind == elsewhere {
 		c.askNext(now, m, emptyWants(m.Wants, reply.Loans))
 	}
@@ -294,7 +294,7 @@
 		pause = notIssuerTime
 	}
 	c.suspected[m.Region] = now + pause
-	c.wallet.Failed(LendRequest{Wants: m.Wants})
+	c.cache.Failed(LendRequest{Wants: m.Wants})
 	if m.kind == elsewhere && !c.isSuspected(now, c.region) {
 		c.askNext(now, m, m.Wants)
 	}
@@ -305,7 +305,7 @@
 // NextAt returns the time at which Messages is to be called again, false if only further
 // requests make it necessary.
 func (c *Client) NextAt(now time.Duration) (time.Duration, bool) {
-	if !c.wallet.Active() {
+	if !c.cache.Active() {
 		return 0, false
 	}
 	next := c.nextTick
@@ -319,15 +319,15 @@
 }
 
 // Left returns the tokens of a workspace that this host holds.
-func (c *Client) Left(now time.Duration, workspace string) int { return c.wallet.Left(now, workspace) }
+func (c *Client) Left(now time.Duration, workspace string) int { return c.cache.Left(now, workspace) }
 
 // Held returns the tokens that this host holds, of the first workspaces by name up to a
 // number.
 func (c *Client) Held(now time.Duration, limit int) map[string]int {
-	names := slices.Sorted(maps.Keys(c.wallet.accounts))
+	names := slices.Sorted(maps.Keys(c.cache.accounts))
 	held := map[string]int{}
 	for _, name := range names[:min(len(names), limit)] {
-		held[name] = c.wallet.Left(now, name)
+		held[name] = c.cache.Left(now, name)
 	}
 	return held
 }
--- a/internal/quota/elsewhere.go
+++ b/internal/quota/elsewhere.go
@@ -27,11 +27,11 @@
 
 // askElsewhere appends the message to another region for what the own one lacks.
 func (c *Client) askElsewhere(now time.Duration, list []Message) []Message {
-	wants := c.wallet.ElsewhereWants(now)
+	wants := c.cache.ElsewhereWants(now)
 	for id, m := range c.messages {
 		if m.kind == urgent && m.Region == c.region && now-m.sentAt >= earlyElsewhere && c.early < id {
 			c.early = id
-			wants = append(wants, c.wallet.MissingWants(now)...)
+			wants = append(wants, c.cache.MissingWants(now)...)
 		}
 	}
 	if len(wants) == 0 {
@@ -39,8 +39,8 @@
 	}
 	region := c.other(now, nil)
 	if region == "" {
-		c.wallet.Failed(LendRequest{Wants: wants})
-		c.wallet.SetUsedUp(now, wants)
+		c.cache.Failed(LendRequest{Wants: wants})
+		c.cache.SetUsedUp(now, wants)
 		c.resolve(now)
 		return list
 	}
@@ -56,12 +56,12 @@
 	for _, want := range lacking {
 		// The next answer is expected to take as long as this one.
 		if more && c.waitsUntil(want.Workspace) >= now+(now-m.sentAt) {
-			if next, ok := c.wallet.FollowUp(now, want.Workspace); ok {
+			if next, ok := c.cache.FollowUp(now, want.Workspace); ok {
 				f.wants = append(f.wants, next)
 				continue
 			}
 		}
-		c.wallet.SetUsedUp(now, []Want{want})
+		c.cache.SetUsedUp(now, []Want{want})
 	}
 	if len(f.wants) > 0 {
 		c.followUps = append(c.followUps, f)
@@ -73,8 +73,8 @@
 	for _, f := range c.followUps {
 		region := c.other(now, f.tried)
 		if region == "" {
-			c.wallet.Failed(LendRequest{Wants: f.wants})
-			c.wallet.SetUsedUp(now, f.wants)
+			c.cache.Failed(LendRequest{Wants: f.wants})
+			c.cache.SetUsedUp(now, f.wants)
 			c.resolve(now)
 			continue
 		}
--- a/internal/quota/elsewhere_test.go
+++ b/internal/quota/elsewhere_test.go
@@ -11,7 +11,7 @@
 
 // emptyLoans is the answer of an issuer that lacks tokens.
 func emptyLoans() LendReply {
-	return LendReply{Tenure: 7, Loans: []Loan{{Workspace: "w", Empty: true, Elsewhere: true, RetryMillis: 600, StepMicros: 600000}}}
+	return LendReply{Term: 7, Loans: []Loan{{Workspace: "w", Empty: true, Elsewhere: true, RetryMillis: 600, StepMicros: 600000}}}
 }
 
 // TestSlowOwnIssuer guards against a caller within its quota that gets 429 because another
@@ -52,7 +52,7 @@
 			}
 			client.Messages(now + 2*ms)
 			g.Expect(client.Resolved()).To(BeEmpty(), "the own issuer has not answered")
-			client.Answered(now+9*ms, own[0].ID, LendReply{Tenure: 7, Loans: []Loan{{Workspace: "w", ID: 1, Tokens: 1, ValidMicros: 500000}}})
+			client.Answered(now+9*ms, own[0].ID, LendReply{Term: 7, Loans: []Loan{{Workspace: "w", ID: 1, Tokens: 1, ValidMicros: 500000}}})
 			resolved := client.Resolved()
 			g.Expect(resolved).To(HaveLen(1))
 			g.Expect(resolved[0].Verdict).To(Equal(Granted))
--- a/internal/quota/fetch.go
+++ b/internal/quota/fetch.go
@@ -9,7 +9,7 @@
 // Wants returns the message to a region's issuer that is due every FetchPeriod: what to
 // fetch ahead and what to return. Reports alone cause no message, because loans expire
 // without them. It also forgets workspaces without demand.
-func (w *Wallet) Wants(now time.Duration, region string) []Want {
+func (w *TokenCache) Wants(now time.Duration, region string) []Want {
 	var wants []Want
 	for name, a := range w.accounts {
 		a.dropExpired(now)
@@ -26,7 +26,7 @@
 }
 
 // UrgentWants returns the message for the requests that wait for tokens, if there are any.
-func (w *Wallet) UrgentWants(now time.Duration, region string) []Want {
+func (w *TokenCache) UrgentWants(now time.Duration, region string) []Want {
 	var wants []Want
 	for name, a := range w.accounts {
 		a.dropExpired(now)
@@ -46,7 +46,7 @@
 
 // want returns the message part of a workspace, which is sent if it wants or returns
 // tokens. Counts since the last message are only reset then.
-func (w *Wallet) want(now time.Duration, name string, a *account, region string) Want {
+func (w *TokenCache) want(now time.Duration, name string, a *account, region string) Want {
 	want := Want{Workspace: name}
 	a.fill(now, &want)
 	returned := w.returns(now, a, region)
@@ -61,7 +61,7 @@
 
 // ElsewhereWants returns what waiting requests lack of workspaces for which the region's
 // issuer has no tokens, but others may.
-func (w *Wallet) ElsewhereWants(now time.Duration) []Want {
+func (w *TokenCache) ElsewhereWants(now time.Duration) []Want {
 	var wants []Want
 	for name, a := range w.accounts {
 		if a.waiting == 0 || !a.elsewhere {
@@ -81,7 +81,7 @@
 func (a *account) missing() int { return a.waiting - a.left() - a.requested }
 
 // MissingWants returns what waiting requests lack, without what was requested.
-func (w *Wallet) MissingWants(now time.Duration) []Want {
+func (w *TokenCache) MissingWants(now time.Duration) []Want {
 	var wants []Want
 	for name, a := range w.accounts {
 		a.dropExpired(now)
@@ -109,7 +109,7 @@
 // returns marks the tokens of a region's issuer to return: those that are probably not
 // used before they expire, and those beyond the demand of twice aheadTime. It reports
 // whether there are any.
-func (w *Wallet) returns(now time.Duration, a *account, region string) bool {
+func (w *TokenCache) returns(now time.Duration, a *account, region string) bool {
 	any := false
 	keep := a.waiting + a.expectedUses(now, 2*aheadTime)
 	for _, l := range a.loans {
@@ -130,13 +130,13 @@
 	return any
 }
 
-// reportable reports whether a loan is of the current tenure of a region's issuer.
-func (w *Wallet) reportable(l *held, region string) bool {
-	return l.region == region && l.tenure == w.tenures[region]
+// reportable reports whether a loan is of the current term of a region's issuer.
+func (w *TokenCache) reportable(l *held, region string) bool {
+	return l.region == region && l.term == w.terms[region]
 }
 
 // uses returns the report on the loans of a region's issuer.
-func (w *Wallet) uses(a *account, region string) []Use {
+func (w *TokenCache) uses(a *account, region string) []Use {
 	var uses []Use
 	for _, l := range a.loans {
 		if !w.reportable(l, region) || l.spent == 0 && l.returned == 0 {
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -24,12 +24,12 @@
 const MaxLevels = 100
 
 // Issuer mints and lends the tokens of one region. A new one has no tokens: it does not
-// know what an earlier issuer lent. It may be used only while Tenure.Holds.
+// know what an earlier issuer lent. It may be used only while Term.Holds.
 type Issuer struct {
 	bounds     Bounds
 	regions    int
 	index      int
-	tenure     uint64
+	term       uint64
 	mintFrom   time.Duration
 	nextLoan   uint64
 	workspaces map[string]*mint
@@ -66,8 +66,8 @@
 	// Regions is the number of regions, Index the position of this one in their order by
 	// name.
 	Regions, Index int
-	// Tenure differs between all issuers that the region has had.
-	Tenure uint64
+	// Term differs between all issuers that the region has had.
+	Term uint64
 	// MintFrom is the time from which the workspaces of the first limits mint, 0 for that
 	// of the first SetLimits. No issuer of the region may have lent since.
 	MintFrom time.Duration
@@ -75,7 +75,7 @@
 
 // NewIssuer returns an issuer without limits and tokens.
 func NewIssuer(o IssuerOptions) *Issuer {
-	return &Issuer{bounds: o.Bounds, regions: max(o.Regions, 1), index: o.Index, tenure: o.Tenure, mintFrom: o.MintFrom, workspaces: map[string]*mint{}, short: map[string]*mint{}}
+	return &Issuer{bounds: o.Bounds, regions: max(o.Regions, 1), index: o.Index, term: o.Term, mintFrom: o.MintFrom, workspaces: map[string]*mint{}, short: map[string]*mint{}}
 }
 
 // SetLimits replaces the limits of all workspaces; those with a rate of 0 have none. Lower
@@ -149,7 +149,7 @@
 
 // Lend answers the message of a host.
 func (i *Issuer) Lend(now time.Duration, r LendRequest) LendReply {
-	reply := LendReply{Tenure: i.tenure, Loans: make([]Loan, 0, len(r.Wants))}
+	reply := LendReply{Term: i.term, Loans: make([]Loan, 0, len(r.Wants))}
 	for _, w := range r.Wants {
 		m := i.workspaces[w.Workspace]
 		if m == nil {
@@ -162,7 +162,7 @@
 			continue
 		}
 		m.advance(now)
-		if r.Tenure == i.tenure {
+		if r.Term == i.term {
 			m.settle(now, w.Uses)
 		}
 		m.demand.add(now, w.Demand)
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -40,7 +40,7 @@
 func (s *sim) alive(accept func(*simHost) bool) *simHost {
 	var list []*simHost
 	for _, h := range s.hosts {
-		if h.proc != nil && !h.proc.tenure.closing && accept(h) {
+		if h.proc != nil && !h.proc.term.closing && accept(h) {
 			list = append(list, h)
 		}
 	}
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -27,7 +27,7 @@
 // Loan answers a Want. One Want may have several loans, of different validity.
 type Loan struct {
 	Workspace string `json:"w"`
-	// ID identifies the loan in reports to the issuer's tenure.
+	// ID identifies the loan in reports to the issuer's term.
 	ID     uint64 `json:"i,omitempty"`
 	Tokens int    `json:"n,omitempty"`
 	// ValidMicros is the validity in microseconds; it counts from the sending of the
@@ -51,24 +51,24 @@
 // LendRequest is the message of a host to an issuer.
 type LendRequest struct {
 	Host string `json:"host"`
-	// Tenure is that of the issuer to which the Uses refer. Another one ignores them.
-	Tenure uint64 `json:"tenure,omitempty"`
-	Wants  []Want `json:"wants"`
+	// Term is that of the issuer to which the Uses refer. Another one ignores them.
+	Term  uint64 `json:"term,omitempty"`
+	Wants []Want `json:"wants"`
 }
 
 // LendReply answers a LendRequest.
 type LendReply struct {
-	Tenure uint64 `json:"tenure"`
-	Loans  []Loan `json:"loans"`
+	Term  uint64 `json:"term"`
+	Loans []Loan `json:"loans"`
 }
 
-// GiveRequest is the message of an issuer to that of another region.
-type GiveRequest struct {
+// TransferRequest is the message of an issuer to that of another region.
+type TransferRequest struct {
 	Region string `json:"region"`
 	Wants  []Want `json:"wants"`
 }
 
-// GiveReply answers a GiveRequest.
-type GiveReply struct {
-	Gifts []Loan `json:"gifts"`
+// TransferReply answers a TransferRequest.
+type TransferReply struct {
+	Transfers []Loan `json:"transfers"`
 }
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -74,7 +74,7 @@
 	if s.rng.IntN(2) == 0 {
 		h = s.hosts[s.rng.IntN(3)]
 		for _, x := range s.hosts {
-			if x.region == h.region && x.proc != nil && x.proc.tenure.Holds(x.clock()) {
+			if x.region == h.region && x.proc != nil && x.proc.term.Holds(x.clock()) {
 				h = x
 			}
 		}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -16,7 +16,7 @@
 //
 // So at most C + r x t + r x W attempts use tokens in a window. What is left of the limit
 // is divided among the hosts as safe shares. This needs at most one issuer per region at
-// a time, which Tenure ensures, and clocks whose rates differ from real time by at most
+// a time, which Term ensures, and clocks whose rates differ from real time by at most
 // maxClockError.
 package quota
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -60,14 +60,14 @@
 }
 
 func newTestIssuer(l Limit) *Issuer {
-	i := NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 3, Tenure: 7})
+	i := NewIssuer(IssuerOptions{Bounds: testBounds, Regions: 3, Term: 7})
 	i.SetLimits(0, map[string]Limit{"w": l})
 	return i
 }
 
 func lendOne(i *Issuer, now time.Duration, w Want) []Loan {
 	w.Workspace = "w"
-	return i.Lend(now, LendRequest{Host: "h", Tenure: 7, Wants: []Want{w}}).Loans
+	return i.Lend(now, LendRequest{Host: "h", Term: 7, Wants: []Want{w}}).Loans
 }
 
 // TestIssuerMintsOnlyBelowCap guards against tokens that are minted while those lent before
@@ -89,13 +89,13 @@
 	g.Expect(level).To(BeNumerically("~", 9, 1), "expired tokens cannot be returned")
 }
 
-// TestReportsOfEarlierTenure guards against reports about loans of an earlier issuer, whose
+// TestReportsOfEarlierTerm guards against reports about loans of an earlier issuer, whose
 // numbers the present one uses again, that make it mint or lend what hosts still hold.
-func TestReportsOfEarlierTenure(t *testing.T) {
+func TestReportsOfEarlierTerm(t *testing.T) {
 	g := NewWithT(t)
 	i := newTestIssuer(Limit{300, 300})
 	lent := lendOne(i, time.Minute, Want{Tokens: 1000, Urgent: 1000})[0]
-	i.Lend(time.Minute, LendRequest{Host: "h", Tenure: 6, Wants: []Want{{Workspace: "w", Uses: []Use{{Loan: lent.ID, Returned: 50, Spent: 20}}}}})
+	i.Lend(time.Minute, LendRequest{Host: "h", Term: 6, Wants: []Want{{Workspace: "w", Uses: []Use{{Loan: lent.ID, Returned: 50, Spent: 20}}}}})
 	g.Expect(i.workspaces["w"].ledger.outstanding).To(Equal(lent.Tokens))
 	level, _, _ := i.Level(time.Minute, "w")
 	g.Expect(level).To(BeZero())
@@ -107,22 +107,22 @@
 	g.Expect(level).To(Equal(lent.Tokens-20), "no more than was lent")
 }
 
-// TestGiftsKeepTheirExpiry guards against tokens of another region that are used after
+// TestTransfersKeepTheirExpiry guards against tokens of another region that are used after
 // that region's issuer has stopped counting them.
-func TestGiftsKeepTheirExpiry(t *testing.T) {
+func TestTransfersKeepTheirExpiry(t *testing.T) {
 	g := NewWithT(t)
-	giver, asker := newTestIssuer(Limit{300, 300}), newTestIssuer(Limit{300, 300})
-	gifts := giver.Give(time.Minute, []Want{{Workspace: "w", Tokens: 40}})
-	g.Expect(gifts[0].Tokens).To(Equal(40))
-	level, limit, _ := giver.Level(time.Minute, "w")
+	sender, asker := newTestIssuer(Limit{300, 300}), newTestIssuer(Limit{300, 300})
+	transfers := sender.Transfer(time.Minute, []Want{{Workspace: "w", Tokens: 40}})
+	g.Expect(transfers[0].Tokens).To(Equal(40))
+	level, limit, _ := sender.Level(time.Minute, "w")
 	g.Expect(level).To(Equal(int(limit)-40), "subtracted before the answer")
 	lendOne(asker, time.Minute, Want{Tokens: 1000, Urgent: 1000})
-	asker.Receive(time.Minute+60*time.Millisecond, time.Minute-55*time.Millisecond, "r1", gifts)
+	asker.Receive(time.Minute+60*time.Millisecond, time.Minute-55*time.Millisecond, "r1", transfers)
 	loans := lendOne(asker, time.Minute+100*time.Millisecond, Want{Tokens: 30, Urgent: 30})
 	g.Expect(loans[0].Tokens).To(Equal(30))
-	w := NewWallet()
+	w := NewTokenCache()
 	w.Take(time.Minute, "w")
-	w.Receive(time.Minute+101*time.Millisecond, time.Minute+99*time.Millisecond, "r0", true, LendRequest{}, LendReply{Tenure: 7, Loans: loans})
+	w.Receive(time.Minute+101*time.Millisecond, time.Minute+99*time.Millisecond, "r0", true, LendRequest{}, LendReply{Term: 7, Loans: loans})
 	g.Expect(w.Left(time.Minute+400*time.Millisecond, "w")).To(Equal(30))
 	g.Expect(w.Left(time.Minute+445*time.Millisecond, "w")).To(BeZero())
 	lendOne(asker, time.Minute+200*time.Millisecond, Want{Uses: []Use{{Loan: loans[0].ID, Returned: 30}}})
@@ -130,7 +130,7 @@
 	g.Expect(level).To(Equal(10 + 30))
 	level, _, _ = asker.Level(time.Minute+440*time.Millisecond, "w")
 	g.Expect(level).To(BeZero())
-	g.Expect(asker.Give(time.Minute+200*time.Millisecond, []Want{{Workspace: "w", Tokens: 1000}})[0].Tokens).To(BeNumerically("<", 40), "borrowed tokens are not passed on")
+	g.Expect(asker.Transfer(time.Minute+200*time.Millisecond, []Want{{Workspace: "w", Tokens: 1000}})[0].Tokens).To(BeNumerically("<", 40), "borrowed tokens are not passed on")
 }
 
 // TestPromises guards against refused callers that all return at the same time or before
@@ -139,10 +139,10 @@
 	g := NewWithT(t)
 	i := newTestIssuer(Limit{30, 30})
 	i.workspaces["w"].fullLevel = 0
-	w := NewWallet()
+	w := NewTokenCache()
 	w.Take(0, "w")
 	reply := i.Lend(0, LendRequest{Wants: []Want{{Workspace: "w", Tokens: 2, Urgent: 2}}})
-	w.Receive(0, 0, "r", true, LendRequest{}, LendReply{Tenure: 7, Loans: reply.Loans})
+	w.Receive(0, 0, "r", true, LendRequest{}, LendReply{Term: 7, Loans: reply.Loans})
 	g.Expect(reply.Loans[0].Elsewhere).To(BeTrue(), "other regions were not asked yet")
 	w.SetUsedUp(0, []Want{{Workspace: "w"}})
 	last := time.Duration(0)
@@ -193,9 +193,9 @@
 // again although its issuer takes it to be spent.
 func TestTokensOfAttempts(t *testing.T) {
 	g := NewWithT(t)
-	w := NewWallet()
+	w := NewTokenCache()
 	w.Take(0, "w")
-	w.Receive(0, 0, "r", true, LendRequest{}, LendReply{Tenure: 1, Loans: []Loan{{Workspace: "w", ID: 1, Tokens: 1, ValidMicros: 500000}}})
+	w.Receive(0, 0, "r", true, LendRequest{}, LendReply{Term: 1, Loans: []Loan{{Workspace: "w", ID: 1, Tokens: 1, ValidMicros: 500000}}})
 	token, ok := w.Take(0, "w")
 	g.Expect(ok).To(BeTrue())
 	_, ok = w.Take(0, "w")
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -49,7 +49,7 @@
 	issuerStartsFull
 	twoIssuers
 	tokensDoNotExpire
-	giftsRepeated
+	transfersRepeated
 	restoredItemCounts
 )
 
--- a/internal/quota/simproc_test.go
+++ b/internal/quota/simproc_test.go
@@ -12,7 +12,7 @@
 	host    *simHost
 	started time.Duration
 	client  *Client
-	tenure  *Tenure
+	term    *Term
 	issuer  *Issuer
 	epoch   uint64
 	lease   int
@@ -49,8 +49,8 @@
 	h.incarnation++
 	p := &simProc{host: h, started: h.clock(), view: map[string]Item{}}
 	p.client = NewClient(h.region, NewSafeShares(h.clock(), h.sim.bounds, len(simRegions)))
-	p.tenure = NewTenure(h.name, h.incarnation)
-	p.tenure.SetRank(h.rank)
+	p.term = NewTerm(h.name, h.incarnation)
+	p.term.SetRank(h.rank)
 	h.proc = p
 	p.every(simMirrorTime, p.mirror)
 	p.every(FetchPeriod/2, p.poll)
@@ -74,7 +74,7 @@
 	if p == nil {
 		return
 	}
-	p.tenure.Close()
+	p.term.Close()
 	p.poll()
 	h.sim.after(time.Second, func() {
 		if h.proc == p {
@@ -108,9 +108,9 @@
 			if s.fault == restoredItemCounts && own != nil {
 				own.Era = era
 			}
-			p.tenure.Observe(h.clock(), era, own)
+			p.term.Observe(h.clock(), era, own)
 			if s.fault == restoredItemCounts {
-				p.tenure.eraSeenAt = -time.Hour
+				p.term.eraSeenAt = -time.Hour
 			}
 			var regions []string
 			for region := range items {
@@ -125,7 +125,7 @@
 // poll makes due calls to the store and sends due messages.
 func (p *simProc) poll() {
 	h, s := p.host, p.host.sim
-	if c := p.tenure.Next(h.clock()); c.Action != None {
+	if c := p.term.Next(h.clock()); c.Action != None {
 		p.callStore(c)
 	}
 	now := h.clock()
@@ -163,7 +163,7 @@
 			result = Unknown
 		}
 	})
-	s.after(2*simStoreDelay, func() { p.on(func() { p.tenure.Done(h.clock(), result) }) })
+	s.after(2*simStoreDelay, func() { p.on(func() { p.term.Done(h.clock(), result) }) })
 }
 
 // currentIssuer returns the issuer of this process, nil if it is none.
@@ -175,10 +175,10 @@
 		}
 		return p.issuer
 	}
-	if !p.tenure.Holds(h.clock()) {
+	if !p.term.Holds(h.clock()) {
 		return nil
 	}
-	if p.issuer == nil || p.epoch != p.tenure.Epoch() {
+	if p.issuer == nil || p.epoch != p.term.Epoch() {
 		p.newIssuer()
 	}
 	return p.issuer
@@ -186,9 +186,9 @@
 
 func (p *simProc) newIssuer() {
 	h, s := p.host, p.host.sim
-	p.epoch = p.tenure.Epoch()
-	o := IssuerOptions{Bounds: s.bounds, Regions: len(simRegions), Index: slices.Index(simRegions, h.region), Tenure: uint64(h.incarnation)<<32 | uint64(h.rank)<<16 | p.epoch}
-	if p.tenure.TookOver() {
+	p.epoch = p.term.Epoch()
+	o := IssuerOptions{Bounds: s.bounds, Regions: len(simRegions), Index: slices.Index(simRegions, h.region), Term: uint64(h.incarnation)<<32 | uint64(h.rank)<<16 | p.epoch}
+	if p.term.TookOver() {
 		o.MintFrom = p.started
 	}
 	p.issuer = NewIssuer(o)
@@ -258,7 +258,7 @@
 	h, s := p.host, p.host.sim
 	s.wants += len(m.Wants)
 	p.call(m.Region, func(i *Issuer, now time.Duration) any {
-		reply := i.Lend(now, LendRequest{Host: h.name, Tenure: m.Tenure, Wants: m.Wants})
+		reply := i.Lend(now, LendRequest{Host: h.name, Term: m.Term, Wants: m.Wants})
 		if s.traffic != nil {
 			s.measure(p.view[m.Region].Host, m, reply)
 		}
@@ -285,7 +285,7 @@
 		t = &traffic{}
 		s.traffic[host] = t
 	}
-	request, _ := json.Marshal(LendRequest{Host: "front-a-12", Tenure: m.Tenure, Wants: m.Wants})
+	request, _ := json.Marshal(LendRequest{Host: "front-a-12", Term: m.Term, Wants: m.Wants})
 	answer, _ := json.Marshal(reply)
 	t.messages++
 	t.wants += len(m.Wants)
@@ -306,13 +306,13 @@
 	for _, region := range slices.Sorted(maps.Keys(asks)) {
 		wants := asks[region]
 		p.call(region, func(i *Issuer, now time.Duration) any {
-			return i.Give(now, wants)
+			return i.Transfer(now, wants)
 		}, func(answer any, _ bool) {
-			if gifts, ok := answer.([]Loan); ok {
-				issuer.Receive(h.clock(), sentAt, region, gifts)
+			if transfers, ok := answer.([]Loan); ok {
+				issuer.Receive(h.clock(), sentAt, region, transfers)
 				for range 5 {
-					if s.fault == giftsRepeated {
-						issuer.Receive(h.clock(), sentAt, region, gifts)
+					if s.fault == transfersRepeated {
+						issuer.Receive(h.clock(), sentAt, region, transfers)
 					}
 				}
 			} else {
--- a/internal/quota/tenure.go
+++ b/internal/quota/term.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Timing of an issuer's tenure.
+// Timing of an issuer's term.
 const (
 	// LeaseTTL is the time to live of the lease of an issuer's item.
 	LeaseTTL = 12 * time.Second
@@ -37,10 +37,10 @@
 	Revision uint64
 }
 
-// Action is what a Tenure asks its adapter to do.
+// Action is what a Term asks its adapter to do.
 type Action int
 
-// Actions of a Tenure. Each but None is followed by a call of Done.
+// Actions of a Term. Each but None is followed by a call of Done.
 const (
 	None Action = iota
 	// Write asks to create a lease and to write the item under it, on condition of
@@ -71,16 +71,16 @@
 	// Conflict means that the item has another revision, or that the lease has ended in
 	// its era.
 	Conflict
-	// Unknown means that the store did not answer, or is of a later era: the tenure then
+	// Unknown means that the store did not answer, or is of a later era: the term then
 	// goes on until it ends by itself or the copy of the store shows more.
 	Unknown
 )
 
-// Tenure decides whether this process may be the issuer of its region. At most one
+// Term decides whether this process may be the issuer of its region. At most one
 // process of a region holds at a time: a holder has a lease, and writes the item only if
 // it is absent, if it names an earlier process of the same host, or if the process holds
 // already and the store was restored.
-type Tenure struct {
+type Term struct {
 	host        string
 	incarnation int64
 
@@ -92,10 +92,10 @@
 	absentSince time.Duration
 	rank        int // position among the candidates, below 0 if this host is none
 
-	// holdsUntil is the end of the tenure unless the lease is renewed; 0 if there is none.
+	// holdsUntil is the end of the term unless the lease is renewed; 0 if there is none.
 	holdsUntil time.Duration
 	heldEra    uint64
-	// confirmed is set when the item of this tenure was seen.
+	// confirmed is set when the item of this term was seen.
 	confirmed bool
 	epoch     uint64
 	calling   Action
@@ -105,34 +105,34 @@
 	closing   bool
 	released  bool
 	// wrote is set by the first call to write. takesOver is set if that call was to replace
-	// the item of an earlier process of this host, tookOver if it began the tenure.
+	// the item of an earlier process of this host, tookOver if it began the term.
 	wrote, takesOver, tookOver bool
 }
 
-// NewTenure returns the tenure of a process that does not hold.
-func NewTenure(host string, incarnation int64) *Tenure {
-	return &Tenure{host: host, incarnation: incarnation, rank: -1}
+// NewTerm returns the term of a process that does not hold.
+func NewTerm(host string, incarnation int64) *Term {
+	return &Term{host: host, incarnation: incarnation, rank: -1}
 }
 
 // Holds reports whether this process may lend.
-func (t *Tenure) Holds(now time.Duration) bool { return !t.closing && now < t.holdsUntil }
+func (t *Term) Holds(now time.Duration) bool { return !t.closing && now < t.holdsUntil }
 
-// Epoch identifies the uninterrupted tenures of this process. A new one needs a new Issuer,
+// Epoch identifies the uninterrupted terms of this process. A new one needs a new Issuer,
 // because what the earlier one lent after its end is not known.
-func (t *Tenure) Epoch() uint64 { return t.epoch }
+func (t *Term) Epoch() uint64 { return t.epoch }
 
 // TookOver reports whether this process was the first to be the issuer since it started:
-// its tenure began with its first write, which replaced the item of an earlier process of
+// its term began with its first write, which replaced the item of an earlier process of
 // the same host.
-func (t *Tenure) TookOver() bool { return t.tookOver }
+func (t *Term) TookOver() bool { return t.tookOver }
 
 // SetRank sets the position of this host among the candidates of its region, -1 if it is
 // none.
-func (t *Tenure) SetRank(rank int) { t.rank = rank }
+func (t *Term) SetRank(rank int) { t.rank = rank }
 
 // Observe records the state of the item in a copy of the store; item is nil if it is
 // absent.
-func (t *Tenure) Observe(now time.Duration, era uint64, item *Item) {
+func (t *Term) Observe(now time.Duration, era uint64, item *Item) {
 	if !t.known || era > t.era {
 		// Also a process that has just started does not know when the era began.
 		t.era, t.eraSeenAt = era, now
@@ -165,7 +165,7 @@
 }
 
 // present reports whether the item names a process that may be the issuer.
-func (t *Tenure) present() bool {
+func (t *Term) present() bool {
 	return t.item != nil && t.item.Host != "" && t.item.Era == t.era
 }
 
@@ -176,24 +176,24 @@
 	return i.Revision
 }
 
-func (t *Tenure) isOwn(i *Item) bool {
+func (t *Term) isOwn(i *Item) bool {
 	return i.Host == t.host && i.Incarnation == t.incarnation
 }
 
-// stop ends the tenure without a call.
-func (t *Tenure) stop() { t.holdsUntil, t.confirmed = 0, false }
+// stop ends the term without a call.
+func (t *Term) stop() { t.holdsUntil, t.confirmed = 0, false }
 
-// Close ends the tenure: the process shuts down. Released reports when its lease is ended.
-func (t *Tenure) Close() { t.closing = true }
+// Close ends the term: the process shuts down. Released reports when its lease is ended.
+func (t *Term) Close() { t.closing = true }
 
-// Released reports whether a closed tenure needs no further calls.
-func (t *Tenure) Released() bool {
+// Released reports whether a closed term needs no further calls.
+func (t *Term) Released() bool {
 	return t.closing && t.calling == None && (t.released || t.holdsUntil == 0)
 }
 
 // Next returns the call that is due, if any. The adapter must report its result with Done
 // before it asks again.
-func (t *Tenure) Next(now time.Duration) Call {
+func (t *Term) Next(now time.Duration) Call {
 	if t.calling != None {
 		return Call{}
 	}
@@ -208,7 +208,7 @@
 	return c
 }
 
-func (t *Tenure) due(now time.Duration) Call {
+func (t *Term) due(now time.Duration) Call {
 	if t.closing {
 		if t.holdsUntil == 0 || t.released {
 			return Call{}
@@ -235,9 +235,9 @@
 }
 
 // mayWrite reports whether this process may write the item.
-func (t *Tenure) mayWrite(now time.Duration) bool {
+func (t *Term) mayWrite(now time.Duration) bool {
 	if t.present() {
-		// Only an earlier process of this host, or an earlier tenure of this process.
+		// Only an earlier process of this host, or an earlier term of this process.
 		return t.item.Host == t.host && t.item.Incarnation <= t.incarnation
 	}
 	if t.holdsUntil != 0 {
@@ -254,7 +254,7 @@
 }
 
 // Done reports the result of the call that Next returned.
-func (t *Tenure) Done(now time.Duration, r Result) {
+func (t *Term) Done(now time.Duration, r Result) {
 	action := t.calling
 	t.calling = None
 	switch {
@@ -271,9 +271,9 @@
 }
 
 // extend records a call that the store confirmed: the lease runs from after it was sent.
-func (t *Tenure) extend(now time.Duration, action Action) {
+func (t *Term) extend(now time.Duration, action Action) {
 	if action == Renew && t.holdsUntil == 0 {
-		return // the tenure ended during the call
+		return // the term ended during the call
 	}
 	if action == Write {
 		if t.holdsUntil == 0 || now >= t.holdsUntil {
@@ -287,7 +287,7 @@
 }
 
 // NextAt returns the time at which Next is to be called again unless something changes.
-func (t *Tenure) NextAt(now time.Duration) time.Duration {
+func (t *Term) NextAt(now time.Duration) time.Duration {
 	if t.calling != None {
 		return now + renewPeriod
 	}
--- a/internal/quota/tenure_test.go
+++ b/internal/quota/term_test.go
@@ -7,15 +7,15 @@
 	. "github.com/onsi/gomega"
 )
 
-// newTestTenure returns the tenure of host a, incarnation 5, first among the candidates.
-func newTestTenure() *Tenure {
-	t := NewTenure("a", 5)
+// newTestTerm returns the term of host a, incarnation 5, first among the candidates.
+func newTestTerm() *Term {
+	t := NewTerm("a", 5)
 	t.SetRank(0)
 	return t
 }
 
-// hold makes a tenure hold from a time on.
-func hold(g *WithT, t *Tenure, now time.Duration) {
+// hold makes a term hold from a time on.
+func hold(g *WithT, t *Term, now time.Duration) {
 	t.Observe(now, 0, nil)
 	c := t.Next(now)
 	g.Expect(c).To(Equal(Call{Action: Write}))
@@ -23,9 +23,9 @@
 	g.Expect(t.Holds(now + 10*time.Millisecond)).To(BeTrue())
 }
 
-// TestTenureWrites guards against hosts that take over from a living issuer, or wait
+// TestTermWrites guards against hosts that take over from a living issuer, or wait
 // although there is none.
-func TestTenureWrites(t *testing.T) {
+func TestTermWrites(t *testing.T) {
 	const now = time.Hour
 	for _, c := range []struct {
 		desc  string
@@ -55,11 +55,11 @@
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
-			tenure := newTestTenure()
-			tenure.SetRank(c.rank)
-			g.Expect(tenure.Next(now).Action).To(Equal(None), "the store is not known")
-			tenure.Observe(now, c.era, c.item)
-			call := tenure.Next(now + c.after)
+			term := newTestTerm()
+			term.SetRank(c.rank)
+			g.Expect(term.Next(now).Action).To(Equal(None), "the store is not known")
+			term.Observe(now, c.era, c.item)
+			call := term.Next(now + c.after)
 			g.Expect(call.Action).To(Equal(c.want))
 			if c.want == Write && c.item != nil {
 				g.Expect(call.Revision).To(Equal(c.item.Revision))
@@ -68,85 +68,85 @@
 	}
 }
 
-// TestTenureEndsWithLease guards against an issuer that lends when its lease may have
+// TestTermEndsWithLease guards against an issuer that lends when its lease may have
 // ended, and against one that stops in an outage of the store of 9 s.
-func TestTenureEndsWithLease(t *testing.T) {
+func TestTermEndsWithLease(t *testing.T) {
 	g := NewWithT(t)
-	tenure := newTestTenure()
-	hold(g, tenure, time.Hour)
+	term := newTestTerm()
+	hold(g, term, time.Hour)
 	now := time.Hour + renewPeriod
-	g.Expect(tenure.Next(now).Action).To(Equal(Renew))
-	tenure.Done(now, Succeeded)
+	g.Expect(term.Next(now).Action).To(Equal(Renew))
+	term.Done(now, Succeeded)
 	for at := now + renewPeriod; at < now+renewPeriod+9*time.Second; at += 100 * time.Millisecond {
-		g.Expect(tenure.Holds(at)).To(BeTrue())
-		if tenure.Next(at).Action == Renew {
-			tenure.Done(at, Unknown)
+		g.Expect(term.Holds(at)).To(BeTrue())
+		if term.Next(at).Action == Renew {
+			term.Done(at, Unknown)
 		}
 	}
-	g.Expect(tenure.Holds(now + leaseUse - 1)).To(BeTrue())
-	g.Expect(tenure.Holds(now + leaseUse)).To(BeFalse())
+	g.Expect(term.Holds(now + leaseUse - 1)).To(BeTrue())
+	g.Expect(term.Holds(now + leaseUse)).To(BeFalse())
 	g.Expect(float64(leaseUse) / (1 - maxClockError)).To(BeNumerically("<", float64(LeaseTTL)))
 }
 
-// TestTenureSurvivesRestore guards against an issuer that a restore of the store ends, and
+// TestTermSurvivesRestore guards against an issuer that a restore of the store ends, and
 // against one that goes on when another host has taken over.
-func TestTenureSurvivesRestore(t *testing.T) {
+func TestTermSurvivesRestore(t *testing.T) {
 	g := NewWithT(t)
-	tenure := newTestTenure()
-	hold(g, tenure, time.Hour)
-	epoch := tenure.Epoch()
+	term := newTestTerm()
+	hold(g, term, time.Hour)
+	epoch := term.Epoch()
 	now := time.Hour + time.Second
-	tenure.Observe(now, 2, &Item{Host: "b", Era: 0, Revision: 9})
-	g.Expect(tenure.Next(now)).To(Equal(Call{}), "not before the next call is due")
+	term.Observe(now, 2, &Item{Host: "b", Era: 0, Revision: 9})
+	g.Expect(term.Next(now)).To(Equal(Call{}), "not before the next call is due")
 	now = time.Hour + renewPeriod
-	g.Expect(tenure.Next(now)).To(Equal(Call{Action: Write, Revision: 9, Era: 2}))
-	tenure.Done(now, Succeeded)
-	g.Expect(tenure.Holds(now)).To(BeTrue())
-	g.Expect(tenure.Epoch()).To(Equal(epoch))
-	tenure.Observe(now, 2, &Item{Host: "a", Incarnation: 5, Era: 2, Revision: 10})
-	tenure.Observe(now, 2, &Item{Host: "b", Incarnation: 1, Era: 2, Revision: 11})
-	g.Expect(tenure.Holds(now)).To(BeFalse())
+	g.Expect(term.Next(now)).To(Equal(Call{Action: Write, Revision: 9, Era: 2}))
+	term.Done(now, Succeeded)
+	g.Expect(term.Holds(now)).To(BeTrue())
+	g.Expect(term.Epoch()).To(Equal(epoch))
+	term.Observe(now, 2, &Item{Host: "a", Incarnation: 5, Era: 2, Revision: 10})
+	term.Observe(now, 2, &Item{Host: "b", Incarnation: 1, Era: 2, Revision: 11})
+	g.Expect(term.Holds(now)).To(BeFalse())
 }
 
-// TestTenureAfterGap guards against tokens of a tenure that go on counting after another
+// TestTermAfterGap guards against tokens of a term that go on counting after another
 // host may have been the issuer.
-func TestTenureAfterGap(t *testing.T) {
+func TestTermAfterGap(t *testing.T) {
 	g := NewWithT(t)
-	tenure := newTestTenure()
-	hold(g, tenure, time.Hour)
-	epoch := tenure.Epoch()
+	term := newTestTerm()
+	hold(g, term, time.Hour)
+	epoch := term.Epoch()
 	now := time.Hour + time.Minute
-	tenure.Observe(now, 0, &Item{Host: "a", Incarnation: 5, Revision: 3})
-	g.Expect(tenure.Next(now).Action).To(Equal(Write))
-	tenure.Done(now, Succeeded)
-	g.Expect(tenure.Epoch()).NotTo(Equal(epoch))
+	term.Observe(now, 0, &Item{Host: "a", Incarnation: 5, Revision: 3})
+	g.Expect(term.Next(now).Action).To(Equal(Write))
+	term.Done(now, Succeeded)
+	g.Expect(term.Epoch()).NotTo(Equal(epoch))
 }
 
-// TestTenureReleases guards against a host that lends while its lease is ended at its
+// TestTermReleases guards against a host that lends while its lease is ended at its
 // shutdown, and against one that does not end it.
-func TestTenureReleases(t *testing.T) {
+func TestTermReleases(t *testing.T) {
 	g := NewWithT(t)
-	tenure := newTestTenure()
-	hold(g, tenure, time.Hour)
-	tenure.Close()
-	g.Expect(tenure.Holds(time.Hour)).To(BeFalse())
-	g.Expect(tenure.Released()).To(BeFalse())
-	g.Expect(tenure.Next(time.Hour).Action).To(Equal(Release))
-	tenure.Done(time.Hour, Unknown)
-	g.Expect(tenure.Released()).To(BeTrue())
-	other := newTestTenure()
+	term := newTestTerm()
+	hold(g, term, time.Hour)
+	term.Close()
+	g.Expect(term.Holds(time.Hour)).To(BeFalse())
+	g.Expect(term.Released()).To(BeFalse())
+	g.Expect(term.Next(time.Hour).Action).To(Equal(Release))
+	term.Done(time.Hour, Unknown)
+	g.Expect(term.Released()).To(BeTrue())
+	other := newTestTerm()
 	other.Close()
 	g.Expect(other.Released()).To(BeTrue(), "it holds nothing")
 }
 
-// TestTenureLeaseEndedEarly guards against an issuer whose lease someone ended.
-func TestTenureLeaseEndedEarly(t *testing.T) {
+// TestTermLeaseEndedEarly guards against an issuer whose lease someone ended.
+func TestTermLeaseEndedEarly(t *testing.T) {
 	g := NewWithT(t)
-	tenure := newTestTenure()
-	hold(g, tenure, time.Hour)
-	g.Expect(tenure.Next(time.Hour + renewPeriod).Action).To(Equal(Renew))
-	tenure.Done(time.Hour+renewPeriod, Conflict)
-	g.Expect(tenure.Holds(time.Hour + renewPeriod)).To(BeFalse())
+	term := newTestTerm()
+	hold(g, term, time.Hour)
+	g.Expect(term.Next(time.Hour + renewPeriod).Action).To(Equal(Renew))
+	term.Done(time.Hour+renewPeriod, Conflict)
+	g.Expect(term.Holds(time.Hour + renewPeriod)).To(BeFalse())
 }
 
 // TestTookOver guards against an issuer that mints from the start of its process although
@@ -167,23 +167,23 @@
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
-			tenure, now := newTestTenure(), time.Hour
+			term, now := newTestTerm(), time.Hour
 			if c.failed != nil {
-				tenure.Observe(now, 0, c.failed)
-				g.Expect(tenure.Next(now).Action).To(Equal(Write))
-				tenure.Done(now, Unknown)
+				term.Observe(now, 0, c.failed)
+				g.Expect(term.Next(now).Action).To(Equal(Write))
+				term.Done(now, Unknown)
 				now += retryPeriod
 			}
-			tenure.Observe(now, 0, c.item)
-			g.Expect(tenure.Next(now).Action).To(Equal(Write))
-			tenure.Done(now, Succeeded)
-			g.Expect(tenure.Holds(now)).To(BeTrue())
-			g.Expect(tenure.TookOver()).To(Equal(c.want))
+			term.Observe(now, 0, c.item)
+			g.Expect(term.Next(now).Action).To(Equal(Write))
+			term.Done(now, Succeeded)
+			g.Expect(term.Holds(now)).To(BeTrue())
+			g.Expect(term.TookOver()).To(Equal(c.want))
 			now += time.Minute
-			tenure.Observe(now, 0, earlier)
-			g.Expect(tenure.Next(now).Action).To(Equal(Write))
-			tenure.Done(now, Succeeded)
-			g.Expect(tenure.TookOver()).To(BeFalse(), "a later tenure")
+			term.Observe(now, 0, earlier)
+			g.Expect(term.Next(now).Action).To(Equal(Write))
+			term.Done(now, Succeeded)
+			g.Expect(term.TookOver()).To(BeFalse(), "a later term")
 		})
 	}
 }
--- a/internal/quota/wallet.go
+++ b/internal/quota/tokencache.go
@@ -40,7 +40,7 @@
 // held is a loan as its holder records it.
 type held struct {
 	region string
-	tenure uint64
+	term   uint64
 	id     uint64
 	left   int
 	// spent and returned count tokens since the last report.
@@ -69,20 +69,20 @@
 	retryStep                      time.Duration
 }
 
-// Wallet holds the tokens of one host. Every token is used until holderFraction of its
+// TokenCache holds the tokens of one host. Every token is used until holderFraction of its
 // validity has passed since the message that asked for it was sent, so never after its
 // issuer has stopped counting it.
-type Wallet struct {
+type TokenCache struct {
 	accounts map[string]*account
-	tenures  map[string]uint64 // latest known, by region
+	terms    map[string]uint64 // latest known, by region
 }
 
-// NewWallet returns a wallet without tokens.
-func NewWallet() *Wallet {
-	return &Wallet{accounts: map[string]*account{}, tenures: map[string]uint64{}}
+// NewTokenCache returns a cache without tokens.
+func NewTokenCache() *TokenCache {
+	return &TokenCache{accounts: map[string]*account{}, terms: map[string]uint64{}}
 }
 
-func (w *Wallet) account(now time.Duration, workspace string) *account {
+func (w *TokenCache) account(now time.Duration, workspace string) *account {
 	a := w.accounts[workspace]
 	if a == nil {
 		a = &account{}
@@ -93,7 +93,7 @@
 }
 
 // Take spends a token of a workspace for an attempt that needs one, and counts the demand.
-func (w *Wallet) Take(now time.Duration, workspace string) (Token, bool) {
+func (w *TokenCache) Take(now time.Duration, workspace string) (Token, bool) {
 	a := w.account(now, workspace)
 	a.taken++
 	a.uncounted++
@@ -101,7 +101,7 @@
 }
 
 // TakeAgain is Take for an attempt whose demand is counted.
-func (w *Wallet) TakeAgain(now time.Duration, workspace string) (Token, bool) {
+func (w *TokenCache) TakeAgain(now time.Duration, workspace string) (Token, bool) {
 	return w.account(now, workspace).take(now)
 }
 
@@ -119,7 +119,7 @@
 
 // Untake returns the token of an attempt that did not run. If it was reported as spent or
 // has expired, it is lost.
-func (w *Wallet) Untake(now time.Duration, t Token) {
+func (w *TokenCache) Untake(now time.Duration, t Token) {
 	if t.loan != nil && t.loan.spent > 0 && now < t.loan.expires {
 		t.loan.spent--
 		t.loan.left++
@@ -128,17 +128,17 @@
 
 // Reuse reports whether the token of an attempt that did not run may be spent again: it
 // is valid and its issuer does not take it to be spent.
-func (w *Wallet) Reuse(now time.Duration, t Token) bool {
+func (w *TokenCache) Reuse(now time.Duration, t Token) bool {
 	return t.loan == nil || t.loan.spent > 0 && now < t.loan.expires
 }
 
 // Wait changes the number of requests that wait for a token of a workspace.
-func (w *Wallet) Wait(now time.Duration, workspace string, by int) {
+func (w *TokenCache) Wait(now time.Duration, workspace string, by int) {
 	w.account(now, workspace).waiting += by
 }
 
 // Waiting reports whether requests wait for tokens.
-func (w *Wallet) Waiting() bool {
+func (w *TokenCache) Waiting() bool {
 	for _, a := range w.accounts {
 		if a.waiting > 0 {
 			return true
@@ -147,11 +147,11 @@
 	return false
 }
 
-// Active reports whether the wallet may have something to fetch, report or return.
-func (w *Wallet) Active() bool { return len(w.accounts) > 0 }
+// Active reports whether the cache may have something to fetch, report or return.
+func (w *TokenCache) Active() bool { return len(w.accounts) > 0 }
 
 // Left returns the tokens of a workspace.
-func (w *Wallet) Left(now time.Duration, workspace string) int {
+func (w *TokenCache) Left(now time.Duration, workspace string) int {
 	a := w.accounts[workspace]
 	if a == nil {
 		return 0
@@ -178,7 +178,7 @@
 // none: UsedUp, or NoIssuer if that one has just started. Otherwise the verdict is Waiting.
 // It counts the request. The k-th such request gets the time at which the k-th token that
 // is not yet promised is minted.
-func (w *Wallet) UsedUp(now time.Duration, workspace string) (Verdict, time.Duration) {
+func (w *TokenCache) UsedUp(now time.Duration, workspace string) (Verdict, time.Duration) {
 	a := w.accounts[workspace]
 	if a == nil || now >= a.usedUpUntil {
 		return Waiting, 0
@@ -200,16 +200,16 @@
 
 // Receive adds the loans of a region's issuer, in answer to a request sent at sentAt. own
 // is set unless another region was asked for what the own one lacked.
-func (w *Wallet) Receive(now, sentAt time.Duration, region string, own bool, r LendRequest, reply LendReply) {
+func (w *TokenCache) Receive(now, sentAt time.Duration, region string, own bool, r LendRequest, reply LendReply) {
 	w.forget(r)
-	w.tenures[region] = reply.Tenure
+	w.terms[region] = reply.Term
 	for _, l := range reply.Loans {
 		a := w.accounts[l.Workspace]
 		if a == nil {
 			continue
 		}
 		if expires := sentAt + holderTime(l.valid()); l.Tokens > 0 && expires > now {
-			a.add(&held{region: region, tenure: reply.Tenure, id: l.ID, left: l.Tokens, expires: expires})
+			a.add(&held{region: region, term: reply.Term, id: l.ID, left: l.Tokens, expires: expires})
 		}
 		if own {
 			a.receiveOwn(now, l)
@@ -233,7 +233,7 @@
 
 // SetUsedUp records that no other region has tokens either. It has no effect on workspaces
 // for which the own issuer has not answered that it lacks them: it may only be slow.
-func (w *Wallet) SetUsedUp(now time.Duration, wants []Want) {
+func (w *TokenCache) SetUsedUp(now time.Duration, wants []Want) {
 	for _, want := range wants {
 		if a := w.accounts[want.Workspace]; a != nil && now < a.ownEmptyUntil {
 			a.usedUpUntil = now + usedUpTime
@@ -243,7 +243,7 @@
 
 // FollowUp returns what to ask the next other region for after one lacks tokens. It
 // reports false if nothing is missing, or if the own issuer may still have tokens.
-func (w *Wallet) FollowUp(now time.Duration, workspace string) (Want, bool) {
+func (w *TokenCache) FollowUp(now time.Duration, workspace string) (Want, bool) {
 	a := w.accounts[workspace]
 	if a == nil || now >= a.ownEmptyUntil {
 		return Want{}, false
@@ -260,16 +260,16 @@
 
 // EndFollowUp records that requests cannot wait for the answer to a FollowUp: the quota is
 // then used up as far as is known.
-func (w *Wallet) EndFollowUp(now time.Duration, workspace string) {
+func (w *TokenCache) EndFollowUp(now time.Duration, workspace string) {
 	if a := w.accounts[workspace]; a != nil && now < a.followedUpUntil {
 		a.usedUpUntil = now + usedUpTime
 	}
 }
 
 // Failed records that a request was not answered. The tokens that it returned are lost.
-func (w *Wallet) Failed(r LendRequest) { w.forget(r) }
+func (w *TokenCache) Failed(r LendRequest) { w.forget(r) }
 
-func (w *Wallet) forget(r LendRequest) {
+func (w *TokenCache) forget(r LendRequest) {
 	for _, want := range r.Wants {
 		if a := w.accounts[want.Workspace]; a != nil {
 			a.requested = max(a.requested-want.Tokens, 0)
--- a/internal/quota/gift.go
+++ b/internal/quota/transfer.go
@@ -46,26 +46,26 @@
 	}
 }
 
-// Give answers the issuer of another region with what the own demand of the next
+// Transfer answers the issuer of another region with what the own demand of the next
 // ownDemandTime does not need. The tokens count as outstanding here for their validity,
 // as if they were lent to a host. Borrowed tokens are not passed on to other regions.
-func (i *Issuer) Give(now time.Duration, wants []Want) []Loan {
-	gifts := make([]Loan, 0, len(wants))
+func (i *Issuer) Transfer(now time.Duration, wants []Want) []Loan {
+	transfers := make([]Loan, 0, len(wants))
 	for _, w := range wants {
-		gift := Loan{Workspace: w.Workspace, Empty: true}
+		transfer := Loan{Workspace: w.Workspace, Empty: true}
 		if m := i.workspaces[w.Workspace]; m != nil {
 			m.advance(now)
 			own := m.demand.expect(now, ownDemandTime)
 			if n := min(w.Tokens, int(math.Floor(m.level-own))); n > 0 {
 				m.level -= float64(n)
 				m.fullLevel -= float64(n)
-				gift = i.record(now, m, w.Workspace, n, nil)
-				gift.ID = 0
+				transfer = i.record(now, m, w.Workspace, n, nil)
+				transfer.ID = 0
 			}
 		}
-		gifts = append(gifts, gift)
+		transfers = append(transfers, transfer)
 	}
-	return gifts
+	return transfers
 }
 
 // noteShortage adds a workspace to those that Shortages considers.
@@ -96,7 +96,7 @@
 }
 
 // ask divides the missing tokens among the regions that may have some, or among all if
-// none is known to. No more is asked for than is missing, because gifts soon expire.
+// none is known to. No more is asked for than is missing, because transfers soon expire.
 func (m *mint) ask(now time.Duration, name string, missing int, regions []string, asks map[string][]Want) {
 	var candidates []string
 	for _, region := range regions {
@@ -134,10 +134,10 @@
 	return empty >= regions-1
 }
 
-// Receive adds the gifts of a region's issuer, which was asked at sentAt. Their validity
+// Receive adds the transfers of a region's issuer, which was asked at sentAt. Their validity
 // counts from then. If it did not answer, NoAnswer must be called instead.
-func (i *Issuer) Receive(now, sentAt time.Duration, region string, gifts []Loan) {
-	for _, g := range gifts {
+func (i *Issuer) Receive(now, sentAt time.Duration, region string, transfers []Loan) {
+	for _, g := range transfers {
 		m := i.workspaces[g.Workspace]
 		if m == nil {
 			continue
