--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -84,49 +84,6 @@
 	Load(ctx context.Context, name string) ([]byte, error)
 }
 
-// AcquireParams describes a request that needs a backend server. ObjectiveMillis and
-// RemainingMillis count from now; Bytes is the size of the request body, or of its
-// buffered part if the size is not known.
-type AcquireParams struct {
-	Service         string   `json:"service"`
-	Class           string   `json:"class"`
-	Key             string   `json:"key,omitempty"`
-	Host            string   `json:"host"`
-	FailureDomain   string   `json:"domain"`
-	Rank            int      `json:"priority"`
-	Bytes           int64    `json:"bytes,omitempty"`
-	ObjectiveMillis float64  `json:"objective_ms"`
-	RemainingMillis float64  `json:"left_ms"`
-	NoTrial         bool     `json:"no_trial,omitempty"`
-	NoHedge         bool     `json:"no_hedge,omitempty"`
-	Exclude         []string `json:"exclude,omitempty"`
-	Allowed         []string `json:"allowed,omitempty"`
-	// Workspace is the name of the request's workspace, "" if it has none.
-	Workspace string `json:"workspace,omitempty"`
-	// SecondAttempt is set for an attempt beside or after one that may have run. Its refusal
-	// reaches no caller.
-	SecondAttempt bool `json:"hedge,omitempty"`
-}
-
-// ReleaseParams releases a grant and reports how its request ended.
-type ReleaseParams struct {
-	Service               string          `json:"service"`
-	Grant                 uint64          `json:"grant"`
-	DispatcherIncarnation int64           `json:"process"`
-	Report                dispatch.Report `json:"report"`
-}
-
-// AcquireResult is a dispatcher's answer to MethodAcquire.
-type AcquireResult struct {
-	// DispatcherIncarnation identifies the process that gave the grant: a restarted
-	// dispatcher numbers its grants from the beginning.
-	DispatcherIncarnation int64             `json:"process"`
-	Decision              dispatch.Decision `json:"decision"`
-	// Loading is set if the dispatcher has not decided, as it still loads its knowledge. It
-	// is to be asked again after knowledgePoll. Decision is then a refusal.
-	Loading bool `json:"loading,omitempty"`
-}
-
 // Selector selects a backend server for each request, either from the pools of this
 // host or by asking the host that dispatches the service in the region. It queues
 // nothing, unlike package sched without -platform.
@@ -221,26 +178,6 @@
 	}
 }
 
-// preparePools creates the shared pools of the services that this host dispatches, or will
-// dispatch if the first host in the order does not answer. Their saved knowledge is then
-// loaded before the first request. Services whose routes use no affinity have none. The
-// caller holds sel.mu.
-func (sel *Selector) preparePools(s *fleet.Snapshot) {
-	for service := range s.BackendsByService {
-		if s.Table != nil && !s.Table.UsesAffinity(service) {
-			continue
-		}
-		for i, h := range s.Dispatchers(sel.self.Region, service) {
-			if i >= maxDispatchers {
-				break
-			}
-			if h.Name == sel.self.Name {
-				sel.pool(sharedPool, service).lastUsed = -poolIdle
-			}
-		}
-	}
-}
-
 // changesPool reports whether a snapshot differs, for the pool of a service, from the one
 // that the pool was last updated with.
 func changesPool(service string, old, s *fleet.Snapshot) bool {
@@ -414,49 +351,6 @@
 	return -1
 }
 
-// awaitKnowledge waits for the knowledge of this host's shared pool, if it is being loaded.
-// It returns the request with the time that is left then.
-func (sel *Selector) awaitKnowledge(ctx context.Context, p AcquireParams) AcquireParams {
-	for sel.isLoading(p) && sleep(ctx, knowledgePoll) {
-		p = p.after(knowledgePoll)
-	}
-	return p
-}
-
-// after returns the request as it is when d has passed.
-func (p AcquireParams) after(d time.Duration) AcquireParams {
-	p.ObjectiveMillis -= toMillis(d)
-	p.RemainingMillis -= toMillis(d)
-	return p
-}
-
-// isLoading reports whether the decision about a request has to wait for the knowledge of
-// this host's shared pool. Requests without an object do not wait.
-func (sel *Selector) isLoading(p AcquireParams) bool {
-	if p.Key == "" {
-		return false
-	}
-	sel.mu.Lock()
-	defer sel.mu.Unlock()
-	ps := sel.sharedPools[p.Service]
-	if ps == nil {
-		ps = sel.pool(sharedPool, p.Service)
-	}
-	return sel.now() < ps.knowledgeDue
-}
-
-// sleep waits for d and reports whether ctx is not done.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // askDispatcher asks a host for a decision, and again while it loads its knowledge.
 func (sel *Selector) askDispatcher(ctx context.Context, h *fleet.Host, p AcquireParams) (decision, error) {
 	var r AcquireResult
--- /dev/null
+++ b/internal/gateway/selector_messages.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/galenabeam/galenabeam/internal/dispatch"
+)
+
+// AcquireParams describes a request that needs a backend server. ObjectiveMillis and
+// RemainingMillis count from now; Bytes is the size of the request body, or of its
+// buffered part if the size is not known.
+type AcquireParams struct {
+	Service         string   `json:"service"`
+	Class           string   `json:"class"`
+	Key             string   `json:"key,omitempty"`
+	Host            string   `json:"host"`
+	FailureDomain   string   `json:"domain"`
+	Rank            int      `json:"priority"`
+	Bytes           int64    `json:"bytes,omitempty"`
+	ObjectiveMillis float64  `json:"objective_ms"`
+	RemainingMillis float64  `json:"left_ms"`
+	NoTrial         bool     `json:"no_trial,omitempty"`
+	NoHedge         bool     `json:"no_hedge,omitempty"`
+	Exclude         []string `json:"exclude,omitempty"`
+	Allowed         []string `json:"allowed,omitempty"`
+	// Workspace is the name of the request's workspace, "" if it has none.
+	Workspace string `json:"workspace,omitempty"`
+	// SecondAttempt is set for an attempt beside or after one that may have run. Its refusal
+	// reaches no caller.
+	SecondAttempt bool `json:"hedge,omitempty"`
+}
+
+// ReleaseParams releases a grant and reports how its request ended.
+type ReleaseParams struct {
+	Service               string          `json:"service"`
+	Grant                 uint64          `json:"grant"`
+	DispatcherIncarnation int64           `json:"process"`
+	Report                dispatch.Report `json:"report"`
+}
+
+// AcquireResult is a dispatcher's answer to MethodAcquire.
+type AcquireResult struct {
+	// DispatcherIncarnation identifies the process that gave the grant: a restarted
+	// dispatcher numbers its grants from the beginning.
+	DispatcherIncarnation int64             `json:"process"`
+	Decision              dispatch.Decision `json:"decision"`
+	// Loading is set if the dispatcher has not decided, as it still loads its knowledge. It
+	// is to be asked again after knowledgePoll. Decision is then a refusal.
+	Loading bool `json:"loading,omitempty"`
+}
+
+// after returns the request as it is when d has passed.
+func (p AcquireParams) after(d time.Duration) AcquireParams {
+	p.ObjectiveMillis -= toMillis(d)
+	p.RemainingMillis -= toMillis(d)
+	return p
+}
