dispatch: let unrestricted requests not make a region scarce

A restricted request takes the occupancy of its regions for that of the service, so it yielded to a more urgent rank as soon as the one server of r0 had no free slot, although most of its slots were taken by requests that other regions, which were idle, could have served.

Change: for a restricted request, the slots of its regions count as taken if the service is full as well, or by requests of more urgent ranks and by requests that are restricted too. The soak reports what it saw of requests that are not served at the end, and reserves its loopback addresses, as two runs at once on a machine reached each other's hosts.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,6 +107,7 @@
 	trial         bool       // it was granted although its estimate was late
 	rank          int
 	workspace     string
+	restricted    bool // the request may be served in some regions only
 }
 
 // RequestedObject is an object that was requested from a server not assumed to hold
@@ -298,6 +299,7 @@
 	g := &grant{
 		server: s, key: r.Key, class: r.Class, rank: r.Rank, workspace: r.Workspace, heldObject: est.holdsObject, sentAt: now, wait: est.wait,
 		expectedService: est.service, deadline: r.Deadline, unqueued: s.load(now) < float64(s.slots), trial: est.trial, factor: s.reportedFactor,
+		restricted: len(r.Allowed) > 0,
 	}
 	p.grants[p.lastGrantID] = g
 	p.countTrial(g, 1)
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -141,7 +141,7 @@
 // class. What resolve does not change is shared; what only grants use is left out.
 func (p *Pool) scratch(className string) *Pool {
 	c := *p
-	c.grants, c.servers, c.leavingMarks, c.requestedObjects, c.paceEvents = nil, nil, nil, nil, nil
+	c.servers, c.leavingMarks, c.requestedObjects, c.paceEvents = nil, nil, nil, nil
 	c.lastRequestByRank, c.scarcity = maps.Clone(p.lastRequestByRank), p.scarcity.clone()
 	c.classes = map[string]*class{}
 	if old := p.classes[className]; old != nil {
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -25,7 +25,7 @@
 	// nextClaim is the earliest time of the next claim of a limited workspace.
 	nextClaim map[workspaceRank]time.Duration
 	// loads are the loads of the regions as of loadsAt.
-	loads   map[string]regionLoad
+	loads   map[string]*regionLoad
 	loadsAt time.Duration
 }
 
@@ -34,8 +34,25 @@
 	rank      int
 }
 
-// regionLoad is the load of the servers of a region in requests, without queues.
-type regionLoad struct{ load, slots float64 }
+// regionLoad is the load of the servers of a region.
+type regionLoad struct {
+	load, slots float64 // in requests, without queues
+	// restricted counts the requests in flight, granted by this pool, that are restricted to
+	// some regions, and byRank the others.
+	restricted float64
+	byRank     map[int]float64
+}
+
+// moreUrgent returns the number of unrestricted requests of ranks more urgent than a rank.
+func (l *regionLoad) moreUrgent(rank int) float64 {
+	sum := 0.0
+	for other, n := range l.byRank {
+		if other < rank {
+			sum += n
+		}
+	}
+	return sum
+}
 
 const (
 	// finishedTimeConstant applies to the rate by which returns are scheduled.
@@ -66,7 +83,7 @@
 	}
 	return &scarcity{
 		shares: fairshare.New(), returns: newReturns(),
-		nextClaim: map[workspaceRank]time.Duration{}, loads: map[string]regionLoad{}, loadsAt: -maxOccupancyAge - 1,
+		nextClaim: map[workspaceRank]time.Duration{}, loads: map[string]*regionLoad{}, loadsAt: -maxOccupancyAge - 1,
 	}
 }
 
@@ -255,37 +272,63 @@
 	return best, est, false
 }
 
-// restrictOccupancy sets the occupancy to that of the regions that may serve the request,
-// and returns a function that restores it. Only pools that divide scarce slots do so.
+// restrictOccupancy sets the occupancy for a request that is restricted to some regions, and
+// returns a function that restores it. Only pools that divide scarce slots do so. It is that
+// of those regions, as far as the request must yield to what takes their slots: requests of
+// more urgent ranks and those that are restricted as well. The others find slots in other
+// regions if the service has any.
 func (p *Pool) restrictOccupancy(now time.Duration, r Request) (restore func()) {
 	if p.scarcity == nil || len(r.Allowed) == 0 {
 		return func() {}
 	}
+	if c := p.scarcity; now-c.loadsAt > maxOccupancyAge {
+		c.loadsAt = now
+		p.updateRegionLoads(now)
+	}
 	all := p.occupancy
-	p.occupancy = p.occupancyOf(now, r.Allowed)
+	p.occupancy = p.occupancyOf(r)
 	return func() { p.occupancy = all }
 }
 
-// occupancyOf returns the fraction of the slots of some regions that is taken, as
-// currentOccupancy does for all.
-func (p *Pool) occupancyOf(now time.Duration, regions []string) float64 {
-	c := p.scarcity
-	if now-c.loadsAt > maxOccupancyAge {
-		c.loadsAt = now
-		clear(c.loads)
-		for _, s := range p.list {
-			if s.takesRequests(now) {
-				l := c.loads[s.region]
-				c.loads[s.region] = regionLoad{l.load + min(s.load(now), float64(s.slots)), l.slots + float64(s.slots)}
-			}
+// occupancyOf returns the occupancy of the regions that may serve a request; see
+// restrictOccupancy.
+func (p *Pool) occupancyOf(r Request) float64 {
+	var load, slots, yieldedTo float64
+	for _, region := range r.Allowed {
+		l := p.scarcity.loads[region]
+		if l == nil {
+			continue
 		}
+		load, slots = load+l.load, slots+l.slots
+		yieldedTo += min(l.restricted+l.moreUrgent(r.Rank), l.slots)
 	}
-	var sum regionLoad
-	for _, region := range regions {
-		sum.load, sum.slots = sum.load+c.loads[region].load, sum.slots+c.loads[region].slots
-	}
-	if sum.slots == 0 {
+	if slots == 0 {
 		return 0
 	}
-	return sum.load / sum.slots
+	return max(min(load/slots, p.occupancy), yieldedTo/slots)
+}
+
+// updateRegionLoads sets the loads of the regions.
+func (p *Pool) updateRegionLoads(now time.Duration) {
+	loads := p.scarcity.loads
+	clear(loads)
+	load := func(region string) *regionLoad {
+		if loads[region] == nil {
+			loads[region] = &regionLoad{byRank: map[int]float64{}}
+		}
+		return loads[region]
+	}
+	for _, s := range p.list {
+		if s.takesRequests(now) {
+			l := load(s.region)
+			l.load, l.slots = l.load+min(s.load(now), float64(s.slots)), l.slots+float64(s.slots)
+		}
+	}
+	for _, g := range p.grants {
+		if l := load(g.server.region); g.restricted {
+			l.restricted++
+		} else {
+			l.byRank[g.rank]++
+		}
+	}
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -28,6 +28,7 @@
 		sent[r.id] = r
 	}
 	violations = map[string][]string{}
+	unserved := map[string]int{}
 	report := func(promise, format string, args ...any) {
 		violations[promise] = append(violations[promise], fmt.Sprintf(format, args...))
 	}
@@ -55,6 +56,8 @@
 			total++
 			if r.status == 200 {
 				served++
+			} else {
+				unserved[fmt.Sprintf("status %d at %s with keys %q at second %.0f", r.status, r.host.name, r.keys, r.sent.Sub(sr.began).Seconds())]++
 			}
 		}
 	}
@@ -63,7 +66,7 @@
 	sr.checkQuotas(servedFrom, report)
 	sr.checkLogs(report)
 	if total == 0 || float64(served) < minServedShare*float64(total) {
-		report("recovers", "%d of %d requests served at the end", served, total)
+		report("recovers", "%d of %d requests served at the end, the others: %v", served, total, unserved)
 	}
 	return violations, served, total
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,10 @@
 	servedWindow   = 2 * time.Second
 	minServedShare = 0.9
 	parallelRuns   = 3
+	// maxNetworks bounds the runs on a machine, those of other processes included.
+	maxNetworks = 30
+	// reservationIndex is the index of an address that no host or server of a run has.
+	reservationIndex = 200
 )
 
 // regressions holds seeds that failed and the cause. TestSoak always runs them.
@@ -96,16 +100,13 @@
 	for i := range envInt("SOAK_SEEDS", 1) {
 		seeds = append(seeds, int64(envInt("SOAK_FIRST", 1)+i))
 	}
-	networks := make(chan int, parallelRuns)
-	for i := range parallelRuns {
-		networks <- i
-	}
+	running := make(chan struct{}, parallelRuns)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
-			network := <-networks
-			defer func() { networks <- network }()
-			newSoakRun(t, seed, network).run()
+			running <- struct{}{}
+			defer func() { <-running }()
+			newSoakRun(t, seed, reserveNetwork(t)).run()
 		})
 	}
 }
@@ -139,8 +140,22 @@
 	tenants   []tenant
 }
 
+// reserveNetwork reserves the loopback addresses of a run until the test ends. Runs that shared
+// addresses, also in another process, would reach each other's hosts.
+func reserveNetwork(t *testing.T) int {
+	for network := range maxNetworks {
+		reservation, err := net.Listen("tcp", (&soakRun{network: network}).ip(reservationIndex)+":8009")
+		if err == nil {
+			t.Cleanup(func() { _ = reservation.Close() })
+			return network
+		}
+	}
+	t.Fatal("no free loopback network")
+	return 0
+}
+
 // ip returns a loopback address; parallel runs have different networks.
-func (sr *soakRun) ip(n int) string { return fmt.Sprintf("127.%d.%d.1", 20+sr.network, n) }
+func (sr *soakRun) ip(n int) string { return fmt.Sprintf("127.%d.%d.1", 30+sr.network, n) }
 
 func newSoakRun(t *testing.T, seed int64, network int) *soakRun {
 	sr := &soakRun{
