quota: name the receivers of TokenCache c

The receivers were named w, after an earlier name of the type. In the same package w is also a Want and a waiter.

Rename only: the lines of the diff are equal once c is replaced by w. `go test ./internal/quota` passes.

--- a/internal/quota/fetch.go
+++ b/internal/quota/fetch.go
@@ -9,16 +9,16 @@
 // Wants returns the message to a region's issuer that is due every FetchPeriod: what to
 // fetch ahead and what to return. Reports alone cause no message, because loans expire
 // without them. It also forgets workspaces without demand.
-func (w *TokenCache) Wants(now time.Duration, region string) []Want {
+func (c *TokenCache) Wants(now time.Duration, region string) []Want {
 	var wants []Want
-	for name, a := range w.accounts {
+	for name, a := range c.accounts {
 		a.dropExpired(now)
 		if a.waiting == 0 && a.requested == 0 && len(a.loans) == 0 && now-a.lastUsed > accountIdle {
-			delete(w.accounts, name)
+			delete(c.accounts, name)
 			continue
 		}
 		a.count(now)
-		if want := w.want(now, name, a, region); want.Tokens > 0 || len(want.Uses) > 0 {
+		if want := c.want(now, name, a, region); want.Tokens > 0 || len(want.Uses) > 0 {
 			wants = append(wants, want)
 		}
 	}
@@ -26,13 +26,13 @@
 }
 
 // UrgentWants returns the message for the requests that wait for tokens, if there are any.
-func (w *TokenCache) UrgentWants(now time.Duration, region string) []Want {
+func (c *TokenCache) UrgentWants(now time.Duration, region string) []Want {
 	var wants []Want
-	for name, a := range w.accounts {
+	for name, a := range c.accounts {
 		a.dropExpired(now)
 		if a.missing() > 0 {
 			a.count(now)
-			wants = append(wants, w.want(now, name, a, region))
+			wants = append(wants, c.want(now, name, a, region))
 		}
 	}
 	return sorted(wants)
@@ -46,24 +46,24 @@
 
 // want returns the message part of a workspace, which is sent if it wants or returns
 // tokens. Counts since the last message are only reset then.
-func (w *TokenCache) want(now time.Duration, name string, a *account, region string) Want {
+func (c *TokenCache) want(now time.Duration, name string, a *account, region string) Want {
 	want := Want{Workspace: name}
 	a.fill(now, &want)
-	returned := w.returns(now, a, region)
+	returned := c.returns(now, a, region)
 	if want.Tokens == 0 && !returned {
 		return want
 	}
 	want.Demand, want.Refused = a.taken, a.refused
 	a.taken, a.refused = 0, 0
-	want.Uses = w.uses(a, region)
+	want.Uses = c.uses(a, region)
 	return want
 }
 
 // ElsewhereWants returns what waiting requests lack of workspaces for which the region's
 // issuer has no tokens, but others may.
-func (w *TokenCache) ElsewhereWants(now time.Duration) []Want {
+func (c *TokenCache) ElsewhereWants(now time.Duration) []Want {
 	var wants []Want
-	for name, a := range w.accounts {
+	for name, a := range c.accounts {
 		if a.waiting == 0 || !a.elsewhere {
 			continue
 		}
@@ -81,9 +81,9 @@
 func (a *account) missing() int { return a.waiting - a.left() - a.requested }
 
 // MissingWants returns what waiting requests lack, without what was requested.
-func (w *TokenCache) MissingWants(now time.Duration) []Want {
+func (c *TokenCache) MissingWants(now time.Duration) []Want {
 	var wants []Want
-	for name, a := range w.accounts {
+	for name, a := range c.accounts {
 		a.dropExpired(now)
 		if missing := a.waiting - a.left(); missing > 0 {
 			a.requested += missing
@@ -109,11 +109,11 @@
 // returns marks the tokens of a region's issuer to return: those that are probably not
 // used before they expire, and those beyond the demand of twice aheadTime. It reports
 // whether there are any.
-func (w *TokenCache) returns(now time.Duration, a *account, region string) bool {
+func (c *TokenCache) returns(now time.Duration, a *account, region string) bool {
 	any := false
 	keep := a.waiting + a.expectedUses(now, 2*aheadTime)
 	for _, l := range a.loans {
-		if !w.reportable(l, region) {
+		if !c.reportable(l, region) {
 			keep -= l.left
 			continue
 		}
@@ -131,15 +131,15 @@
 }
 
 // reportable reports whether a loan is of the current term of a region's issuer.
-func (w *TokenCache) reportable(l *held, region string) bool {
-	return l.region == region && l.term == w.terms[region]
+func (c *TokenCache) reportable(l *held, region string) bool {
+	return l.region == region && l.term == c.terms[region]
 }
 
 // uses returns the report on the loans of a region's issuer.
-func (w *TokenCache) uses(a *account, region string) []Use {
+func (c *TokenCache) uses(a *account, region string) []Use {
 	var uses []Use
 	for _, l := range a.loans {
-		if !w.reportable(l, region) || l.spent == 0 && l.returned == 0 {
+		if !c.reportable(l, region) || l.spent == 0 && l.returned == 0 {
 			continue
 		}
 		uses = append(uses, Use{Loan: l.id, Spent: l.spent, Returned: l.returned})
--- a/internal/quota/tokencache.go
+++ b/internal/quota/tokencache.go
@@ -82,27 +82,27 @@
 	return &TokenCache{accounts: map[string]*account{}, terms: map[string]uint64{}}
 }
 
-func (w *TokenCache) account(now time.Duration, workspace string) *account {
-	a := w.accounts[workspace]
+func (c *TokenCache) account(now time.Duration, workspace string) *account {
+	a := c.accounts[workspace]
 	if a == nil {
 		a = &account{}
-		w.accounts[workspace] = a
+		c.accounts[workspace] = a
 	}
 	a.lastUsed = now
 	return a
 }
 
 // Take spends a token of a workspace for an attempt that needs one, and counts the demand.
-func (w *TokenCache) Take(now time.Duration, workspace string) (Token, bool) {
-	a := w.account(now, workspace)
+func (c *TokenCache) Take(now time.Duration, workspace string) (Token, bool) {
+	a := c.account(now, workspace)
 	a.taken++
 	a.uncounted++
 	return a.take(now)
 }
 
 // TakeAgain is Take for an attempt whose demand is counted.
-func (w *TokenCache) TakeAgain(now time.Duration, workspace string) (Token, bool) {
-	return w.account(now, workspace).take(now)
+func (c *TokenCache) TakeAgain(now time.Duration, workspace string) (Token, bool) {
+	return c.account(now, workspace).take(now)
 }
 
 func (a *account) take(now time.Duration) (Token, bool) {
@@ -119,7 +119,7 @@
 
 // Untake returns the token of an attempt that did not run. If it was reported as spent or
 // has expired, it is lost.
-func (w *TokenCache) Untake(now time.Duration, t Token) {
+func (c *TokenCache) Untake(now time.Duration, t Token) {
 	if t.loan != nil && t.loan.spent > 0 && now < t.loan.expires {
 		t.loan.spent--
 		t.loan.left++
@@ -128,18 +128,18 @@
 
 // Reuse reports whether the token of an attempt that did not run may be spent again: it
 // is valid and its issuer does not take it to be spent.
-func (w *TokenCache) Reuse(now time.Duration, t Token) bool {
+func (c *TokenCache) Reuse(now time.Duration, t Token) bool {
 	return t.loan == nil || t.loan.spent > 0 && now < t.loan.expires
 }
 
 // Wait changes the number of requests that wait for a token of a workspace.
-func (w *TokenCache) Wait(now time.Duration, workspace string, by int) {
-	w.account(now, workspace).waiting += by
+func (c *TokenCache) Wait(now time.Duration, workspace string, by int) {
+	c.account(now, workspace).waiting += by
 }
 
 // Waiting reports whether requests wait for tokens.
-func (w *TokenCache) Waiting() bool {
-	for _, a := range w.accounts {
+func (c *TokenCache) Waiting() bool {
+	for _, a := range c.accounts {
 		if a.waiting > 0 {
 			return true
 		}
@@ -148,11 +148,11 @@
 }
 
 // Active reports whether the cache may have something to fetch, report or return.
-func (w *TokenCache) Active() bool { return len(w.accounts) > 0 }
+func (c *TokenCache) Active() bool { return len(c.accounts) > 0 }
 
 // Left returns the tokens of a workspace.
-func (w *TokenCache) Left(now time.Duration, workspace string) int {
-	a := w.accounts[workspace]
+func (c *TokenCache) Left(now time.Duration, workspace string) int {
+	a := c.accounts[workspace]
 	if a == nil {
 		return 0
 	}
@@ -178,8 +178,8 @@
 // none: UsedUp, or NoIssuer if that one has just started. Otherwise the verdict is Waiting.
 // It counts the request. The k-th such request gets the time at which the k-th token that
 // is not yet promised is minted.
-func (w *TokenCache) UsedUp(now time.Duration, workspace string) (Verdict, time.Duration) {
-	a := w.accounts[workspace]
+func (c *TokenCache) UsedUp(now time.Duration, workspace string) (Verdict, time.Duration) {
+	a := c.accounts[workspace]
 	if a == nil || now >= a.usedUpUntil {
 		return Waiting, 0
 	}
@@ -200,11 +200,11 @@
 
 // Receive adds the loans of a region's issuer, in answer to a request sent at sentAt. own
 // is set unless another region was asked for what the own one lacked.
-func (w *TokenCache) Receive(now, sentAt time.Duration, region string, own bool, r LendRequest, reply LendReply) {
-	w.forget(r)
-	w.terms[region] = reply.Term
+func (c *TokenCache) Receive(now, sentAt time.Duration, region string, own bool, r LendRequest, reply LendReply) {
+	c.forget(r)
+	c.terms[region] = reply.Term
 	for _, l := range reply.Loans {
-		a := w.accounts[l.Workspace]
+		a := c.accounts[l.Workspace]
 		if a == nil {
 			continue
 		}
@@ -233,9 +233,9 @@
 
 // SetUsedUp records that no other region has tokens either. It has no effect on workspaces
 // for which the own issuer has not answered that it lacks them: it may only be slow.
-func (w *TokenCache) SetUsedUp(now time.Duration, wants []Want) {
+func (c *TokenCache) SetUsedUp(now time.Duration, wants []Want) {
 	for _, want := range wants {
-		if a := w.accounts[want.Workspace]; a != nil && now < a.ownEmptyUntil {
+		if a := c.accounts[want.Workspace]; a != nil && now < a.ownEmptyUntil {
 			a.usedUpUntil = now + usedUpTime
 		}
 	}
@@ -243,8 +243,8 @@
 
 // FollowUp returns what to ask the next other region for after one lacks tokens. It
 // reports false if nothing is missing, or if the own issuer may still have tokens.
-func (w *TokenCache) FollowUp(now time.Duration, workspace string) (Want, bool) {
-	a := w.accounts[workspace]
+func (c *TokenCache) FollowUp(now time.Duration, workspace string) (Want, bool) {
+	a := c.accounts[workspace]
 	if a == nil || now >= a.ownEmptyUntil {
 		return Want{}, false
 	}
@@ -260,18 +260,18 @@
 
 // EndFollowUp records that requests cannot wait for the answer to a FollowUp: the quota is
 // then used up as far as is known.
-func (w *TokenCache) EndFollowUp(now time.Duration, workspace string) {
-	if a := w.accounts[workspace]; a != nil && now < a.followedUpUntil {
+func (c *TokenCache) EndFollowUp(now time.Duration, workspace string) {
+	if a := c.accounts[workspace]; a != nil && now < a.followedUpUntil {
 		a.usedUpUntil = now + usedUpTime
 	}
 }
 
 // Failed records that a request was not answered. The tokens that it returned are lost.
-func (w *TokenCache) Failed(r LendRequest) { w.forget(r) }
+func (c *TokenCache) Failed(r LendRequest) { c.forget(r) }
 
-func (w *TokenCache) forget(r LendRequest) {
+func (c *TokenCache) forget(r LendRequest) {
 	for _, want := range r.Wants {
-		if a := w.accounts[want.Workspace]; a != nil {
+		if a := c.accounts[want.Workspace]; a != nil {
 			a.requested = max(a.requested-want.Tokens, 0)
 		}
 	}
