quota: let requests wait for issuers that start

Cause: after a loss of all hosts, issuers in regions far from the store lend up to 1.2 s after the first hosts serve.

Change: in the first 2 s of a process, a request waits up to 1 s and a third of the time to its deadline, unless its quota is used up.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -24,6 +24,11 @@
 	// tokenWaitFraction is the part of the time to a request's objective for which it
 	// waits for a token.
 	tokenWaitFraction = 0.25
+	// startTokenWait is the longest time for which a request waits in quota.StartPeriod, up to
+	// startTokenWaitFraction of the time to its deadline. Callers that are refused then
+	// return within that time anyway, all of them again and again.
+	startTokenWait         = time.Second
+	startTokenWaitFraction = 1.0 / 3
 	// minTokenWait is the least time for which a request waits, also after its objective:
 	// a few round trips within the region.
 	minTokenWait = 20 * time.Millisecond
@@ -85,6 +90,7 @@
 		over: map[string]*overState{}, safeShareLogged: map[string]time.Duration{}, refusedNames: map[string]bool{}, shownTokens: map[string]bool{},
 	}
 	q.client.SafeShareStarts = q.logSafeShare
+	q.client.WaitAtStart(q.started)
 	return q
 }
 
@@ -129,6 +135,7 @@
 			regions = append(regions, region)
 		}
 		if before := q.issuers[region]; before == nil || before.Host != i.Host || before.Incarnation != i.Incarnation {
+			q.client.IssuerChanged(region)
 			q.logIssuer(region, before, i)
 		}
 	}
@@ -173,8 +180,7 @@
 		return nil, ""
 	}
 	limit := quota.Limit{RatePerSecond: pr.workspace.RatePerSecond, Burst: pr.workspace.Burst}
-	wait := time.Duration(tokenWaitFraction * float64(time.Until(pr.objective)))
-	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, max(wait, minTokenWait))
+	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, g.tokenWait(pr))
 	switch r.Verdict {
 	case quota.Granted:
 		pr.token, pr.hasToken = r.Token, true
@@ -188,6 +194,19 @@
 	return refusalWithoutIssuer(r.RetryAfter)
 }
 
+// tokenWait returns the time for which a request may wait for a token.
+func (g *Gateway) tokenWait(pr *pendingRequest) time.Duration {
+	wait := max(time.Duration(tokenWaitFraction*float64(time.Until(pr.objective))), minTokenWait)
+	if g.quotas.starting() {
+		left := startTokenWaitFraction * float64(time.Until(pr.deadline))
+		wait = max(wait, min(time.Duration(left), startTokenWait))
+	}
+	return wait
+}
+
+// starting reports whether this process is in its quota.StartPeriod.
+func (q *Quotas) starting() bool { return q.now()-q.started < quota.StartPeriod }
+
 // refusalWithoutIssuer returns the answer to a request whose quota cannot be checked, and
 // its outcome.
 func refusalWithoutIssuer(retryAfter time.Duration) (*Answer, string) {
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -9,6 +9,10 @@
 const (
 	// MaxWait bounds the time for which a request waits for a token.
 	MaxWait = 150 * time.Millisecond
+	// StartPeriod is the time after the start of a process for which requests wait longer.
+	// After all hosts have restarted, it takes up to about 1.2 s until the issuers of remote
+	// regions lend, and until then almost every request is refused.
+	StartPeriod = 2 * time.Second
 	// earlyElsewhere is the time without an answer after which waiting requests also ask
 	// another region: with a round trip of 110 ms, the answer comes within MaxWait.
 	earlyElsewhere = 30 * time.Millisecond
@@ -91,6 +95,8 @@
 	nextTick, nextUrgent time.Duration
 	// early is the urgent message beside which another region was asked.
 	early uint64
+	// startUntil is the end of StartPeriod, 0 if there is none.
+	startUntil time.Duration
 	// SafeShareStarts is called when a request of a workspace runs on the safe share.
 	SafeShareStarts func(workspace string)
 }
@@ -100,6 +106,13 @@
 	return &Client{region: region, cache: NewTokenCache(), safe: safe, messages: map[uint64]*Message{}, suspected: map[string]time.Duration{}}
 }
 
+// WaitAtStart lets requests wait up to their deadline for an issuer in the StartPeriod that
+// begins now.
+func (c *Client) WaitAtStart(now time.Duration) { c.startUntil = now + StartPeriod }
+
+// IssuerChanged records that a region has another issuer, which may be asked at once.
+func (c *Client) IssuerChanged(region string) { delete(c.suspected, region) }
+
 // SetIssuers sets the regions that have an issuer.
 func (c *Client) SetIssuers(regions []string) {
 	if !slices.Equal(c.regions, regions) {
@@ -122,14 +135,23 @@
 	if token, ok := c.cache.Take(now, workspace); ok {
 		return Resolution{ID: id, Verdict: Granted, Token: token}
 	}
-	if verdict, retryAfter := c.cache.UsedUp(now, workspace); verdict != Waiting {
-		return Resolution{ID: id, Verdict: verdict, RetryAfter: retryAfter}
+	w := waiter{id: id, workspace: workspace, limit: l, deadline: min(deadline, max(now, c.startUntil)+MaxWait)}
+	if !c.waitsAtStart(now, w) {
+		if verdict, retryAfter := c.cache.UsedUp(now, workspace); verdict != Waiting {
+			return Resolution{ID: id, Verdict: verdict, RetryAfter: retryAfter}
+		}
 	}
 	c.cache.Wait(now, workspace, 1)
-	c.waiters = append(c.waiters, waiter{id: id, workspace: workspace, limit: l, deadline: min(deadline, now+MaxWait)})
+	c.waiters = append(c.waiters, w)
 	return Resolution{ID: id}
 }
 
+// waitsAtStart reports whether a request waits on although nobody has a token for it now,
+// because issuers have just started or will soon. One whose quota is used up does not.
+func (c *Client) waitsAtStart(now time.Duration, w waiter) bool {
+	return now < c.startUntil && now < w.deadline && c.cache.MayGetTokens(now, w.workspace)
+}
+
 // TryTake takes a token without waiting, for a hedged request.
 func (c *Client) TryTake(now time.Duration, workspace string) (Token, bool) {
 	return c.cache.Take(now, workspace)
@@ -169,6 +191,8 @@
 		r := Resolution{ID: w.id}
 		if token, ok := c.cache.TakeAgain(now, w.workspace); ok {
 			r.Verdict, r.Token = Granted, token
+		} else if c.waitsAtStart(now, w) {
+			return false
 		} else if verdict, retryAfter := c.usedUp(now, w); verdict != Waiting {
 			r.Verdict, r.RetryAfter = verdict, retryAfter
 		} else if !unreachable && now < w.deadline {
@@ -290,7 +314,7 @@
 	}
 	delete(c.messages, id)
 	pause := unreachableTime
-	if notIssuer {
+	if notIssuer || now < c.startUntil {
 		pause = notIssuerTime
 	}
 	c.suspected[m.Region] = now + pause
--- a/internal/quota/fetch.go
+++ b/internal/quota/fetch.go
@@ -26,11 +26,12 @@
 }
 
 // UrgentWants returns the message for the requests that wait for tokens, if there are any.
+// While nobody is known to have tokens of a workspace, its requests do not ask again.
 func (c *TokenCache) UrgentWants(now time.Duration, region string) []Want {
 	var wants []Want
 	for name, a := range c.accounts {
 		a.dropExpired(now)
-		if a.missing() > 0 {
+		if a.missing() > 0 && now >= a.usedUpUntil {
 			a.count(now)
 			wants = append(wants, c.want(now, name, a, region))
 		}
@@ -71,7 +72,7 @@
 		a.dropExpired(now)
 		if missing := a.missing(); missing > 0 {
 			a.requested += missing
-			wants = append(wants, Want{Workspace: name, Tokens: missing, Urgent: missing})
+			wants = append(wants, Want{Workspace: name, Tokens: missing, Urgent: missing, Repeated: min(a.reported, missing)})
 		}
 	}
 	return sorted(wants)
@@ -87,7 +88,7 @@
 		a.dropExpired(now)
 		if missing := a.waiting - a.left(); missing > 0 {
 			a.requested += missing
-			wants = append(wants, Want{Workspace: name, Tokens: missing, Urgent: missing})
+			wants = append(wants, Want{Workspace: name, Tokens: missing, Urgent: missing, Repeated: min(a.reported, missing)})
 		}
 	}
 	return sorted(wants)
@@ -102,6 +103,7 @@
 		}
 	}
 	want.Urgent = max(a.waiting-have, 0)
+	want.Repeated = min(a.reported, want.Urgent)
 	want.Tokens = max(a.waiting+a.expectedUses(now, aheadTime)-have, 0)
 	a.requested += want.Tokens
 }
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -220,7 +220,8 @@
 	if len(loans) == before {
 		loans = append(loans, Loan{Workspace: w.Workspace})
 	}
-	i.refuse(now, m, &loans[len(loans)-1], urgent-granted, max(w.Refused, 0))
+	missing := max(urgent-granted-max(w.Repeated, 0), 0)
+	i.refuse(now, m, &loans[len(loans)-1], missing, max(w.Refused, 0))
 	return loans
 }
 
@@ -240,7 +241,8 @@
 	return lent, loans
 }
 
-// refuse marks the answer to a want for which tokens are missing. refused is the number of
+// refuse marks the answer to a want for which tokens are missing, for requests that are not
+// counted yet. refused is the number of
 // requests that the host has refused since its last message: it probably refuses as many
 // until the next one.
 func (i *Issuer) refuse(now time.Duration, m *mint, l *Loan, missing, refused int) {
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -227,6 +227,44 @@
 	g.Expect(float64(served) / float64(asked)).To(BeNumerically(">=", 0.75))
 }
 
+// TestRequestsWaitAtStart guards against requests that are refused again and again because no
+// issuer has tokens yet after a restart of all hosts, within 600 ms of each other: 40
+// workspaces of 8 requests per second are at 0.7 of their rates. Without the longer wait at
+// the start, most requests of the first second were refused.
+func TestRequestsWaitAtStart(t *testing.T) {
+	g := NewWithT(t)
+	verdicts, baseline := map[Verdict]int{}, map[Verdict]int{}
+	play := func(seed uint64, noWaitAtStart bool, verdicts map[Verdict]int) {
+		limits := map[string]Limit{}
+		for n := range 40 {
+			limits[fmt.Sprint("w", n)] = Limit{8, 8}
+		}
+		s := newSim(seed, loadHosts, limits)
+		s.noWaitAtStart = noWaitAtStart
+		s.runUntil(loadWarmUp / 2)
+		for _, name := range slices.Sorted(maps.Keys(limits)) {
+			s.load(name, 2*loadWarmUp, func() (float64, *simHost) { return 0.7 * 8, s.alive(anyHost) })
+		}
+		s.runUntil(loadWarmUp)
+		for _, h := range s.hosts {
+			h.kill(time.Second + time.Duration(s.rng.Int64N(int64(600*time.Millisecond))))
+		}
+		clear(s.verdicts)
+		s.runUntil(loadWarmUp + 3*time.Second)
+		g.Expect(s.violation()).To(BeEmpty())
+		for v, n := range s.verdicts {
+			verdicts[v] += n
+		}
+	}
+	for seed := range uint64(10) {
+		play(seed, true, baseline)
+		play(seed, false, verdicts)
+	}
+	t.Logf("verdicts (granted 1, used up 2, no issuer 3) %v, baseline %v", verdicts, baseline)
+	g.Expect(verdicts[NoIssuer]).To(BeNumerically("<=", baseline[NoIssuer]/5))
+	g.Expect(verdicts[UsedUp]).To(BeNumerically("<", verdicts[Granted]/100), "hardly any workspace exceeds its quota")
+}
+
 // TestSafeSharesAfterRestart guards against safe shares of hosts that all restarted and knew
 // only a few of the others when the store failed.
 func TestSafeSharesAfterRestart(t *testing.T) {
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -9,6 +9,9 @@
 	// Tokens is the number of tokens wanted. Urgent of them are for waiting requests.
 	Tokens int `json:"n,omitempty"`
 	Urgent int `json:"u,omitempty"`
+	// Repeated is the number of waiting requests that were among those of an earlier message.
+	// Issuers of earlier releases count them again.
+	Repeated int `json:"p,omitempty"`
 	// Demand is the number of requests since the last message, Refused the number of
 	// those that were refused because the quota was used up.
 	Demand  int `json:"d,omitempty"`
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -74,6 +74,8 @@
 	verdicts map[Verdict]int
 	messages int
 	wants    int
+	// noWaitAtStart is set if requests do not wait for issuers that start.
+	noWaitAtStart bool
 	// traffic is measured by host if it is not nil.
 	traffic map[string]*traffic
 }
--- a/internal/quota/simproc_test.go
+++ b/internal/quota/simproc_test.go
@@ -49,6 +49,9 @@
 	h.incarnation++
 	p := &simProc{host: h, started: h.clock(), view: map[string]Item{}}
 	p.client = NewClient(h.region, NewSafeShares(h.clock(), h.sim.bounds, len(simRegions)))
+	if !h.sim.noWaitAtStart {
+		p.client.WaitAtStart(h.clock())
+	}
 	p.term = NewTerm(h.name, h.incarnation)
 	p.term.SetRank(h.rank)
 	h.proc = p
@@ -98,7 +101,6 @@
 	}
 	s.after(simStoreDelay, func() {
 		p.on(func() {
-			p.view = items
 			p.client.SetHosts(hosts)
 			p.client.SetConfirmed(readAt)
 			var own *Item
@@ -113,10 +115,14 @@
 				p.term.eraSeenAt = -time.Hour
 			}
 			var regions []string
-			for region := range items {
+			for region, i := range items {
+				if before, ok := p.view[region]; !ok || before.Host != i.Host || before.Incarnation != i.Incarnation {
+					p.client.IssuerChanged(region)
+				}
 				regions = append(regions, region)
 			}
 			slices.Sort(regions)
+			p.view = items
 			p.client.SetIssuers(regions)
 		})
 	})
--- a/internal/quota/tokencache.go
+++ b/internal/quota/tokencache.go
@@ -58,8 +58,11 @@
 	// waiting is the number of requests that wait for a token, requested the number of
 	// tokens in messages without an answer.
 	waiting, requested int
-	lastUsed           time.Duration
-	usedUpUntil        time.Duration
+	// reported is the number of waiting requests of which an issuer that has just started
+	// knows: it lacked tokens for them before.
+	reported    int
+	lastUsed    time.Duration
+	usedUpUntil time.Duration
 	// ownEmptyUntil is ownEmptyTime after the own issuer answered that it lacks tokens, 0
 	// if its last answer brought some. followedUpUntil replaces it once another region
 	// lacks them too and the next one was asked.
@@ -134,7 +137,9 @@
 
 // Wait changes the number of requests that wait for a token of a workspace.
 func (c *TokenCache) Wait(now time.Duration, workspace string, by int) {
-	c.account(now, workspace).waiting += by
+	a := c.account(now, workspace)
+	a.waiting += by
+	a.reported = min(a.reported, a.waiting)
 }
 
 // Waiting reports whether requests wait for tokens.
@@ -174,6 +179,12 @@
 	}
 }
 
+// MayGetTokens reports whether no issuer has said that the quota of a workspace is used up.
+func (c *TokenCache) MayGetTokens(now time.Duration, workspace string) bool {
+	a := c.accounts[workspace]
+	return a == nil || now >= a.usedUpUntil || a.fresh
+}
+
 // UsedUp returns the verdict about a request without a token if the issuer said that it has
 // none: UsedUp, or NoIssuer if that one has just started. Otherwise the verdict is Waiting.
 // It counts the request. The k-th such request gets the time at which the k-th token that
@@ -224,7 +235,7 @@
 		a.ownEmptyUntil = 0
 		return
 	}
-	a.fresh, a.ownEmptyUntil = l.Fresh, now+ownEmptyTime
+	a.fresh, a.ownEmptyUntil, a.reported = l.Fresh, now+ownEmptyTime, a.waiting
 	a.retryAt, a.retryStep = now+time.Duration(l.RetryMillis)*time.Millisecond, time.Duration(l.StepMicros)*time.Microsecond
 	if a.elsewhere = l.Elsewhere; !a.elsewhere {
 		a.usedUpUntil = now + usedUpTime
@@ -255,7 +266,7 @@
 	}
 	a.requested += missing
 	a.followedUpUntil = a.ownEmptyUntil
-	return Want{Workspace: workspace, Tokens: missing, Urgent: missing}, true
+	return Want{Workspace: workspace, Tokens: missing, Urgent: missing, Repeated: min(a.reported, missing)}, true
 }
 
 // EndFollowUp records that requests cannot wait for the answer to a FollowUp: the quota is
