quota: start with a few tokens after a settled term

After a restart of all hosts, a workspace of 3 requests per second got nothing in the first second: each of three regions mints 1 token per second, and a new issuer starts with level 0.

An issuer that has lent for the settle time writes its item again with that time (Term: Settle). A later process of the same host that replaces such an item of the current era gives its issuer a start level, and the caps are reduced by it.

- Starts must be more than W + t apart, not W.
Tokens lent up to t before a window are used in it.
The time counts from the making of the issuer, which may follow its term's start.
- The start level is min(1 + 0.1 s x r/R, half of what the caps' surplus exceeds 13, divided by R) and leaves a cap of 1.
- It is not rounded: a fraction brings the next token forward.

--- a/internal/quota/broken_test.go
+++ b/internal/quota/broken_test.go
@@ -20,6 +20,8 @@
 	{"lent tokens do not expire", tokensDoNotExpire, hoardScript},
 	{"given tokens are added several times", transfersRepeated, oneRegionScript},
 	{"an item of an earlier era counts in a restored store", restoredItemCounts, restoreScript},
+	{"a start level after an item that is not settled", unsettledStartLevel, startLevelScript},
+	{"an item is settled at once", settledAtOnce, startLevelScript},
 }
 
 // TestCheckerDetectsBrokenRules guards against a checker that misses the absence of a
@@ -115,3 +117,22 @@
 	s.runUntil(30 * time.Second)
 	return s
 }
+
+// startLevelScript restarts the issuers of a small workspace several times in a window, each
+// after it has renewed its lease once.
+func startLevelScript(broken fault) *sim {
+	b := testBounds
+	b.Window = 20 * time.Second
+	s := newSimWith(1, 24, b, map[string]Limit{"w": {RatePerSecond: 1, Burst: 1}}, broken)
+	for at := 30 * time.Second; at < 50*time.Second; at += 2 * time.Second {
+		s.at(at, func() {
+			for _, h := range s.hosts[:3] { // the issuers
+				h.kill(10 * time.Millisecond)
+			}
+		})
+	}
+	s.runUntil(29 * time.Second)
+	s.overload(50*time.Second, func(h *simHost) bool { return h.rank > 0 })
+	s.runUntil(50 * time.Second)
+	return s
+}
--- a/internal/quota/issuer.go
+++ b/internal/quota/issuer.go
@@ -23,14 +23,15 @@
 // MaxLevels is the greatest number of workspaces in Issuer.Levels.
 const MaxLevels = 100
 
-// Issuer mints and lends the tokens of one region. A new one has no tokens: it does not
-// know what an earlier issuer lent. It may be used only while Term.Holds.
+// Issuer mints and lends the tokens of one region. A new one has no tokens but those of its
+// options: it does not know what an earlier issuer lent. It may be used only while Term.Holds.
 type Issuer struct {
 	bounds     Bounds
 	regions    int
 	index      int
 	term       uint64
 	mintFrom   time.Duration
+	startLevel bool
 	nextLoan   uint64
 	workspaces map[string]*mint
 	// shown are the first MaxLevels workspaces by name. They are not computed by Levels,
@@ -71,16 +72,18 @@
 	// MintFrom is the time from which the workspaces of the first limits mint, 0 for that
 	// of the first SetLimits. No issuer of the region may have lent since.
 	MintFrom time.Duration
+	// StartLevel gives the workspaces of the first limits a start level; see Term.StartLevel.
+	StartLevel bool
 }
 
 // NewIssuer returns an issuer without limits and tokens.
 func NewIssuer(o IssuerOptions) *Issuer {
-	return &Issuer{bounds: o.Bounds, regions: max(o.Regions, 1), index: o.Index, term: o.Term, mintFrom: o.MintFrom, workspaces: map[string]*mint{}, short: map[string]*mint{}}
+	return &Issuer{bounds: o.Bounds, regions: max(o.Regions, 1), index: o.Index, term: o.Term, mintFrom: o.MintFrom, startLevel: o.StartLevel, workspaces: map[string]*mint{}, short: map[string]*mint{}}
 }
 
 // SetLimits replaces the limits of all workspaces; those with a rate of 0 have none. Lower
-// limits take effect immediately. A workspace without a limit before starts without
-// tokens.
+// limits take effect immediately. A workspace that is not among the first limits starts
+// without tokens.
 func (i *Issuer) SetLimits(now time.Duration, limits map[string]Limit) {
 	for name := range i.workspaces {
 		if limits[name].RatePerSecond <= 0 {
@@ -93,6 +96,8 @@
 		from = min(i.mintFrom, now)
 		i.mintFrom = 0
 	}
+	startLevel := i.startLevel
+	i.startLevel = false
 	for name, l := range limits {
 		if l.RatePerSecond <= 0 {
 			continue
@@ -100,6 +105,9 @@
 		m := i.workspaces[name]
 		if m == nil {
 			m = &mint{mintedAt: from, fullLevel: math.Inf(1)}
+			if startLevel {
+				m.level = i.bounds.startLevel(l, i.regions)
+			}
 			i.workspaces[name] = m
 		} else {
 			m.advance(now)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,7 +11,8 @@
 //   - A lent token expires at its holder no later than t after it was lent, so the
 //     tokens usable at a time A were lent after A - t. The issuers of time A - t had at
 //     most C in their levels, and at most r x t was minted since, however many issuers
-//     followed each other: a new one starts with level 0.
+//     followed each other: a new one starts with level 0, or with a start level that the
+//     caps leave room for. A region has at most one such start in W + t; see Term.StartLevel.
 //   - From A on at most r x W is minted in a window W.
 //
 // So at most C + r x t + r x W attempts use tokens in a window. What is left of the limit
@@ -42,6 +43,19 @@
 	// accumulate all of it: with 33 hosts or more, each one's share would be 0. The
 	// requests of a small workspace come in bursts that exceed its rate and burst.
 	minSafeSurplus = 41
+	// startTokens and startTime bound the start level: one token, and what a region mints
+	// in this time. Workspaces with a high rate do not need more, because their first tokens
+	// are minted within some milliseconds.
+	startTokens = 1.0
+	startTime   = 100 * time.Millisecond
+	// minBurstSurplus is the part of the issuers' surplus that start levels leave, and half of
+	// what exceeds it. With it, at least 0.95 of a demand of 0.95 of the rate is served for
+	// each rate from 1 to 100 requests per second, even or all at one host; with start levels
+	// of a quarter of a surplus of 10.8, 0.942 was.
+	minBurstSurplus = 13
+	// settleMargin stretches the time between two starts with a start level, so that it also
+	// exceeds W + t if the clock that measures it is fast.
+	settleMargin = 1.02
 )
 
 // Limit is the quota of a workspace. A rate of 0 means no limit.
@@ -87,7 +101,7 @@
 // regions have a cap, and the others borrow from them.
 func (b Bounds) regionCap(l Limit, regions, index int) float64 {
 	if share := b.capShare(l, regions); share >= 1 {
-		return share
+		return share - b.startLevel(l, regions)
 	}
 	if index < b.mintingRegions(l, regions) {
 		return 1
@@ -100,7 +114,7 @@
 func (b Bounds) SafeShare(l Limit, regions, hosts int) int {
 	left := b.allCaps(l)
 	for index := range regions {
-		left -= b.regionCap(l, regions, index)
+		left -= b.regionCap(l, regions, index) + b.startLevel(l, regions)
 	}
 	return int(max(left, 0) / float64(max(hosts, 1)))
 }
@@ -121,11 +135,33 @@
 
 // capShare returns what each region would get of evenly divided caps.
 func (b Bounds) capShare(l Limit, regions int) float64 {
+	return (l.Burst + b.capSurplus(l)) / float64(regions)
+}
+
+// capSurplus returns the part of the surplus that issuers may accumulate.
+func (b Bounds) capSurplus(l Limit) float64 {
 	surplus := b.surplus(l)
 	if surplus >= minSafeSurplus {
-		surplus *= capSurplusFraction
+		return capSurplusFraction * surplus
 	}
-	return (l.Burst + surplus) / float64(regions)
+	return surplus
+}
+
+// startLevel returns the tokens with which an issuer starts if Term.StartLevel reports so. The
+// cap of each region is reduced by it, to not less than 1.
+func (b Bounds) startLevel(l Limit, regions int) float64 {
+	n := float64(regions)
+	spare := (b.capSurplus(l) - minBurstSurplus) / 2
+	return max(min(startTokens+l.RatePerSecond*startTime.Seconds()/n, spare/n, b.capShare(l, regions)-1), 0)
+}
+
+// SettleTime returns the time for which an issuer must have lent, by its clock, before its
+// successor may start with a start level. Tokens that are usable in a window W were in a level
+// or minted within W + t, so at most one start of a region counts in it. It is in whole
+// milliseconds, as in the item.
+func (b Bounds) SettleTime() time.Duration {
+	settle := time.Duration(settleMargin * float64(b.Window+maxValidity))
+	return settle.Truncate(time.Millisecond) + time.Millisecond
 }
 
 // holderTime returns the time for which a holder uses tokens of a given validity.
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -51,6 +51,12 @@
 	tokensDoNotExpire
 	transfersRepeated
 	restoredItemCounts
+	// unsettledStartLevel gives each process that takes over a start level, settledAtOnce
+	// settles items at once.
+	unsettledStartLevel
+	settledAtOnce
+	// noStartLevel breaks no rule.
+	noStartLevel
 )
 
 // sim is a deployment in virtual time.
@@ -74,6 +80,8 @@
 	verdicts map[Verdict]int
 	messages int
 	wants    int
+	// startLevels counts the issuers that had a start level.
+	startLevels int
 	// traffic is measured by host if it is not nil.
 	traffic map[string]*traffic
 }
--- a/internal/quota/simproc_test.go
+++ b/internal/quota/simproc_test.go
@@ -51,6 +51,10 @@
 	p.client = NewClient(h.region, NewSafeShares(h.clock(), h.sim.bounds, len(simRegions)))
 	p.term = NewTerm(h.name, h.incarnation)
 	p.term.SetRank(h.rank)
+	p.term.SettleAfter(h.sim.bounds.SettleTime())
+	if h.sim.fault == settledAtOnce {
+		p.term.SettleAfter(time.Millisecond)
+	}
 	h.proc = p
 	p.every(simMirrorTime, p.mirror)
 	p.every(FetchPeriod/2, p.poll)
@@ -108,6 +112,9 @@
 			if s.fault == restoredItemCounts && own != nil {
 				own.Era = era
 			}
+			if s.fault == unsettledStartLevel && own != nil {
+				own.Settled = time.Hour
+			}
 			p.term.Observe(h.clock(), era, own)
 			if s.fault == restoredItemCounts {
 				p.term.eraSeenAt = -time.Hour
@@ -152,6 +159,8 @@
 			if lease, result = s.store.write(s.now, h.region, c, h.name, h.incarnation); result == Succeeded {
 				p.lease = lease
 			}
+		case Settle:
+			result = s.store.settle(s.now, h.region, c, p.lease)
 		case Renew:
 			result = s.store.renew(s.now, p.lease, c.Era)
 		case Release:
@@ -191,6 +200,11 @@
 	if p.term.TookOver() {
 		o.MintFrom = p.started
 	}
+	if p.term.StartLevel() && s.fault != noStartLevel {
+		o.StartLevel = true
+		s.startLevels++
+	}
+	p.term.Issuing(h.clock())
 	p.issuer = NewIssuer(o)
 	p.issuer.SetLimits(h.clock(), s.limits)
 	if s.fault == issuerStartsFull {
--- a/internal/quota/simstore_test.go
+++ b/internal/quota/simstore_test.go
@@ -79,6 +79,22 @@
 	return s.lastLease, Succeeded
 }
 
+// settle writes an item again under its lease if it has the expected revision.
+func (s *simStore) settle(now time.Duration, region string, c Call, lease int) Result {
+	s.expire(now)
+	if s.down || s.era != c.Era {
+		return Unknown
+	}
+	if _, ok := s.leases[lease]; !ok || s.items[region].Revision != c.Revision {
+		return Conflict
+	}
+	s.revision++
+	i := s.items[region]
+	i.Revision, i.Settled, i.lease = s.revision, c.Settled, lease
+	s.items[region] = i
+	return Succeeded
+}
+
 func (s *simStore) renew(now time.Duration, lease int, era uint64) Result {
 	s.expire(now)
 	if s.down || s.era != era {
--- a/internal/quota/term.go
+++ b/internal/quota/term.go
@@ -33,6 +33,9 @@
 	// Era is the era of the store in which the item was written. In a restored store it
 	// is below that of the store, and the item may be out of date.
 	Era uint64
+	// Settled is the time for which the process had lent when it wrote the item, 0 if it has
+	// just begun to.
+	Settled time.Duration
 	// Revision is that of the item.
 	Revision uint64
 }
@@ -50,6 +53,9 @@
 	Renew
 	// Release asks to end the lease.
 	Release
+	// Settle asks to write the item again under its lease with Call.Settled, on condition of
+	// Call.Revision.
+	Settle
 )
 
 // Call is an action with its arguments.
@@ -59,6 +65,8 @@
 	Revision uint64
 	// Era is the era in which the call must take effect.
 	Era uint64
+	// Settled is that of the item.
+	Settled time.Duration
 }
 
 // Result is the result of a call.
@@ -107,6 +115,16 @@
 	// wrote is set by the first call to write. takesOver is set if that call was to replace
 	// the item of an earlier process of this host, tookOver if it began the term.
 	wrote, takesOver, tookOver bool
+	// takesSettled and tookSettled are the same for a settled item.
+	takesSettled, tookSettled bool
+
+	// settleTime is the time after which the item is settled, 0 for never.
+	settleTime time.Duration
+	// issuingSince is when the issuer of this epoch was made, 0 if it was not.
+	issuingSince time.Duration
+	// settled is set when the item was written as settled. maySettle is set by each renewal
+	// and reset by an attempt to do so: the store answers, and attempts have a period.
+	settled, maySettle bool
 }
 
 // NewTerm returns the term of a process that does not hold.
@@ -126,6 +144,20 @@
 // the same host.
 func (t *Term) TookOver() bool { return t.tookOver }
 
+// SettleAfter sets Bounds.SettleTime. Without it, items are not settled and do not count as
+// settled.
+func (t *Term) SettleAfter(d time.Duration) { t.settleTime = d }
+
+// Issuing records that the issuer of this epoch was made, with its start level if it has one.
+// Only then may the item be settled: the time to the next start counts from here.
+func (t *Term) Issuing(now time.Duration) { t.issuingSince = now }
+
+// StartLevel reports whether the issuer of this term has a start level: TookOver, and the
+// replaced item was settled. Its process had lent for the settle time without a break, and no
+// other process of the region starts within that time. The item of this term is settled only
+// after the same time, so two such starts are farther apart than it.
+func (t *Term) StartLevel() bool { return t.tookSettled }
+
 // SetRank sets the position of this host among the candidates of its region, -1 if it is
 // none.
 func (t *Term) SetRank(rank int) { t.rank = rank }
@@ -203,6 +235,7 @@
 	}
 	if c.Action == Write {
 		t.takesOver = !t.wrote && t.present() && t.item.Incarnation < t.incarnation
+		t.takesSettled = t.takesOver && t.isSettled()
 		t.wrote = true
 	}
 	return c
@@ -218,6 +251,10 @@
 	if t.holdsUntil != 0 && now >= t.holdsUntil {
 		t.stop()
 	}
+	if t.settleDue(now) {
+		t.maySettle = false
+		return Call{Action: Settle, Revision: t.item.Revision, Era: t.heldEra, Settled: now - t.issuingSince}
+	}
 	if now < t.nextCall || !t.known {
 		return Call{}
 	}
@@ -234,6 +271,17 @@
 	return c
 }
 
+// isSettled reports whether the holder of the item had lent for the settle time.
+func (t *Term) isSettled() bool { return t.settleTime > 0 && t.item.Settled >= t.settleTime }
+
+// settleDue reports whether the item of this term is to be written as settled.
+func (t *Term) settleDue(now time.Duration) bool {
+	if t.settleTime == 0 || t.settled || !t.maySettle || t.issuingSince == 0 || now-t.issuingSince < t.settleTime {
+		return false
+	}
+	return t.holdsUntil != 0 && t.confirmed && t.heldEra == t.era && t.present() && t.isOwn(t.item) && !t.isSettled()
+}
+
 // mayWrite reports whether this process may write the item.
 func (t *Term) mayWrite(now time.Duration) bool {
 	if t.present() {
@@ -260,6 +308,9 @@
 	switch {
 	case action == Release:
 		t.released = true
+	case action == Settle:
+		// After a failure, the next renewal shows whether this process still holds.
+		t.settled = r == Succeeded
 	case r == Succeeded:
 		t.extend(now, action)
 	default:
@@ -278,10 +329,13 @@
 	if action == Write {
 		if t.holdsUntil == 0 || now >= t.holdsUntil {
 			t.epoch++
-			t.tookOver = t.takesOver
+			t.tookOver, t.tookSettled = t.takesOver, t.takesSettled
+			t.issuingSince = 0
 		}
 		t.confirmed, t.heldEra = false, t.callEra
+		t.settled = false
 	}
+	t.maySettle = action == Renew
 	t.holdsUntil = t.sentAt + leaseUse
 	t.nextCall = t.sentAt + renewPeriod
 }
--- a/internal/quota/term_test.go
+++ b/internal/quota/term_test.go
@@ -187,3 +187,87 @@
 		})
 	}
 }
+
+// TestStartLevelNeedsSettledItem guards against a start level although another start may have
+// had one within the settle time, or the item may be out of date.
+func TestStartLevelNeedsSettledItem(t *testing.T) {
+	settle := testBounds.SettleTime()
+	for _, c := range []struct {
+		desc  string
+		era   uint64
+		item  Item
+		after time.Duration // settle time of this process
+		want  bool
+	}{
+		{"settled", 0, Item{Host: "a", Incarnation: 4, Revision: 3, Settled: settle}, settle, true},
+		{"not settled", 0, Item{Host: "a", Incarnation: 4, Revision: 3}, settle, false},
+		{"settled for a shorter window", 0, Item{Host: "a", Incarnation: 4, Revision: 3, Settled: settle - 1}, settle, false},
+		{"of this process, whose answer was lost", 0, Item{Host: "a", Incarnation: 5, Revision: 3, Settled: settle}, settle, false},
+		{"of an earlier era", 1, Item{Host: "a", Incarnation: 4, Revision: 3, Settled: settle}, settle, false},
+		{"no settle time", 0, Item{Host: "a", Incarnation: 4, Revision: 3, Settled: settle}, 0, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			term, now := newTestTerm(), time.Hour
+			term.SettleAfter(c.after)
+			term.Observe(now, c.era, &c.item)
+			now += eraWait
+			g.Expect(term.Next(now).Action).To(Equal(Write))
+			term.Done(now, Succeeded)
+			g.Expect(term.Holds(now)).To(BeTrue())
+			g.Expect(term.StartLevel()).To(Equal(c.want))
+			now += time.Minute
+			term.Observe(now, c.era, &Item{Host: "a", Incarnation: 4, Era: c.era, Revision: 5, Settled: settle})
+			g.Expect(term.Next(now).Action).To(Equal(Write))
+			term.Done(now, Succeeded)
+			g.Expect(term.StartLevel()).To(BeFalse(), "a later term")
+		})
+	}
+}
+
+// TestTermSettles guards against an item that is settled before its issuer has lent for the
+// settle time, more than once, or by a term that may have ended, and against one that never
+// is because one write failed.
+func TestTermSettles(t *testing.T) {
+	g := NewWithT(t)
+	term, settle := newTestTerm(), testBounds.SettleTime()
+	term.SettleAfter(settle)
+	hold(g, term, time.Hour)
+	now, writes := time.Hour, 0
+	issuing := now + time.Second
+	for ; now < time.Hour+time.Minute; now += 100 * time.Millisecond {
+		if now == issuing {
+			term.Issuing(now)
+		}
+		revision := uint64(3 + writes)
+		term.Observe(now, 0, &Item{Host: "a", Incarnation: 5, Revision: revision})
+		switch call := term.Next(now); call.Action {
+		case Renew:
+			term.Done(now, Succeeded)
+		case Settle:
+			writes++
+			g.Expect(call.Revision).To(Equal(revision))
+			g.Expect(call.Settled).To(Equal(now - issuing))
+			g.Expect(call.Settled).To(BeNumerically(">=", settle))
+			result := Unknown
+			if writes == 3 {
+				result = Succeeded
+			}
+			term.Done(now, result)
+			g.Expect(term.Next(now).Action).To(Equal(None), "not before the next renewal")
+		}
+	}
+	g.Expect(writes).To(Equal(3))
+	g.Expect(term.Holds(now)).To(BeTrue(), "failed attempts do not end the term")
+
+	term.Observe(now, 0, nil)
+	g.Expect(term.Holds(now)).To(BeFalse())
+	hold(g, term, now+time.Minute)
+	for now += time.Minute; now < time.Hour+3*time.Minute; now += 100 * time.Millisecond {
+		term.Observe(now, 0, &Item{Host: "a", Incarnation: 5, Revision: 9})
+		if call := term.Next(now); call.Action != None {
+			g.Expect(call.Action).To(Equal(Renew), "the issuer of the new epoch was not made")
+			term.Done(now, Succeeded)
+		}
+	}
+}
