platform, gateway: write and read settled items

The term asks for a second write of the issuer's item (Settle), and an issuer may have a start level; nothing did either of them.

The item has the field "settled", the milliseconds for which its issuer had lent. It is written under the lease of the term on condition of the item's revision, after a renewal that succeeded; a failed attempt neither ends the term nor the lease.

One more write per term, and one for each era that begins during it. No call per request.

go test ./internal/gateway ./platform passes; TestStartLevel covers the takeover of a settled and of an unsettled item and that the own item is settled once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,8 @@
 	Incarnation       int64
 	// Era is that of the store in which the item was written, Revision the item's.
 	Era, Revision uint64
+	// Settled is the time for which the host had been the issuer when it wrote the item.
+	Settled time.Duration
 }
 
 // Snapshot is what a host knows of the deployment at one moment. Its exported fields
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -85,6 +85,7 @@
 		over: map[string]*overState{}, safeShareLogged: map[string]time.Duration{}, refusedNames: map[string]bool{}, shownTokens: map[string]bool{},
 	}
 	q.client.SafeShareStarts = q.logSafeShare
+	q.term.SettleAfter(cfg.Bounds.SettleTime())
 	return q
 }
 
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -142,6 +142,8 @@
 			// The earlier issuer's process ended before this one started.
 			o.MintFrom = q.started
 		}
+		o.StartLevel = q.term.StartLevel()
+		q.term.Issuing(now)
 		q.issuer = quota.NewIssuer(o)
 		q.issuer.SetLimits(now, q.limits)
 	}
@@ -245,7 +247,7 @@
 	defer q.unlock()
 	var item *quota.Item
 	if i := s.Issuers[q.self.Region]; i != nil {
-		item = &quota.Item{Host: i.Host, Incarnation: i.Incarnation, Era: i.Era, Revision: i.Revision}
+		item = &quota.Item{Host: i.Host, Incarnation: i.Incarnation, Era: i.Era, Revision: i.Revision, Settled: i.Settled}
 	}
 	q.term.SetRank(rankOf(s.IssuerCandidates(q.self.Region), q.self.Name))
 	q.term.Observe(q.now(), era, item)
