--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -91,6 +91,7 @@
 	}
 	q.client.SafeShareStarts = q.logSafeShare
 	q.client.WaitAtStart(q.started)
+	q.term.SettleAfter(cfg.Bounds.SettleTime())
 	return q
 }
 
