dispatch: refuse large bodies that would wait in a server's queue

Cause: only slots and connections limit what hosts send to one server. A queue of large bodies fills the memory of a server that reads slowly, and the server crashes with all its requests.

Change: where servers report the fourth load value, a request with a body of 16 KiB or more is sent only to a server with a free slot, within the bound on shifts between regions. Otherwise it is refused with "overload", and its rank counts as active, so that less urgent requests do not take each freed slot by queueing. Explain names the reason. A full server comes before one that is marked down, as for other requests. TestUnchangedWithoutOptions now also draws bodies up to 32 KiB and load reports of three values.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -41,8 +41,9 @@
 // choose returns the server with the best estimate for the request, or nil if
 // none is usable. It tries two passes. The first respects the bound on shifts between
 // regions and considers at most maxForeignCandidates servers of each other region. If
-// none of its servers is usable, the second considers all and ignores the bound. Full
-// servers are usable, so a full region alone does not lead to the second pass.
+// none of its servers is usable, the second considers all and ignores the bound. A full
+// region alone does not lead to the second pass: full servers are usable, except for requests
+// that need a free slot, which then get none.
 func (p *Pool) choose(now time.Duration, r Request, c *class, filter serverFilter) (*server, estimate) {
 	var best *server
 	var bestEst estimate
@@ -54,8 +55,8 @@
 		passes = 1 // for a free server the bound on shifts is hard
 	}
 	for pass := 0; pass < passes && best == nil; pass++ {
-		if p.paceSkipped && (pass > 0 || filter == anyServer) {
-			return nil, bestEst // a paced server comes before these; see decideAtPace
+		if (p.paceSkipped || p.fullSkipped) && (pass > 0 || filter == anyServer) {
+			return nil, bestEst // a paced or full server comes before these; see decideAtPace and needsFreeSlot
 		}
 		candidates := p.firstChoice
 		if pass > 0 {
@@ -101,7 +102,7 @@
 }
 
 // exclusion returns why the request may not be sent to the server, "" if it may. A server
-// without a free slot is usable unless the filter requires one; one that is marked down or
+// without a free slot is usable unless the filter or the request requires one; one that is marked down or
 // refused a request lately is usable only with anyServer, and a paced one without room
 // only while paceIgnored is set. The other conditions always hold.
 func (p *Pool) exclusion(now time.Duration, r Request, s *server, filter serverFilter) Exclusion {
@@ -127,6 +128,9 @@
 			return ExcludedRefused
 		}
 		return ExcludedDown
+	case s.load(now) >= float64(s.slots) && p.needsFreeSlot(now, r):
+		p.fullSkipped = true
+		return ExcludedFull
 	case !p.paceIgnored && !p.hasPaceRoom(now, s):
 		p.paceSkipped = true
 		return ExcludedPaced
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,6 +87,9 @@
 	// paceSkipped is set if a server was not used for the present request because it is
 	// paced, paceIgnored while the request is decided without regard to that.
 	paceSkipped, paceIgnored bool
+	// fullSkipped is set if a server was not used for the present request because it has no
+	// free slot; see needsFreeSlot.
+	fullSkipped bool
 }
 
 type grant struct {
@@ -171,11 +174,15 @@
 // or the share of its workspace.
 func (p *Pool) decide(now time.Duration, r Request, returned bool) outcome {
 	c := p.class(r.Class, r.Objective-now)
+	p.fullSkipped = false
 	best, est := p.choose(now, r, c, healthyServers)
 	if best == nil {
 		// A server that is marked down is better than none.
 		best, est = p.choose(now, r, c, anyServer)
 	}
+	if best == nil && p.fullSkipped {
+		return p.refuseLargeBody(now, r, est)
+	}
 	if best != nil && returned {
 		best, est, returned = p.serverForReturn(now, r, c, best, est)
 	}
@@ -209,6 +216,9 @@
 		return refusal(NoServer, becauseNoServer, nil, est)
 	case est.finish > r.Deadline-now-deadlineMargin:
 		s, trialEst, reason := p.acquireTrial(now, r, c, best, est)
+		if s == nil && p.fullSkipped {
+			return p.refuseLargeBody(now, r, est)
+		}
 		if s == nil {
 			return refusal(reason, becauseLate, best, est)
 		}
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -182,7 +182,7 @@
 		pacesIgnored, secondPasses = pacesIgnored+e.pacesIgnored, secondPasses+e.secondPasses
 	}
 	// The sequences must reach all kinds of decisions.
-	for _, because := range []string{becauseUrgent, becauseReturns, becauseShare, becauseBusy, becauseNoFreeSlot, becauseNoServer, becauseLate} {
+	for _, because := range []string{becauseUrgent, becauseReturns, becauseShare, becauseBusy, becauseNoFreeSlot, becauseLargeBody, becauseNoServer, becauseLate} {
 		g.Expect(refusals[because]).To(BeNumerically(">", 0), because)
 	}
 	for _, reason := range []Exclusion{
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -20,6 +20,7 @@
 	becauseShare      = "nearly all slots are taken, the best server has no free one, and the workspace has more than its share, or asks for more and the queue is for others"
 	becauseBusy       = "the answer would miss its objective at the best server, which is overloaded, and few slots of the service are free"
 	becauseNoFreeSlot = "the answer would miss its objective at the best server, which is overloaded, and no usable server has a free slot"
+	becauseLargeBody  = "the request has a large body, which must not wait in the queue of a server, and no usable server that could answer in time has a free slot"
 	becauseNoServer   = "no server is usable"
 	becauseLate       = "the answer of the best server is not expected before the deadline, and the request is no trial"
 )
--- a/internal/dispatch/params.go
+++ b/internal/dispatch/params.go
@@ -23,7 +23,8 @@
 	// server had evicted the object.
 	reloadTimeRatio = 0.7
 	// largeBodyBytes is the size of a body from which it is worth fetching the
-	// object to a server of the sender's own failure domain.
+	// object to a server of the sender's own failure domain, and from which a request may
+	// not wait in the queue of a server; see needsFreeSlot.
 	largeBodyBytes = 16 << 10
 	// largeBodyUses is the number of requests over which the time to fetch the
 	// object is spread.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -13,7 +13,8 @@
 	// at a busy server while few slots are free or no usable server has one, it would queue
 	// while a more urgent rank is active, or its workspace asks for more than its share. For
 	// a class without an observed service time, no slot is free or too many trials are in
-	// flight. It takes precedence over Late.
+	// flight. A request with a large body finds no free slot, where servers report
+	// percentages. It takes precedence over Late.
 	Overload Reason = "overload"
 	// Late means that the answer is expected too late, less than 20 ms before the deadline,
 	// and that the request is no trial. It also means that the request ended before a pool
--- a/internal/dispatch/unchanged_test.go
+++ b/internal/dispatch/unchanged_test.go
@@ -41,7 +41,7 @@
 }
 
 // TestUnchangedWithoutOptions guards against other decisions for deployments that have
-// neither workspaces nor quotas.
+// neither workspaces nor quotas and whose servers report no percentage, also for large bodies.
 func TestUnchangedWithoutOptions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		backends := func(n int) []*fleet.Backend {
@@ -63,6 +63,7 @@
 			case "acquire":
 				r := request(now, fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key")))
 				r.Rank = rapid.IntRange(0, 2).Draw(t, "rank")
+				r.Bytes = rapid.SampledFrom([]int64{0, largeBodyBytes - 1, largeBodyBytes, 2 * largeBodyBytes}).Draw(t, "bytes")
 				want := acquireWithoutOptions(before, now, r)
 				r.Workspace, r.SecondAttempt = rapid.SampledFrom([]string{"", "v", "w"}).Draw(t, "workspace"), rapid.Bool().Draw(t, "second")
 				got := after.Acquire(now, r)
@@ -81,6 +82,9 @@
 					Result:  rapid.SampledFrom([]Result{Served, Served, Served, Failed, Shed, Unreachable, TimedOut, Abandoned}).Draw(t, "result"),
 					Elapsed: time.Duration(rapid.IntRange(1, 900).Draw(t, "elapsed")) * ms,
 				}
+				if rapid.Bool().Draw(t, "load reported") {
+					report.Load = &Load{Running: rapid.IntRange(0, 4).Draw(t, "running"), Slots: 2} // three values
+				}
 				before.Release(now, grants[i], report)
 				after.Release(now, grants[i], report)
 				grants = append(grants[:i], grants[i+1:]...)
