gateway: release the buffered part of an answer once it is written

Cause: the first 64 KiB to 1 MiB of a large answer stayed in memory until the caller had read the rest. 300 slow callers held 64 KiB each.

Change: writeBody drops its reference to the buffered part; the reader of the part drops its own once it is written.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -85,6 +85,9 @@
 		return err
 	}
 	body := io.MultiReader(bytes.NewReader(a.Body), a.Rest)
+	// The reader drops the buffered part once it is written: callers may take long to read the
+	// rest, and the host would hold the parts of all of them.
+	a.Body = nil
 	if !chunked {
 		n, err := io.Copy(deadlineWriter{c, bw}, body)
 		if err == nil && n != a.Length {
