--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -215,15 +215,7 @@
 	case best == nil:
 		return refusal(NoServer, becauseNoServer, nil, est)
 	case est.finish > r.Deadline-now-deadlineMargin:
-		s, trialEst, reason := p.acquireTrial(now, r, c, best, est)
-		if s == nil && p.fullSkipped {
-			return p.refuseLargeBody(now, r, est)
-		}
-		if s == nil {
-			return refusal(reason, becauseLate, best, est)
-		}
-		trialEst.trial = true
-		return outcome{server: s, est: trialEst}
+		return p.decideLate(now, r, c, best, est)
 	}
 	return outcome{server: best, est: est}
 }
--- a/internal/dispatch/largebody_test.go
+++ b/internal/dispatch/largebody_test.go
@@ -28,20 +28,20 @@
 	return grants
 }
 
-// TestLargeBodyNeedsFreeSlot guards against a large body that waits in the queue of a server
-// that reports percentages, against other requests or deployments that are treated so too,
-// and against a refusal that looks like a lack of servers.
-func TestLargeBodyNeedsFreeSlot(t *testing.T) {
-	now := 20 * time.Second
+// largeBodyCase is a state of the servers a and b, and what happens to a request then.
+type largeBodyCase struct {
+	desc    string
+	report  time.Duration // when a percentage was last reported; negative: never
+	bytes   int64
+	prepare func(*Pool)
+	want    string // the server, "" for any
+	refused Reason
+}
+
+// largeBodyCases returns the cases at a time.
+func largeBodyCases(now time.Duration) []largeBodyCase {
 	both := func(p *Pool) { takeSlots(p, now, "a", "b") }
-	for _, c := range []struct {
-		desc    string
-		report  time.Duration // when a percentage was last reported; negative: never
-		bytes   int64
-		prepare func(*Pool)
-		want    string // the server, "" for any
-		refused Reason
-	}{
+	return []largeBodyCase{
 		{"all slots taken", now, largeBodyBytes, both, "", Overload},
 		{"body a byte smaller", now, largeBodyBytes - 1, both, "", ""},
 		{"no body", now, 0, both, "", ""},
@@ -76,7 +76,15 @@
 			both(p)
 			p.startPacing(now, p.servers["b"], paceJoined)
 		}, "", Overload},
-	} {
+	}
+}
+
+// TestLargeBodyNeedsFreeSlot guards against a large body that waits in the queue of a server
+// that reports percentages, against other requests or deployments that are treated so too,
+// and against a refusal that looks like a lack of servers.
+func TestLargeBodyNeedsFreeSlot(t *testing.T) {
+	now := 20 * time.Second
+	for _, c := range largeBodyCases(now) {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
 			p := pool("r", backend("a", "r"), backend("b", "r"))
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -61,6 +61,20 @@
 	next time.Duration
 }
 
+// decideLate decides a request whose answer is expected after its deadline at the best
+// server: it is granted as a trial or refused.
+func (p *Pool) decideLate(now time.Duration, r Request, c *class, best *server, est estimate) outcome {
+	s, trialEst, reason := p.acquireTrial(now, r, c, best, est)
+	switch {
+	case s != nil:
+		trialEst.trial = true
+		return outcome{server: s, est: trialEst}
+	case p.fullSkipped:
+		return p.refuseLargeBody(now, r, est)
+	}
+	return refusal(reason, becauseLate, best, est)
+}
+
 // acquireTrial returns a server with a free slot to which the late request is sent as a
 // trial, or nil if the estimate decides, and the reason for the refusal then. best is
 // the server with the best estimate est.
