dispatch: test the backlog after an outage

Cause: after a loss of all hosts, the requests of a second and more arrive at once. Whether they make new ones late was not tested.

Change: TestBacklogAfterOutage plays 165 late callers beside 110 new ones per second.

--- a/internal/dispatch/crowd_test.go
+++ b/internal/dispatch/crowd_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand"
@@ -17,6 +18,7 @@
 type modelCaller struct {
 	workspace, key string
 	rank           int
+	objective      time.Duration // 0 if it is counted from each attempt
 	deadline       time.Duration
 	at             time.Duration // of the next attempt
 	returns        bool          // the attempt is at the time that a refusal gave
@@ -31,7 +33,7 @@
 func (h *callerHeap) Pop() any          { o := *h; x := o[len(o)-1]; *h = o[:len(o)-1]; return x }
 
 // workspaceCount counts the attempts of a workspace.
-type workspaceCount struct{ attempts, granted, callers, answered int }
+type workspaceCount struct{ attempts, granted, callers, answered, inTime int }
 
 // crowd sends the requests of several workspaces to model servers.
 type crowd struct {
@@ -93,6 +95,12 @@
 	c.count(workspace).callers++
 }
 
+// addLate adds a caller whose request missed its objective before it could be sent.
+func (c *crowd) addLate(at time.Duration, workspace string, timeLeft time.Duration) {
+	c.add(at, workspace, 0, timeLeft)
+	c.callers[slices.IndexFunc(c.callers, func(m *modelCaller) bool { return m.at == at && m.workspace == workspace && m.objective == 0 })].objective = at - 1
+}
+
 // addRate adds callers at random times.
 func (c *crowd) addRate(from, to time.Duration, workspace string, rank int, perSecond float64, timeLeft time.Duration) {
 	for at := from; ; {
@@ -130,8 +138,9 @@
 	n := c.count(m.workspace)
 	n.attempts++
 	promised := m.returns && c.isPromised(now, m)
+	objectiveAt := cmp.Or(m.objective, now+objective)
 	d := c.pool.Acquire(now, Request{
-		Workspace: m.workspace, Class: "c", Key: m.key, Rank: m.rank, FailureDomain: "r-a", Objective: now + objective, Deadline: m.deadline,
+		Workspace: m.workspace, Class: "c", Key: m.key, Rank: m.rank, FailureDomain: "r-a", Objective: objectiveAt, Deadline: m.deadline,
 	})
 	if m.returns {
 		c.returned++
@@ -149,6 +158,9 @@
 		if end <= m.deadline {
 			n.answered++
 		}
+		if end <= objectiveAt {
+			n.inTime++
+		}
 		c.longestWait = max(c.longestWait, end-now)
 		heap.Push(&c.completions, modelCompletion{end, d.Grant, Report{Result: Served, Elapsed: end - now}})
 		return
--- a/internal/dispatch/scarcity_test.go
+++ b/internal/dispatch/scarcity_test.go
@@ -403,6 +403,24 @@
 	}
 }
 
+// TestBacklogAfterOutage guards against requests that miss their objectives because of a
+// backlog that is late already: after 1.5 s without an entry host, 165 callers arrive within
+// 100 ms, beside 110 new ones per second, on 160 slots per second.
+func TestBacklogAfterOutage(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrowd(8, true)
+	c.addRate(0, 4*time.Second, "before", 0, 110, 3*time.Second)
+	for i := range 165 {
+		c.addLate(5500*ms+time.Duration(i)*100*ms/165, "backlog", 2500*ms)
+	}
+	c.addRate(5500*ms, 7*time.Second, "new", 0, 110, 3*time.Second)
+	c.play(0, 10*time.Second)
+	n, backlog := c.count("new"), c.count("backlog")
+	t.Logf("new: %d of %d in time; backlog: %d of %d answered", n.inTime, n.callers, backlog.answered, backlog.callers)
+	g.Expect(float64(n.inTime) / float64(n.callers)).To(BeNumerically(">=", 0.9))
+	g.Expect(float64(backlog.answered) / float64(backlog.callers)).To(BeNumerically(">=", 0.5))
+}
+
 // TestRegionFullOfOthers guards against the refusal of a request that is restricted to a region
 // because requests that may be served in other regions, which have room, have taken its slots.
 func TestRegionFullOfOthers(t *testing.T) {
