gateway: explain whether a request gets a token, waits or gets 429

explain-request showed the tokens of a workspace at the asked host but not what a request would get: 429, 503 for its quota, or a wait.

quota.Client.Preview runs Request on a copy of the workspace's state, so that the decision is made by the same code, and nothing is taken, promised or sent. /explain and galenabeamctl show the decision, the refusal with its Retry-After, the issuer, whether it is asked now, and the issuer's last answer with its age. Only the issuer itself knows its level; it tells it when it is asked. A request that is refused for its quota is not explained further. takeToken uses the extracted answerWithoutToken.

60 random sequences of 199 requests each: the preview agrees with the request that follows it. A preview that shares the account, or the safe shares, with the client fails the test. Packages quota, gateway and ctl pass; quota and gateway three times, the tests of tokens and explanations with -race.

--- a/internal/ctl/explainprint.go
+++ b/internal/ctl/explainprint.go
@@ -51,12 +51,54 @@
 	fmt.Fprintf(b, "workspace %s, rank %d, object %q, allowed regions: %s\n", workspace, e.Rank, e.Object, regions)
 	if q := e.Quota; q != nil {
 		fmt.Fprintf(b, "quota: %.1f tokens left at %s, issuer %q\n", q.Tokens, e.AskedHost, q.Issuer)
+		writeQuota(b, q)
 	}
 	if len(e.Held) > 0 {
 		fmt.Fprintf(b, "servers that get nothing from %s, as they pause or leave: %s\n", e.AskedHost, strings.Join(e.Held, " "))
 	}
 }
 
+// writeQuota writes what the request gets now for its quota, and what the asked host knows of
+// the issuer.
+func writeQuota(b *strings.Builder, q *gateway.QuotaState) {
+	if q.Level != nil {
+		fmt.Fprintf(b, "  the asked host is the issuer and can lend %d tokens\n", *q.Level)
+	}
+	if q.IssuerSuspected {
+		b.WriteString("  the issuer of the region has not answered lately and is not asked now\n")
+	}
+	if a := q.LastAnswer; a != nil {
+		fmt.Fprintf(b, "  last answer of the issuer (%s), %s ago: lent %d tokens", a.Issuer, formatMillis(a.AgeMillis), a.Lent)
+		for _, note := range []struct {
+			holds bool
+			text  string
+		}{{a.Short, "lacked tokens for requests that waited"}, {a.Elsewhere, "other regions may have some"}, {a.Fresh, "it had just started"}} {
+			if note.holds {
+				b.WriteString(", " + note.text)
+			}
+		}
+		b.WriteByte('\n')
+	}
+	switch q.Decision {
+	case gateway.TokenHeld:
+		b.WriteString("  the request gets a token at once\n")
+	case gateway.TokenSafeShare:
+		b.WriteString("  the request is sent on the safe share of the host, as no issuer answers\n")
+	case gateway.TokenRefused:
+		writeEntryRefusal(b, "  the request is refused", q.Refusal)
+	case gateway.TokenWait:
+		asked := "no issuer is known that can be asked"
+		if q.AskedRegion != "" {
+			asked = "the issuer of region " + q.AskedRegion + " is asked"
+		}
+		fmt.Fprintf(b, "  the request waits for a token, at most %s; %s\n", formatMillis(q.WaitMillis), asked)
+		if q.Unanswered == nil {
+			b.WriteString("  without an answer, it is sent on the safe share of the host\n")
+		}
+		writeEntryRefusal(b, "  without an answer", q.Unanswered)
+	}
+}
+
 func writeEntryRefusal(b *strings.Builder, by string, r *gateway.Refusal) {
 	if r == nil {
 		return
--- a/internal/ctl/explainrequest_test.go
+++ b/internal/ctl/explainrequest_test.go
@@ -144,3 +144,39 @@
 		})
 	}
 }
+
+// TestExplainRequestQuota guards against output that leaves out whether a request gets a token,
+// waits for one or is refused, or how old the answer is on which that rests.
+func TestExplainRequestQuota(t *testing.T) {
+	level := 12
+	noIssuer := &gateway.Refusal{Status: 503, Text: "cannot be checked", RetryAfter: "0.250"}
+	for _, c := range []struct {
+		desc  string
+		quota gateway.QuotaState
+		want  []string
+	}{
+		{"token", gateway.QuotaState{Tokens: 2, Issuer: "h9", Decision: gateway.TokenHeld, LastAnswer: &gateway.IssuerAnswer{Issuer: "h9", AgeMillis: 41, Lent: 5}},
+			[]string{`quota: 2.0 tokens left at h1, issuer "h9"`, "  last answer of the issuer (h9), 41 ms ago: lent 5 tokens", "  the request gets a token at once"}},
+		{"429", gateway.QuotaState{Decision: gateway.TokenRefused, LastAnswer: &gateway.IssuerAnswer{Issuer: "h9", AgeMillis: 7, Short: true, Elsewhere: true, Fresh: true},
+			Refusal: &gateway.Refusal{Status: 429, Text: "used up", RetryAfter: "0.022"}},
+			[]string{`quota: 0.0 tokens left at h1, issuer ""`, "  last answer of the issuer (h9), 7 ms ago: lent 0 tokens, lacked tokens for requests that waited, other regions may have some, it had just started",
+				"  the request is refused: status 429, used up, Retry-After 0.022 s"}},
+		{"wait", gateway.QuotaState{Issuer: "h9", Decision: gateway.TokenWait, WaitMillis: 150, AskedRegion: "q", IssuerSuspected: true},
+			[]string{`quota: 0.0 tokens left at h1, issuer "h9"`, "  the issuer of the region has not answered lately and is not asked now",
+				"  the request waits for a token, at most 150 ms; the issuer of region q is asked", "  without an answer, it is sent on the safe share of the host"}},
+		{"nobody to ask", gateway.QuotaState{Decision: gateway.TokenWait, WaitMillis: 20, Unanswered: noIssuer},
+			[]string{`quota: 0.0 tokens left at h1, issuer ""`, "  the request waits for a token, at most 20 ms; no issuer is known that can be asked",
+				"  without an answer: status 503, cannot be checked, Retry-After 0.250 s"}},
+		{"safe share", gateway.QuotaState{Issuer: "h1", Level: &level, Decision: gateway.TokenSafeShare},
+			[]string{`quota: 0.0 tokens left at h1, issuer "h1"`, "  the asked host is the issuer and can lend 12 tokens", "  the request is sent on the safe share of the host, as no issuer answers"}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			e := explanation("h1")
+			e.Quota = &c.quota
+			r := run("", nil, "explain-request", "-metrics", startExplainHost(t, e).address, "-host", "x")
+			g.Expect(r.code).To(Equal(ctl.ExitOK), r.stderr)
+			g.Expect(r.stdout).To(ContainSubstring("\n" + strings.Join(c.want, "\n") + "\nservers that get nothing"))
+		})
+	}
+}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -66,17 +66,6 @@
 	Services []ServiceExplanation `json:"services,omitempty"`
 }
 
-// QuotaState is the quota of a workspace as the asked host knows it.
-type QuotaState struct {
-	// Tokens is the number of tokens left at this host, Issuer the host that lends them, ""
-	// if none is known.
-	Tokens float64 `json:"tokens"`
-	Issuer string  `json:"issuer"`
-	// OverQuota is set if this host has refused requests of the workspace lately, because
-	// its quota is used up.
-	OverQuota bool `json:"over_quota,omitempty"`
-}
-
 // Refusal is an answer of the entry host that needs no decision of a dispatcher.
 type Refusal struct {
 	Status int    `json:"status"`
@@ -134,7 +123,10 @@
 		e.Quota = g.explainQuota(pr.workspace.Name)
 	}
 	if e.Refusal = g.explainRefusal(pr, s.Table); e.Refusal == nil {
-		e.Services = g.explainServices(pr, entry, e.Held)
+		if entry == &g.cfg.Self && e.Quota != nil && g.needsToken(pr) {
+			g.quotas.explain(e.Quota, pr)
+		}
+		e.Services = g.explainServices(pr, entry, e)
 	}
 	return e, nil
 }
@@ -192,31 +184,35 @@
 	return &Refusal{Status: a.Status, Text: strings.TrimSpace(string(a.Body)), RetryAfter: a.Header.Get("Retry-After")}
 }
 
-// explainServices explains the decision for each service that gets requests of the route.
-func (g *Gateway) explainServices(pr *pendingRequest, entry *fleet.Host, held []string) []ServiceExplanation {
+// explainServices explains the decision for each service that gets requests of the route. A
+// request takes its token after its regions were checked and before a dispatcher decides.
+func (g *Gateway) explainServices(pr *pendingRequest, entry *fleet.Host, e *Explanation) []ServiceExplanation {
 	total := 0.0
 	for _, s := range pr.route.Services {
 		total += max(s.Weight, 0)
 	}
 	var list []ServiceExplanation
-	for _, s := range pr.route.Services {
-		if s.Weight <= 0 {
+	for _, service := range pr.route.Services {
+		if service.Weight <= 0 {
 			continue
 		}
-		pr.service = s.Service
+		pr.service = service.Service
 		answer, _ := g.checkRegions(pr)
-		e := ServiceExplanation{Service: s.Service, Share: s.Weight / total, Refusal: refusalOf(answer)}
-		if e.Refusal == nil {
-			p := g.acquireParams(pr, freshAttempt, held)
+		s := ServiceExplanation{Service: service.Service, Share: service.Weight / total, Refusal: refusalOf(answer)}
+		if s.Refusal == nil && e.Quota != nil {
+			s.Refusal = e.Quota.Refusal
+		}
+		if s.Refusal == nil {
+			p := g.acquireParams(pr, freshAttempt, e.Held)
 			p.Host, p.FailureDomain = entry.Name, entry.FailureDomain
-			g.selector.explain(&e, p)
+			g.selector.explain(&s, p)
 		}
-		if d := e.Decision; d != nil && d.Refused != "" && len(held) > 0 {
+		if d := s.Decision; d != nil && d.Refused != "" && len(e.Held) > 0 {
 			dec := decision{Decision: d.Decision}
 			g.setHeldRetryAfter(pr, &dec)
 			d.RetryAfterMillis = toMillis(dec.RetryAfter)
 		}
-		list = append(list, e)
+		list = append(list, s)
 	}
 	return list
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -71,7 +71,10 @@
 	safeShareLogged      map[string]time.Duration
 	refusedNames         map[string]bool
 	shownTokens          map[string]bool
-	holding              bool
+	// answers are the last answers of the region's issuer by workspace, for Explain.
+	answers       map[string]issuerAnswer
+	answersPruned time.Duration
+	holding       bool
 	// lines are log lines to write after q.mu is unlocked; see unlock.
 	lines []func()
 }
@@ -83,6 +86,7 @@
 		client: quota.NewClient(self.Region, quota.NewSafeShares(now(), cfg.Bounds, len(cfg.Regions))),
 		term:   quota.NewTerm(self.Name, self.Incarnation), waiting: map[uint64]chan quota.Resolution{},
 		over: map[string]*overState{}, safeShareLogged: map[string]time.Duration{}, refusedNames: map[string]bool{}, shownTokens: map[string]bool{},
+		answers: map[string]issuerAnswer{},
 	}
 	q.client.SafeShareStarts = q.logSafeShare
 	return q
@@ -172,19 +176,35 @@
 	if !g.needsToken(pr) {
 		return nil, ""
 	}
-	limit := quota.Limit{RatePerSecond: pr.workspace.RatePerSecond, Burst: pr.workspace.Burst}
-	wait := time.Duration(tokenWaitFraction * float64(time.Until(pr.objective)))
-	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, max(wait, minTokenWait))
+	r := g.quotas.acquire(ctx, pr.workspace.Name, pr.quotaLimit(), pr.tokenWait())
+	if r.Verdict == quota.Granted {
+		pr.token, pr.hasToken = r.Token, true
+	}
+	if r.Verdict == quota.NoIssuer && errors.Is(ctx.Err(), context.Canceled) {
+		return g.answerExpired(ctx, pr)
+	}
+	return answerWithoutToken(r)
+}
+
+// quotaLimit returns the limit of a request's workspace, which is not nil.
+func (pr *pendingRequest) quotaLimit() quota.Limit {
+	return quota.Limit{RatePerSecond: pr.workspace.RatePerSecond, Burst: pr.workspace.Burst}
+}
+
+// tokenWait returns the time for which a request may wait for a token.
+func (pr *pendingRequest) tokenWait() time.Duration {
+	return max(time.Duration(tokenWaitFraction*float64(time.Until(pr.objective))), minTokenWait)
+}
+
+// answerWithoutToken returns the answer to a request that was not granted a token, and its
+// outcome. It returns nil for a grant.
+func answerWithoutToken(r quota.Resolution) (*Answer, string) {
 	switch r.Verdict {
 	case quota.Granted:
-		pr.token, pr.hasToken = r.Token, true
 		return nil, ""
 	case quota.UsedUp:
 		return overQuota(r.RetryAfter), outcomeOverQuota
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return g.answerExpired(ctx, pr)
-	}
 	return refusalWithoutIssuer(r.RetryAfter)
 }
 
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -113,6 +113,7 @@
 	err := q.peers.Call(ctx, address, MethodLend, q.lendRequest(m), &reply)
 	q.mu.Lock()
 	if err == nil {
+		q.noteAnswer(q.now(), m.Region, reply.Loans)
 		q.client.Answered(q.now(), m.ID, reply)
 	} else {
 		q.client.Failed(q.now(), m.ID, !errors.Is(err, peer.ErrUnreachable))
--- a/internal/gateway/quota_report.go
+++ b/internal/gateway/quota_report.go
@@ -214,17 +214,3 @@
 	}
 	return d
 }
-
-// state returns the quota of a workspace for Gateway.Explain, nil if it has no limit.
-func (q *Quotas) state(workspace string) *QuotaState {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if _, limited := q.limits[workspace]; !limited {
-		return nil
-	}
-	state := &QuotaState{Tokens: float64(q.client.Left(q.now(), workspace)), OverQuota: q.over[workspace] != nil}
-	if i := q.issuers[q.self.Region]; i != nil {
-		state.Issuer = i.Host
-	}
-	return state
-}
