dispatch: split the estimate of a server by concern

estimate had 57 lines that mixed expected times, costs and two preferences. They are now in functions of their own: estimateTimes, timeCost, serverCost, placeCost, wantsFirstRequest and mayFetchFor. Decisions are unchanged.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -145,12 +145,34 @@
 // estimate predicts the times of a request at a server and the cost of choosing
 // it. hash is the hash of key; key is "" if the request has no object.
 func (p *Pool) estimate(now time.Duration, r Request, c *class, s *server, key string, hash uint64) estimate {
-	var est estimate
-	est.holdsObject = key == "" || s.holds(key)
-	typical := c.hitTime()
-	est.service = c.missTime()
-	if est.holdsObject {
-		est.service = typical
+	est := estimate{holdsObject: key == "" || s.holds(key)}
+	typical, load := c.hitTime(), s.load(now)
+	p.estimateTimes(now, &r, c, s, load, typical, &est)
+	est.countsAsInTime = now+est.finish <= r.Objective
+	est.cost = p.timeCost(now, &r, &est) + serverCost(now, s, load) + placeCost(s, key, hash)
+	if p.wantsFirstRequest(now, s) {
+		// A server that has joined and is not cold gets one trial request even if others
+		// hold the object, so that the requests after it find the object here too.
+		est.cost, est.countsAsInTime = 0, true
+	}
+	if !est.holdsObject && p.mayFetchFor(&r, s, load) {
+		// A server of the sender's failure domain fetches the object, so that later
+		// requests of the domain need not send their bodies to another one.
+		est.cost -= time.Duration((1 + slotTimeWeight) * float64(est.service-typical) * (1 - 1.0/largeBodyUses))
+		est.countsAsInTime = true
+	}
+	if s.failureDomain != r.FailureDomain {
+		est.cost += time.Duration(float64(r.Bytes+c.answerBytes) / 1024 * float64(crossDomainKilobyteCost))
+	}
+	return est
+}
+
+// estimateTimes sets the times of an estimate. typical is the time of service of a request
+// whose object the server holds.
+func (p *Pool) estimateTimes(now time.Duration, r *Request, c *class, s *server, load float64, typical time.Duration, est *estimate) {
+	est.service = typical
+	if !est.holdsObject {
+		est.service = c.missTime()
 	}
 	factor := s.reportedFactor.expected(now)
 	queueFactor := s.slowness * factor
@@ -158,49 +180,56 @@
 		factor = max(factor, coldTimeFactor) // the report may include that it is cold
 	}
 	est.service = time.Duration(float64(est.service) * s.slowness * factor)
-	load := s.load(now)
 	est.wait = s.queueTime(load, time.Duration(float64(typical)*queueFactor))
 	roundTripTime := s.place.roundTrip
 	est.finish = roundTripTime + est.wait + est.service
-	foreign := s.place.foreign
-	if foreign {
+	if s.place.foreign {
 		est.finish += time.Duration(float64(roundTripTime) * float64(r.Bytes) / roundTripBytes)
 		if lastRequest, ok := s.lastRequestByHost[r.Host]; !ok || now-lastRequest > connectionReuseTime {
 			est.finish += roundTripTime
 		}
 	}
-	est.countsAsInTime = now+est.finish <= r.Objective
-	est.cost = est.finish + time.Duration((slotTimeWeight+busySlotTimeWeight*p.occupancy)*float64(est.service))
+}
+
+// timeCost returns the cost of the expected times of a request.
+func (p *Pool) timeCost(now time.Duration, r *Request, est *estimate) time.Duration {
+	cost := est.finish + time.Duration((slotTimeWeight+busySlotTimeWeight*p.occupancy)*float64(est.service))
 	if r.NoHedge && p.percentReported(now) {
-		est.cost += time.Duration(unhedgedTimeWeight * float64(est.finish))
+		cost += time.Duration(unhedgedTimeWeight * float64(est.finish))
 	}
-	est.cost += time.Duration(s.utilizationForLoad(now, load) * float64(utilizationCost))
-	est.cost += time.Duration(s.failureRate(now) * float64(failureCost))
-	spreadLimit := maxSpreadCost
-	if foreign {
-		est.cost += foreignCost + time.Duration(s.position)*foreignPositionCost
+	return cost
+}
+
+// serverCost returns the cost of the load and the failures of a server.
+func serverCost(now time.Duration, s *server, load float64) time.Duration {
+	return time.Duration(s.utilizationForLoad(now, load)*float64(utilizationCost)) + time.Duration(s.failureRate(now)*float64(failureCost))
+}
+
+// placeCost returns the cost of a server of another region, and a part that spreads objects
+// over the servers.
+func placeCost(s *server, key string, hash uint64) time.Duration {
+	cost, spreadLimit := time.Duration(0), maxSpreadCost
+	if s.place.foreign {
+		cost = foreignCost + time.Duration(s.position)*foreignPositionCost
 		spreadLimit = maxForeignSpreadCost
 	}
 	if key != "" {
-		est.cost += time.Duration(hashFraction(hash, s.hash) * float64(spreadLimit))
-	}
-	if !foreign && p.opts.Shared && !s.tried && !s.cold(now) && now-s.addedAt > trialDelay && s.inflight == 0 {
-		// A server that has joined and is not cold gets one trial request even if others
-		// hold the object, so that the requests after it find the object here too.
-		est.cost, est.countsAsInTime = 0, true
+		cost += time.Duration(hashFraction(hash, s.hash) * float64(spreadLimit))
 	}
-	if !est.holdsObject && s.failureDomain == r.FailureDomain && r.Bytes >= largeBodyBytes && len(s.objects) < int(p.objectCapacity) &&
-		load < float64(s.slots) && p.occupancy < spareOccupancy {
-		// A server of the sender's failure domain fetches the object, so that later
-		// requests of the domain need not send their bodies to another one. A server
-		// whose object capacity is exhausted would evict another object.
-		est.cost -= time.Duration((1 + slotTimeWeight) * float64(est.service-typical) * (1 - 1.0/largeBodyUses))
-		est.countsAsInTime = true
-	}
-	if s.failureDomain != r.FailureDomain {
-		est.cost += time.Duration(float64(r.Bytes+c.answerBytes) / 1024 * float64(crossDomainKilobyteCost))
-	}
-	return est
+	return cost
+}
+
+// wantsFirstRequest reports whether a server that has joined gets its trial request now.
+func (p *Pool) wantsFirstRequest(now time.Duration, s *server) bool {
+	return !s.place.foreign && p.opts.Shared && !s.tried && !s.cold(now) && now-s.addedAt > trialDelay && s.inflight == 0
+}
+
+// mayFetchFor reports whether a server may fetch the object of a request with a large body for
+// later requests of its failure domain. A server whose object capacity is exhausted would evict
+// another object.
+func (p *Pool) mayFetchFor(r *Request, s *server, load float64) bool {
+	return s.failureDomain == r.FailureDomain && r.Bytes >= largeBodyBytes && len(s.objects) < int(p.objectCapacity) &&
+		load < float64(s.slots) && p.occupancy < spareOccupancy
 }
 
 // hashFraction returns a number in [0, 1) that depends only on the hashes of an
