gateway: split the loop over the attempts of a request

The attempts in progress are now an attemptSet with start, finish, expire and abandon. The number of running attempts is the length of its list; it was counted twice before. Behavior is unchanged.

The tests of internal/gateway pass, also with -race.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -34,81 +34,103 @@
 	a.cancel()
 }
 
+// attemptSet holds the attempts of a request that are in progress.
+type attemptSet struct {
+	g       *Gateway
+	pr      *pendingRequest
+	results chan *attempt // read by runAttempts, and then by collectAbandoned
+	active  []*attempt
+	// anyMayHaveRun is set if the request may have run in an attempt without a usable answer.
+	anyMayHaveRun bool
+}
+
 // runAttempts tries backend servers until one answers or no further attempt is
 // allowed. The returned outcome is a stable identifier for logs and metrics.
 func (g *Gateway) runAttempts(ctx context.Context, pr *pendingRequest, budget *retry.Budget) (*Answer, string) {
-	results := make(chan *attempt) // read by this loop, and then by collectAbandoned
-	running := 0
-	anyMayHaveRun := false // the request may have run in an attempt without a usable answer
-	defer func() { g.collectAbandoned(results, running) }()
-	var active []*attempt
-	defer func() {
-		for _, a := range active {
-			a.cancel()
-		}
-	}()
-	startAttempt := func(dec decision) {
-		a := g.startAttempt(ctx, pr, dec, results)
-		pr.hasToken = false
-		active = append(active, a)
-		running++
-	}
+	attempts := &attemptSet{g: g, pr: pr, results: make(chan *attempt)}
+	defer attempts.abandon()
 	defer g.returnToken(pr)
 	dec, answer, outcome := g.begin(ctx, pr)
 	if answer != nil {
 		return answer, outcome
 	}
-	startAttempt(dec)
+	attempts.start(ctx, dec)
 	hedge := time.NewTimer(g.hedgeDelay(pr, dec))
 	defer hedge.Stop()
 	lateHedge := false
 	for {
 		select {
 		case <-ctx.Done():
-			for _, a := range active {
-				g.recordAttempt(pr, a, "running")
-			}
-			return g.answerExpired(ctx, pr)
+			return attempts.expire(ctx)
 		case <-hedge.C:
 			second, ok := g.hedge(ctx, pr, budget, lateHedge)
 			if ok {
-				startAttempt(second)
+				attempts.start(ctx, second)
 			} else if !lateHedge {
 				lateHedge = true
 				hedge.Reset(lateHedgeDelay(dec))
 			}
-		case a := <-results:
-			running--
-			active = slices.DeleteFunc(active, func(b *attempt) bool { return a == b })
-			g.finishAttempt(pr, a)
-			if a.reply.answer != nil && !g.isReplaceable(pr, a, budget) {
-				return a.reply.answer, "served"
-			}
-			anyMayHaveRun = anyMayHaveRun || a.reply.mayHaveRun
-			if running > 0 || ctx.Err() != nil {
-				a.end()
+		case a := <-attempts.results:
+			if answer, outcome := attempts.finish(ctx, a, budget); answer != nil {
+				return answer, outcome
 			}
-			if running > 0 {
-				continue
-			}
-			if ctx.Err() != nil {
-				return g.answerExpired(ctx, pr)
-			}
-			kind := freshAttempt
-			if anyMayHaveRun {
-				kind = retryAttempt
-			}
-			dec, ok := g.acquireRetry(ctx, pr, a, budget, kind)
-			if ok {
-				a.end()
-				startAttempt(dec)
-				continue
-			}
-			return g.answerFailed(pr, a, anyMayHaveRun, dec)
 		}
 	}
 }
 
+// start starts an attempt with the token of the request.
+func (s *attemptSet) start(ctx context.Context, dec decision) {
+	a := s.g.startAttempt(ctx, s.pr, dec, s.results)
+	s.pr.hasToken = false
+	s.active = append(s.active, a)
+}
+
+// finish processes an attempt that has ended. It returns the answer to the request, or nil
+// if another attempt is in progress, which it starts if necessary and allowed.
+func (s *attemptSet) finish(ctx context.Context, a *attempt, budget *retry.Budget) (*Answer, string) {
+	s.active = slices.DeleteFunc(s.active, func(b *attempt) bool { return a == b })
+	s.g.finishAttempt(s.pr, a)
+	if a.reply.answer != nil && !s.g.isReplaceable(s.pr, a, budget) {
+		return a.reply.answer, "served"
+	}
+	s.anyMayHaveRun = s.anyMayHaveRun || a.reply.mayHaveRun
+	if len(s.active) > 0 {
+		a.end()
+		return nil, ""
+	}
+	if ctx.Err() != nil {
+		a.end()
+		return s.g.answerExpired(ctx, s.pr)
+	}
+	kind := freshAttempt
+	if s.anyMayHaveRun {
+		kind = retryAttempt
+	}
+	dec, ok := s.g.acquireRetry(ctx, s.pr, a, budget, kind)
+	if !ok {
+		return s.g.answerFailed(s.pr, a, s.anyMayHaveRun, dec)
+	}
+	a.end()
+	s.start(ctx, dec)
+	return nil, ""
+}
+
+// expire answers the request while attempts are in progress, and records them.
+func (s *attemptSet) expire(ctx context.Context) (*Answer, string) {
+	for _, a := range s.active {
+		s.g.recordAttempt(s.pr, a, "running")
+	}
+	return s.g.answerExpired(ctx, s.pr)
+}
+
+// abandon cancels the attempts that are in progress.
+func (s *attemptSet) abandon() {
+	for _, a := range s.active {
+		a.cancel()
+	}
+	s.g.collectAbandoned(s.results, len(s.active))
+}
+
 // collectAbandoned reports, in the background, the results of the attempts that are
 // still running. A server that did not answer before the deadline is reported as
 // timed out; one whose attempt was cancelled is not.
