gateway: end a server's pause or leave with its incarnation

A host that was told by a server that it leaves, or wants a pause, names it to the dispatcher as excluded, by its ID. A server that started again under the same ID therefore got no request of that host until the end of the mark (5 minutes) or of the pause (an hour at most), although internal/serverhold/README.md says that both end with the incarnation, and Set.Begin would have allowed the request.

The two expectations of Held in serverhold_test.go now compare the incarnation, which is stricter.

TestHoldEndsWithIncarnation got 503 instead of 200 in both cases before. The tests of internal/gateway (50 s) and internal/serverhold pass.

--- a/internal/gateway/holds.go
+++ b/internal/gateway/holds.go
@@ -18,6 +18,8 @@
 
 	mu  sync.Mutex
 	set *serverhold.Set
+	// known are the servers of the snapshot.
+	known map[string]*fleet.Backend
 }
 
 func newServerHolds(now func() time.Duration, log logrus.FieldLogger) *serverHolds {
@@ -42,11 +44,18 @@
 	h.set.EndTrial(h.now(), serverOf(b))
 }
 
-// held returns the IDs of the servers that get no requests now.
+// held returns the IDs of the servers that get no requests now. A dispatcher leaves out a
+// server by its ID, so one that has started again since it was held is not among them.
 func (h *serverHolds) held() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.set.Held(h.now())
+	var ids []string
+	for _, server := range h.set.Held(h.now()) {
+		if b := h.known[server.ID]; b == nil || serverOf(b) == server {
+			ids = append(ids, server.ID)
+		}
+	}
+	return ids
 }
 
 // wait returns the time until the first of the servers may get a request, and whether
@@ -90,6 +99,7 @@
 func (h *serverHolds) prune(known map[string]*fleet.Backend) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.known = known
 	h.set.Prune(h.now(), func(s serverhold.Server) bool {
 		b := known[s.ID]
 		return b != nil && serverOf(b) == s
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -126,3 +126,34 @@
 		})
 	}
 }
+
+// TestHoldEndsWithIncarnation guards against a server that gets no request from this host for
+// minutes after it has started again, because its earlier incarnation left or asked for a pause.
+func TestHoldEndsWithIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		signals serverSignals
+	}{
+		{"it said that it leaves", serverSignals{leaving: true}},
+		{"it asked for a pause", serverSignals{pause: time.Minute}},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			server := startBackend(t, answerOK)
+			f := startGateway(t, server)
+			f.setServer(server.listener.Addr().String(), 1)
+			first := f.g.Snapshot().Backends["b0"]
+			f.g.holds.observe(first, c.signals)
+			status, _, _ := f.sendRequest(t, "GET", "/get/a", "held", "")
+			g.Expect(status).To(Equal(503))
+			f.setServer(server.listener.Addr().String(), 1)
+			g.Expect(f.g.holds.held()).To(Equal([]string{"b0"}), "the same incarnation")
+			f.setServer(server.listener.Addr().String(), 2)
+			status, _, _ = f.sendRequest(t, "GET", "/get/a", "again", "")
+			g.Expect(status).To(Equal(200))
+			f.g.holds.observe(first, c.signals) // a late answer of the earlier incarnation
+			status, _, _ = f.sendRequest(t, "GET", "/get/a", "late", "")
+			g.Expect(status).To(Equal(200))
+		})
+	}
+}
--- a/internal/serverhold/serverhold.go
+++ b/internal/serverhold/serverhold.go
@@ -102,15 +102,15 @@
 	return h == nil || h.server != server || !h.heldAt(now)
 }
 
-// Held returns the IDs of the servers that get no request now, nil if there are none.
-func (s *Set) Held(now time.Duration) []string {
-	var ids []string
-	for id, h := range s.holds {
+// Held returns the incarnations of servers that get no request now, nil if there are none.
+func (s *Set) Held(now time.Duration) []Server {
+	var list []Server
+	for _, h := range s.holds {
 		if h.heldAt(now) {
-			ids = append(ids, id)
+			list = append(list, h.server)
 		}
 	}
-	return ids
+	return list
 }
 
 // Wait returns the time until the first of the servers may get a request, and whether
--- a/internal/serverhold/serverhold_test.go
+++ b/internal/serverhold/serverhold_test.go
@@ -21,7 +21,7 @@
 	g.Expect(begin(s, 0, server)).To(BeTrue())
 	s.Leaving(0, server)
 	g.Expect(begin(s, LeavingTime-1, server)).To(BeFalse())
-	g.Expect(s.Held(time.Second)).To(Equal([]string{"s"}))
+	g.Expect(s.Held(time.Second)).To(Equal([]Server{server}))
 	next := server
 	next.StartedAtMillis = 2
 	g.Expect(begin(s, time.Second, next)).To(BeTrue(), "another incarnation")
@@ -57,7 +57,7 @@
 	g.Expect(begin(s, MaxRetryAfter-1, server)).To(BeFalse())
 	g.Expect(begin(s, MaxRetryAfter, server)).To(BeTrue())
 	s.Pause(MaxRetryAfter, server, -time.Second)
-	g.Expect(s.Held(MaxRetryAfter+1)).To(Equal([]string{"s"}), "the trial is in flight")
+	g.Expect(s.Held(MaxRetryAfter+1)).To(Equal([]Server{server}), "the trial is in flight")
 }
 
 // TestWait guards against a refusal whose time to the retry is not when a server takes
