--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -76,7 +76,10 @@
 	safeShareLogged      map[string]time.Duration
 	refusedNames         map[string]bool
 	shownTokens          map[string]bool
-	holding              bool
+	// answers are the last answers of the region's issuer by workspace, for Explain.
+	answers       map[string]issuerAnswer
+	answersPruned time.Duration
+	holding       bool
 	// lines are log lines to write after q.mu is unlocked; see unlock.
 	lines []func()
 }
@@ -88,6 +91,7 @@
 		client: quota.NewClient(self.Region, quota.NewSafeShares(now(), cfg.Bounds, len(cfg.Regions))),
 		term:   quota.NewTerm(self.Name, self.Incarnation), waiting: map[uint64]chan quota.Resolution{},
 		over: map[string]*overState{}, safeShareLogged: map[string]time.Duration{}, refusedNames: map[string]bool{}, shownTokens: map[string]bool{},
+		answers: map[string]issuerAnswer{},
 	}
 	q.client.SafeShareStarts = q.logSafeShare
 	q.client.WaitAtStart(q.started)
@@ -180,25 +184,37 @@
 	if !g.needsToken(pr) {
 		return nil, ""
 	}
-	limit := quota.Limit{RatePerSecond: pr.workspace.RatePerSecond, Burst: pr.workspace.Burst}
-	r := g.quotas.acquire(ctx, pr.workspace.Name, limit, g.tokenWait(pr))
+	r := g.quotas.acquire(ctx, pr.workspace.Name, pr.quotaLimit(), g.quotas.tokenWait(pr))
+	if r.Verdict == quota.Granted {
+		pr.token, pr.hasToken = r.Token, true
+	}
+	if r.Verdict == quota.NoIssuer && errors.Is(ctx.Err(), context.Canceled) {
+		return g.answerExpired(ctx, pr)
+	}
+	return answerWithoutToken(r)
+}
+
+// quotaLimit returns the limit of a request's workspace, which is not nil.
+func (pr *pendingRequest) quotaLimit() quota.Limit {
+	return quota.Limit{RatePerSecond: pr.workspace.RatePerSecond, Burst: pr.workspace.Burst}
+}
+
+// answerWithoutToken returns the answer to a request that was not granted a token, and its
+// outcome. It returns nil for a grant.
+func answerWithoutToken(r quota.Resolution) (*Answer, string) {
 	switch r.Verdict {
 	case quota.Granted:
-		pr.token, pr.hasToken = r.Token, true
 		return nil, ""
 	case quota.UsedUp:
 		return overQuota(r.RetryAfter), outcomeOverQuota
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return g.answerExpired(ctx, pr)
-	}
 	return refusalWithoutIssuer(r.RetryAfter)
 }
 
 // tokenWait returns the time for which a request may wait for a token.
-func (g *Gateway) tokenWait(pr *pendingRequest) time.Duration {
+func (q *Quotas) tokenWait(pr *pendingRequest) time.Duration {
 	wait := max(time.Duration(tokenWaitFraction*float64(time.Until(pr.objective))), minTokenWait)
-	if g.quotas.starting() {
+	if q.starting() {
 		left := startTokenWaitFraction * float64(time.Until(pr.deadline))
 		wait = max(wait, min(time.Duration(left), startTokenWait))
 	}
