soak: detect cut answers to uploads and 401 from old copies

Cause: the soak passed with write.checkEnd removed from readAnswer, because the answers that a server cuts during an upload had no signature and were refused for that alone, because all uploads fitted into what a host reads before it sends, and because the host's reader saw each reset first. It also passed with a host that rejects unknown keys regardless of the age of its copy, because no host's copy got old while the store had a new key.

Change: some uploads of 1.5 MB go to /upload/severed. Servers answer them at once with a large answer without length and reset the connection; the caller reads nothing until it has sent the end of the upload, so that the host finds the reset when it writes. max_body_bytes is 4 MiB, so that such uploads are streamed. In seeds with workspaces and seed%3 == 1, no host reaches the store for 6.6 s of the faults, during which a configuration adds a key. The cut answers have a signature. Cached results no longer survive a change of cmd/galenabeamd or internal/logsink.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -134,7 +134,7 @@
 		if err != nil {
 			return
 		}
-		if b.answerFault.Load() == resetInUpload {
+		if b.answerFault.Load() == resetInUpload || r.URL.Path == severedPath {
 			b.resetDuringUpload(c, r)
 			return
 		}
--- a/internal/soak/bodies_test.go
+++ b/internal/soak/bodies_test.go
@@ -31,6 +31,19 @@
 	// uploadChunk and uploadPause are the pace at which a server reads uploads slowly.
 	uploadChunk = 16 << 10
 	uploadPause = 20 * time.Millisecond
+	// severedPath is the path whose uploads each server answers with a large answer that has
+	// no length, and then resets the connection.
+	severedPath = "/upload/severed"
+	// severedBytes is the size of such an upload. A host forwards what exceeds 1 MiB while it
+	// still reads from the caller.
+	severedBytes = 1500 << 10
+	// heldBytes is the end of such an upload, which the caller holds back for heldTime, when
+	// the server has reset the connection. The caller does not read meanwhile, so that the
+	// answer fills the buffers and the host finds the reset when it writes.
+	heldBytes = 16 << 10
+	heldTime  = 800 * time.Millisecond
+	// resetAfter is how long a server waits for such an answer to be read.
+	resetAfter = 300 * time.Millisecond
 	// noStatus stands for the status 000 in the record of a request.
 	noStatus = -1
 )
@@ -56,6 +69,10 @@
 		r.path, r.large, r.slow = largePath, true, n < 1
 	case r.idempotent && n < 14:
 		r.path, r.public = "/public/x", true
+	case !r.idempotent && n < 2:
+		// The host may cut these, early or late.
+		r.path, r.large, r.slow, r.severed = severedPath, true, true, true
+		body += strings.Repeat(".", severedBytes)
 	case !r.idempotent && n < 15:
 		r.path, r.large = "/upload/x", true
 		body += strings.Repeat(".", c.rng.Intn(maxUploadBytes))
@@ -63,6 +80,22 @@
 	return body
 }
 
+// write sends the text of a request. It holds back the end of an upload to severedPath.
+func (r *request) write(conn io.Writer, text string) error {
+	if !r.severed {
+		_, err := io.WriteString(conn, text)
+		return err
+	}
+	held := len(text) - heldBytes
+	if _, err := io.WriteString(conn, text[:held]); err != nil {
+		return err
+	}
+	time.Sleep(heldTime)
+	_, _ = io.WriteString(conn, text[held:]) // the answer counts also if the host reads no more
+	time.Sleep(uploadPause)
+	return nil
+}
+
 // slowReader reads answers from a connection; for slow requests it stops in between.
 type slowReader struct {
 	net.Conn
@@ -126,14 +159,21 @@
 }
 
 // resetDuringUpload answers at once, without a length and with a part of the answer, and
-// resets the connection while the body is still being written.
+// resets the connection while the body is still being written. On severedPath the part is
+// large, and the reset follows when it is not read.
 func (b *backend) resetDuringUpload(c net.Conn, r *http.Request) {
 	e := b.execution(r, "")
 	e.partial = true
 	b.executionLog.resets.Add(1)
 	id := r.Header.Get("Galenabeam-Request-Id")
 	b.executionLog.record(id, e)
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nGalenabeam-Request-Id: %s\r\n\r\nanswer to", id)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Backend-Signature: %s\r\n\r\nanswer to", id, b.id)
+	if r.URL.Path == severedPath {
+		_ = c.SetWriteDeadline(time.Now().Add(resetAfter))
+		_, _ = io.WriteString(c, largeFiller)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return
+	}
 	_, _ = io.CopyN(io.Discard, r.Body, uploadChunk)
 	time.Sleep(uploadPause)
 	_ = c.(*net.TCPConn).SetLinger(0)
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -37,6 +37,7 @@
 	public         bool     // the route needs no key
 	large          bool     // the answer or the body is large
 	slow           bool     // the caller reads slowly
+	severed        bool     // an upload to severedPath
 	timedOut       bool     // no answer within callerTimeout
 	// probeVersion is the version, from 1, whose own route is requested; 0 for a
 	// request to a route that every version has.
@@ -145,17 +146,17 @@
 	}
 	body = c.vary(r, body)
 	r.body, r.expected = brief(body), brief(expectedAnswer(r.id, body))
-	if r.path == largePath {
+	if r.path == largePath || r.severed {
 		r.expected = brief(expectedAnswer(r.id, body) + largeFiller)
 	}
 	defer func() { r.ended = time.Now(); c.requestLog.add(r) }()
 	_ = conn.SetDeadline(r.sent.Add(callerTimeout))
-	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: x\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Affinity-Key: %d\r\nGalenabeam-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		method, r.path, r.id, c.rng.Intn(20), callerTimeout.Milliseconds(), c.credentialLines(r), len(body), body)
+	err := r.write(conn, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Affinity-Key: %d\r\nGalenabeam-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, r.path, r.id, c.rng.Intn(20), callerTimeout.Milliseconds(), c.credentialLines(r), len(body), body))
 	if err != nil {
 		return false
 	}
-	if c.readPause = 0; r.slow {
+	if c.readPause = 0; r.slow && !r.severed {
 		c.readPause = slowPause
 	}
 	resp, err := http.ReadResponse(in, nil)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -79,6 +79,31 @@
 	}
 }
 
+const (
+	// unseenDelay is the time into the faults at which addKeyUnseen begins, when hosts have
+	// read the first configuration.
+	unseenDelay = time.Second
+	// callLength bounds a call of the store that began before an outage.
+	callLength = 600 * time.Millisecond
+	// unseenTime is how long a key is in a store that no host reaches. For the last 3 s,
+	// addedLongAgo holds.
+	unseenTime = configApply + transitTime + 3*time.Second
+)
+
+// addKeyUnseen submits a configuration, which adds a key, while no host reaches the store.
+// The hosts cannot learn of it from each other either, and must not reject the key once their
+// copies are old.
+func (sr *soakRun) addKeyUnseen() {
+	time.Sleep(unseenDelay)
+	sr.logEvent("store out of reach for all hosts (%v)", callLength+unseenTime)
+	sr.store.setFaults(func(s *store) { s.unreachable = true })
+	time.Sleep(callLength)
+	sr.submit()
+	time.Sleep(unseenTime)
+	sr.store.setFaults(func(s *store) { s.unreachable = false })
+	sr.logEvent("store in reach again")
+}
+
 // maxRewriteDelay is the greatest time after a restore of the store until the operator and the
 // backend servers have written again what was lost.
 const maxRewriteDelay = 1500 * time.Millisecond
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 
 	// The test runs the daemon as a process. With the import, a change of the daemon
 	// invalidates cached results of the test.
+	_ "github.com/galenabeam/galenabeam/internal/logsink"
 	_ "github.com/galenabeam/galenabeam/platform"
 )
 
@@ -70,6 +71,10 @@
 		panic(err)
 	}
 	daemonPath = filepath.Join(dir, "galenabeamd")
+	// A read of its directory invalidates cached results when the command itself changes.
+	if _, err := os.ReadDir("../../cmd/galenabeamd"); err != nil {
+		panic(err)
+	}
 	if out, err := exec.Command("go", "build", "-o", daemonPath, "../../cmd/galenabeamd").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "building galenabeamd: %v\n%s", err, out)
 		os.Exit(1)
@@ -218,7 +223,7 @@
 		tenants = tenantsOf(sr.seed, n)
 	}
 	rawTenants, _ := json.Marshal(tenants)
-	config := fmt.Sprintf(`{"version":"r%d","tenants":%s,"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"},"listeners":[{"hostname":"x","rules":[%s]}],"clusters":[{"name":"s","cold_start":"1s","cold_per_s":5},{"name":"t","cold_start":"1s","cold_per_s":5}]}`,
+	config := fmt.Sprintf(`{"version":"r%d","tenants":%s,"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout":"3s","idle_timeout":"15s"},"listeners":[{"hostname":"x","rules":[%s]}],"clusters":[{"name":"s","cold_start":"1s","cold_per_s":5},{"name":"t","cold_start":"1s","cold_per_s":5}]}`,
 		n, rawTenants, strings.Join(rules, ","))
 	submitted := time.Now()
 	sr.store.put("op/config", rawJSON(config))
@@ -275,6 +280,9 @@
 		go func() { defer callers.Done(); c.run(ctx) }()
 	}
 	var faults sync.WaitGroup
+	if sr.withWorkspaces() && sr.seed%3 == 1 {
+		faults.Go(sr.addKeyUnseen)
+	}
 	end := time.Now().Add(time.Duration(envInt("SOAK_SECONDS", 8)) * time.Second)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(200+sr.rng.Intn(700)) * time.Millisecond)
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -40,6 +40,7 @@
 	// written holds the latest writes of the operator and the backend servers by key.
 	written      map[string]item
 	down         bool
+	unreachable  bool          // for hosts, while the operator and backend servers write to it
 	delay        time.Duration // of each call
 	loseAnswers  bool          // each third call takes effect but gets no answer
 	calls        int
@@ -145,7 +146,7 @@
 	s.disturbances = endAll(s.disturbances)
 	change(s)
 	s.disturbances = append(s.disturbances, disturbance{start: time.Now()})
-	if !s.down && s.delay == 0 && !s.loseAnswers {
+	if !s.down && !s.unreachable && s.delay == 0 && !s.loseAnswers {
 		s.disturbances = endAll(s.disturbances)
 	}
 }
@@ -219,7 +220,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	down, delay, era := s.down, s.delay, s.era
+	down, delay, era := s.down || s.unreachable, s.delay, s.era
 	lose := s.loseAnswers && s.calls%3 == 0
 	s.mu.Unlock()
 	if down {
@@ -356,7 +357,7 @@
 				list = append(list, e)
 			}
 		}
-		rev, changed, down := s.rev, s.changed, s.down
+		rev, changed, down := s.rev, s.changed, s.down || s.unreachable
 		s.mu.Unlock()
 		if down {
 			return 503, nil, era
