soak: send the whole large answer twice

The host passed on what the server sent. The fault is the harness's.

Change: such a server sends the whole large answer twice.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -172,16 +172,28 @@
 	if b.failing.Load() {
 		return writeResponse(c, 500, id, "failed", signature)
 	}
+	return b.answer(c, r, id, body, signature)
+}
+
+// answer sends the answer to an executed request, or a wrong one, and reports whether the
+// connection remains usable.
+func (b *backend) answer(c net.Conn, r *http.Request, id, body, signature string) bool {
 	answer := expectedAnswer(id, body)
+	respond := func() bool {
+		if r.URL.Path == largePath {
+			return b.writeLarge(c, id, answer+largeFiller, signature)
+		}
+		return writeResponse(c, 200, id, answer, signature)
+	}
 	switch b.answerFault.Load() {
 	case truncated:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nGalenabeam-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\nhalf", id, signature, len(answer)+100)
 		return false
 	case answeredTwice:
-		if !writeResponse(c, 200, id, answer, signature) {
+		if !respond() {
 			return false
 		}
-		return writeResponse(c, 200, id, answer, signature)
+		return respond()
 	case notHTTP:
 		_, _ = io.WriteString(c, "no answer\r\n\r\n")
 		return false
@@ -198,10 +210,7 @@
 			return false
 		}
 	}
-	if r.URL.Path == largePath {
-		return b.writeLarge(c, id, answer+largeFiller, signature)
-	}
-	return writeResponse(c, 200, id, answer, signature)
+	return respond()
 }
 
 // writeWithoutEnd writes head and then part again and again until the other side closes.
--- a/internal/soak/bodies_test.go
+++ b/internal/soak/bodies_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"testing"
 	"time"
 )
 
@@ -187,3 +189,34 @@
 	}
 	return e
 }
+
+// TestLargeAnswerTwice guards against a server of the harness that answers largePath with
+// another answer than the callers expect.
+func TestLargeAnswerTwice(t *testing.T) {
+	b, err := newBackend("b1", "s", "z0", "127.0.0.1:0", &executionLog{executions: map[string][]execution{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.crash()
+	b.answerFault.Store(answeredTwice)
+	c, err := net.DialTimeout("tcp", b.link.l.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	const id = "a-0" // its answer has a length
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Expect-Instance: b1\r\n\r\n", largePath, id); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if raw, err := io.ReadAll(resp.Body); err != nil || string(raw) != expectedAnswer(id, "")+largeFiller {
+			t.Fatalf("%d bytes, error %v", len(raw), err)
+		}
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -248,18 +248,8 @@
 	sr.events = append(sr.events, fmt.Sprintf("%6.2f ", time.Since(sr.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// run injects the faults of the seed and checks the promises.
-func (sr *soakRun) run() {
-	defer func() {
-		for _, h := range sr.hosts {
-			h.end()
-		}
-		sr.storeServer.CloseClientConnections()
-		sr.storeServer.Close()
-	}()
-	ctx, cancel := context.WithCancel(context.Background())
-	go sr.store.copyUntil(ctx.Done())
-	time.Sleep(time.Second)
+// startCallers starts the callers, which end after ctx is done.
+func (sr *soakRun) startCallers(ctx context.Context) *sync.WaitGroup {
 	var callers sync.WaitGroup
 	hostsByFront := map[string]*host{}
 	for _, h := range sr.hosts {
@@ -276,9 +266,24 @@
 			}
 			c.workspace, c.greedy = "greedy", true
 		}
-		callers.Add(1)
-		go func() { defer callers.Done(); c.run(ctx) }()
+		callers.Go(func() { c.run(ctx) })
 	}
+	return &callers
+}
+
+// run injects the faults of the seed and checks the promises.
+func (sr *soakRun) run() {
+	defer func() {
+		for _, h := range sr.hosts {
+			h.end()
+		}
+		sr.storeServer.CloseClientConnections()
+		sr.storeServer.Close()
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	go sr.store.copyUntil(ctx.Done())
+	time.Sleep(time.Second)
+	callers := sr.startCallers(ctx)
 	var faults sync.WaitGroup
 	if sr.withWorkspaces() && sr.seed%3 == 1 {
 		faults.Go(sr.addKeyUnseen)
