processtest: invalidate cached results when the programs change

Cause: the test builds galenabeamd, galenabeamctl and galenabeam-standin by running a command. The test binary imported only packages config and internal/httpapi, so that cached results remained in use after a change of the programs.

Change: blank imports of what the programs consist of, and a read of the directories of the commands, which cannot be imported.

Of all packages that the programs need, only the three commands are not imported. internal/soak is the only other test that builds a program by a command; internal/quickstart runs entry hosts in its own process.

--- a/internal/processtest/cluster_test.go
+++ b/internal/processtest/cluster_test.go
@@ -21,6 +21,16 @@
 
 	"github.com/galenabeam/galenabeam/config"
 	"github.com/galenabeam/galenabeam/internal/httpapi"
+
+	// The test runs galenabeamd, galenabeamctl and galenabeam-standin as processes. With the
+	// imports, a change of what they consist of invalidates cached results of the test.
+	_ "github.com/galenabeam/galenabeam/internal/ctl"
+	_ "github.com/galenabeam/galenabeam/internal/daemon"
+	_ "github.com/galenabeam/galenabeam/internal/fake/backend"
+	_ "github.com/galenabeam/galenabeam/internal/fake/hostlist"
+	_ "github.com/galenabeam/galenabeam/internal/fake/store"
+	_ "github.com/galenabeam/galenabeam/internal/logsink"
+	_ "github.com/galenabeam/galenabeam/platform"
 )
 
 // Bounds of waits, so that a run without progress ends.
@@ -130,6 +140,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
 	defer cancel()
 	for _, name := range []string{"galenabeamd", "galenabeamctl", "galenabeam-standin"} {
+		// A read of its directory invalidates cached results when the command itself changes.
+		if _, err := os.ReadDir("../../cmd/" + name); err != nil {
+			c.t.Fatal(err)
+		}
 		out, err := exec.CommandContext(ctx, "go", "build", "-o", c.path(name), "../../cmd/"+name).CombinedOutput()
 		if err != nil {
 			c.t.Fatalf("building %s: %v\n%s", name, err, out)
