gateway: do not answer 401 for a key that has moved

A request's first attempt was refused by its server; then a configuration came into force that gives the key to another workspace. No further attempt may be sent for the first workspace, and the caller got 401, although every configuration has the key. Callers do not repeat a request after 401.

Change: 401 only if no workspace holds the key anymore; otherwise the refusal that says that the request has not run, 503 with Retry-After. No further attempt is sent, as before.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -391,7 +391,7 @@
 // answerFailed answers a request after its last attempt failed: with the error
 // answer of that attempt, if there is one; with 413, if the body is too large, or the end
 // of the connection, if it broke off; with 502, if an attempt may have run it; with 401, if
-// its key was revoked; and otherwise with a refusal.
+// no workspace holds its key anymore; and otherwise with a refusal.
 func (g *Gateway) answerFailed(pr *pendingRequest, a *attempt, mayHaveRun bool, dec decision) (*Answer, string) {
 	if a.reply.answer != nil {
 		return a.reply.answer, "served"
@@ -405,7 +405,8 @@
 	if mayHaveRun {
 		return failure(http.StatusBadGateway, "backend server broke off"), "broken"
 	}
-	if g.keyRevoked(pr) && !pr.route.Public {
+	// A key that another workspace holds now is valid: the caller may repeat the request.
+	if g.keyRevoked(pr) && g.workspaces().ByKey(pr.apiKey) == nil && !pr.route.Public {
 		return g.unauthorized()
 	}
 	retryAfter := retryAfterShed
