dispatch: keep slots from a flood of the least urgent rank

A request of rank 1 may not queue then, and competes with rank 2 for each slot that becomes free. Besides, the occupancy was computed every 20 ms; a flood of any rank passed in between and filled the queues.

Change, only for pools that divide scarce slots: the occupancy counts each grant and each end at once, and for 200 ms after a request yielded to a more urgent rank, less urgent ranks leave free slots to its rank.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -186,8 +186,10 @@
 	if best != nil && returned {
 		best, est, returned = p.serverForReturn(now, r, c, best, est)
 	}
-	if best != nil && p.yieldsToUrgent(now, r, best) {
-		return refusal(Overload, becauseUrgent, best, est)
+	if best != nil {
+		if because := p.yieldsToUrgent(now, r, best); because != "" {
+			return refusal(Overload, because, best, est)
+		}
 	}
 	if best != nil && !returned && p.yieldsToReturns(now, r) {
 		return refusal(Overload, becauseReturns, best, est)
@@ -220,12 +222,22 @@
 	return outcome{server: best, est: est}
 }
 
-// yieldsToUrgent reports whether a request is refused in favor of more urgent
-// ones: the service is nearly full, the server has no free slot, and a more urgent
-// rank has sent requests lately. It records the rank of the request.
-func (p *Pool) yieldsToUrgent(now time.Duration, r Request, s *server) bool {
+// yieldsToUrgent reports why a request is refused in favor of more urgent ones, "" if it is
+// not: the service is nearly full, and either the server has no free slot and a more urgent
+// rank has sent requests lately, or see scarcity.leavesSlot. It records the rank of the
+// request.
+func (p *Pool) yieldsToUrgent(now time.Duration, r Request, s *server) (because string) {
 	p.lastRequestByRank[r.Rank] = now
-	return p.occupancy > yieldOccupancy && s.load(now) >= float64(s.slots) && p.moreUrgentActive(now, r.Rank)
+	switch {
+	case p.occupancy <= yieldOccupancy:
+		return ""
+	case s.load(now) >= float64(s.slots) && p.moreUrgentActive(now, r.Rank):
+		p.scarcity.noteYielded(now, r.Rank)
+		return becauseUrgent
+	case p.scarcity.leavesSlot(now, r.Rank):
+		return becauseLeavesSlot
+	}
+	return ""
 }
 
 // moreUrgentActive reports whether a more urgent rank has sent requests lately.
@@ -304,6 +316,7 @@
 		restricted: len(r.Allowed) > 0,
 	}
 	p.grants[p.lastGrantID] = g
+	p.countOccupied(now, s, 1)
 	p.countTrial(g, 1)
 	s.inflight++
 	s.tried = true
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -72,7 +72,7 @@
 func (e *explainedEvents) request() Request {
 	r := request(e.now, []string{"", "k1", "k2", "k3"}[e.rng.Intn(4)])
 	r.Class, r.Host, r.Workspace = []string{"c", "c", "d"}[e.rng.Intn(3)], "h", []string{"v", "v", "w"}[e.rng.Intn(3)]
-	r.Rank, r.NoHedge, r.SecondAttempt, r.NoTrial = e.rng.Intn(2), e.rng.Intn(3) == 0, e.rng.Intn(8) == 0, e.rng.Intn(4) == 0
+	r.Rank, r.NoHedge, r.SecondAttempt, r.NoTrial = e.rng.Intn(3), e.rng.Intn(3) == 0, e.rng.Intn(8) == 0, e.rng.Intn(4) == 0
 	r.Bytes = []int64{0, 100, 100 << 10}[e.rng.Intn(3)]
 	r.Deadline = e.now + time.Duration(100+e.rng.Intn(2000))*ms
 	r.Objective = min(r.Deadline, e.now+time.Duration(50+e.rng.Intn(600))*ms)
@@ -182,7 +182,7 @@
 		pacesIgnored, secondPasses = pacesIgnored+e.pacesIgnored, secondPasses+e.secondPasses
 	}
 	// The sequences must reach all kinds of decisions.
-	for _, because := range []string{becauseUrgent, becauseReturns, becauseShare, becauseBusy, becauseNoFreeSlot, becauseLargeBody, becauseNoServer, becauseLate} {
+	for _, because := range []string{becauseUrgent, becauseLeavesSlot, becauseReturns, becauseShare, becauseBusy, becauseNoFreeSlot, becauseLargeBody, becauseNoServer, becauseLate} {
 		g.Expect(refusals[because]).To(BeNumerically(">", 0), because)
 	}
 	for _, reason := range []Exclusion{
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -16,6 +16,7 @@
 // Conditions that lead to a refusal, for Explanation.Because.
 const (
 	becauseUrgent     = "nearly all slots are taken, the best server has no free one, and a more urgent rank has sent requests lately"
+	becauseLeavesSlot = "nearly all slots are taken, and requests of a more urgent rank have just been refused for want of a free one"
 	becauseReturns    = "nearly all slots are taken, a more urgent rank has sent requests lately, and refused callers are due to return"
 	becauseShare      = "nearly all slots are taken, the best server has no free one, and the workspace has more than its share, or asks for more and the queue is for others"
 	becauseBusy       = "the answer would miss its objective at the best server, which is overloaded, and few slots of the service are free"
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -101,6 +101,7 @@
 func (p *Pool) removeGrant(now time.Duration, id uint64, g *grant) {
 	delete(p.grants, id)
 	p.countTrial(g, -1)
+	p.countOccupied(now, g.server, -1)
 	g.server.removeGrant(now, g)
 }
 
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -24,6 +24,8 @@
 	ended, slots          int
 	// nextClaim is the earliest time of the next claim of a limited workspace.
 	nextClaim map[workspaceRank]time.Duration
+	// yieldedAt is when a request of a rank was last refused in favor of a more urgent one.
+	yieldedAt map[int]time.Duration
 	// loads are the loads of the regions as of loadsAt.
 	loads   map[string]*regionLoad
 	loadsAt time.Duration
@@ -73,6 +75,10 @@
 	claimTolerance = 0.5
 )
 
+// yieldedTime is the time after a request was refused in favor of a more urgent rank for which
+// less urgent ones leave the last free slots to its rank.
+const yieldedTime = 200 * time.Millisecond
+
 // maxReturnLoad is the load, in requests per slot, above which a returning caller is refused
 // like others. The schedule does not reach it unless slots were lost after it was made.
 const maxReturnLoad = 3.0
@@ -83,7 +89,7 @@
 	}
 	return &scarcity{
 		shares: fairshare.New(), returns: newReturns(),
-		nextClaim: map[workspaceRank]time.Duration{}, loads: map[string]*regionLoad{}, loadsAt: -maxOccupancyAge - 1,
+		nextClaim: map[workspaceRank]time.Duration{}, yieldedAt: map[int]time.Duration{}, loads: map[string]*regionLoad{}, loadsAt: -maxOccupancyAge - 1,
 	}
 }
 
@@ -94,6 +100,7 @@
 	copied := *c
 	copied.shares, copied.returns = c.shares.Clone(), c.returns.clone()
 	copied.nextClaim, copied.loads = maps.Clone(c.nextClaim), maps.Clone(c.loads)
+	copied.yieldedAt = maps.Clone(c.yieldedAt)
 	return &copied
 }
 
@@ -272,6 +279,43 @@
 	return best, est, false
 }
 
+// noteYielded records that a request of a rank was refused in favor of a more urgent one.
+func (c *scarcity) noteYielded(now time.Duration, rank int) {
+	if c != nil {
+		c.yieldedAt[rank] = now
+	}
+}
+
+// leavesSlot reports whether a request is refused although its server has a free slot, because
+// requests of a more urgent rank have just been refused for want of one. Without it, a rank
+// between an active one and a flood of the least urgent one competes with the flood for each
+// slot that becomes free: neither of them may queue.
+func (c *scarcity) leavesSlot(now time.Duration, rank int) bool {
+	if c == nil {
+		return false
+	}
+	for other, at := range c.yieldedAt {
+		if other < rank && now-at <= yieldedTime {
+			return true
+		}
+	}
+	return false
+}
+
+// countOccupied adjusts the occupancy by a request that is about to start at a server or has
+// ended there (n is -1), so that it holds until it is computed again. Otherwise a flood of
+// requests, however little urgent, passes in between and fills the queues. Only pools that
+// divide scarce slots do so.
+func (p *Pool) countOccupied(now time.Duration, s *server, n float64) {
+	if p.scarcity == nil || p.scarcity.slots == 0 || !s.takesRequests(now) {
+		return
+	}
+	load, slots := s.load(now), float64(s.slots)
+	if n > 0 && load < slots || n < 0 && load <= slots {
+		p.occupancy += n / float64(p.scarcity.slots)
+	}
+}
+
 // restrictOccupancy sets the occupancy for a request that is restricted to some regions, and
 // returns a function that restores it. Only pools that divide scarce slots do so. It is that
 // of those regions, as far as the request must yield to what takes their slots: requests of
--- a/internal/dispatch/unchanged_test.go
+++ b/internal/dispatch/unchanged_test.go
@@ -20,7 +20,7 @@
 	if best == nil {
 		best, est = p.choose(now, r, c, anyServer)
 	}
-	if best != nil && p.yieldsToUrgent(now, r, best) {
+	if best != nil && p.yieldsToUrgent(now, r, best) != "" {
 		return p.refuse(now, Overload, best, est)
 	}
 	if best != nil && p.overloaded(now, best, est) {
