--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -102,9 +102,9 @@
 }
 
 // exclusion returns why the request may not be sent to the server, "" if it may. A server
-// without a free slot is usable unless the filter or the request requires one; one that is marked down or
-// refused a request lately is usable only with anyServer, and a paced one without room
-// only while paceIgnored is set. The other conditions always hold.
+// without a free slot is usable unless the filter or the request requires one; one that is
+// marked down or refused a request lately is usable only with anyServer, and a paced one
+// without room only while paceIgnored is set. The other conditions always hold.
 func (p *Pool) exclusion(now time.Duration, r Request, s *server, filter serverFilter) Exclusion {
 	switch {
 	case s.draining:
--- a/internal/dispatch/largebody.go
+++ b/internal/dispatch/largebody.go
@@ -12,8 +12,8 @@
 }
 
 // refuseLargeBody returns the refusal of a request that needs a free slot if there is none, or
-// only one from which the answer would be late. It records the rank of the request: requests of less urgent ranks would otherwise take each
-// slot that becomes free by waiting for it.
+// only one from which the answer would be late. It records the rank of the request: requests of
+// less urgent ranks would otherwise take each slot that becomes free by waiting for it.
 func (p *Pool) refuseLargeBody(now time.Duration, r Request, est estimate) outcome {
 	p.lastRequestByRank[r.Rank] = now
 	return refusal(Overload, becauseLargeBody, nil, est)
--- a/internal/quota/preview.go
+++ b/internal/quota/preview.go
@@ -29,7 +29,7 @@
 		safe.last[workspace] = last
 	}
 	safe.SetConfirmed(confirmed)
-	copied := Client{region: c.region, regions: c.regions, cache: NewTokenCache(), safe: &safe, suspected: c.suspected, rotation: c.rotation}
+	copied := Client{region: c.region, regions: c.regions, cache: NewTokenCache(), safe: &safe, suspected: c.suspected, rotation: c.rotation, startUntil: c.startUntil}
 	p := Preview{IssuerSuspected: c.isSuspected(now, c.region)}
 	copied.SafeShareStarts = func(string) { p.SafeShare = true }
 	if a := c.cache.accounts[workspace]; a != nil {
