gateway: do not answer 404 from an old copy of the store

Its sources were cut off, out of date and frozen, one after the other.

Change: a host whose copy is older than the time within which changes take effect answers 503 with Retry-After for a route that it lacks, as it did for unknown keys. The search for route and workspace (assign) is apart from the answers now.

Result: TestUnknownRouteOnStaleCopy failed before (404).

--- a/internal/gateway/workspace.go
+++ b/internal/gateway/workspace.go
@@ -12,48 +12,70 @@
 const (
 	// defaultChangeDeadline replaces Config.ChangeDeadline if that is not set.
 	defaultChangeDeadline = 2500 * time.Millisecond
-	// retryAfterUnconfirmed is the Retry-After of requests whose key cannot be confirmed.
+	// retryAfterUnconfirmed is the Retry-After of requests whose route or key cannot be
+	// confirmed.
 	retryAfterUnconfirmed = time.Second
 	// retryAfterNoRegion is the Retry-After of requests that no allowed region can serve.
 	// Only a change of the configuration or a new server helps.
 	retryAfterNoRegion = time.Second
 )
 
+// lacking is what a request needs and does not have.
+type lacking int
+
+const (
+	lacksNothing lacking = iota
+	lacksRoute
+	lacksKey
+)
+
 // route finds the route and the workspace of a request in the table. It returns an
-// answer instead if the request has no route or needs a key that it doesn't have.
+// answer instead if the request has no route or needs a key that it doesn't have. A host
+// whose copy of the store is too old denies neither, as it may have been added since.
 func (g *Gateway) route(pr *pendingRequest, t *routetable.Table) (*Answer, string) {
 	for {
-		if !pr.findRoute(t) {
-			return failure(http.StatusNotFound, "no route"), "no_route"
-		}
-		if t.Workspaces == nil {
-			return nil, ""
-		}
-		g.takeKey(pr)
-		if w := t.Workspaces.ByKey(pr.apiKey); w != nil {
-			pr.assign(w)
-			return nil, ""
-		}
-		if pr.route.Public {
+		lack := g.assign(pr, t)
+		if lack == lacksNothing {
 			return nil, ""
 		}
-		if !workspace.ValidKey(pr.apiKey) {
-			return skipBody(g.unauthorized())
-		}
 		// The age is read before the table is compared: a table that arrives in between
-		// may have the key, although the one searched is not older than the age says.
+		// may have what is lacking, although the one searched is not older than the age says.
 		confirmed := g.cfg.Age() <= g.cfg.ChangeDeadline
 		if latest := g.snapshot.Load().Table; latest != t {
 			t = latest
 			continue
 		}
-		if confirmed {
+		switch {
+		case lack == lacksRoute && confirmed:
+			return failure(http.StatusNotFound, "no route"), "no_route"
+		case lack == lacksRoute:
+			return refusal(retryAfterUnconfirmed, "the route cannot be confirmed now"), "route_unconfirmed"
+		case confirmed || !workspace.ValidKey(pr.apiKey):
 			return skipBody(g.unauthorized())
 		}
 		return skipBody(refusal(retryAfterUnconfirmed, "the key cannot be confirmed now"), "key_unconfirmed")
 	}
 }
 
+// assign sets the route and the workspace of a request, and returns what it lacks.
+func (g *Gateway) assign(pr *pendingRequest, t *routetable.Table) lacking {
+	if !pr.findRoute(t) {
+		return lacksRoute
+	}
+	if t.Workspaces == nil {
+		return lacksNothing
+	}
+	g.takeKey(pr)
+	if w := t.Workspaces.ByKey(pr.apiKey); w != nil {
+		pr.assign(w)
+		return lacksNothing
+	}
+	if pr.route.Public {
+		return lacksNothing
+	}
+	return lacksKey
+}
+
 // findRoute sets the route of a request, with its rank and regions, and reports whether the
 // table has one.
 func (pr *pendingRequest) findRoute(t *routetable.Table) bool {
--- a/internal/gateway/workspace_test.go
+++ b/internal/gateway/workspace_test.go
@@ -289,6 +289,34 @@
 	}
 }
 
+// TestUnknownRouteOnStaleCopy guards against a host that answers 404 for a route which was
+// added while it had no contact with the store, and against one that no longer serves known
+// routes then.
+func TestUnknownRouteOnStaleCopy(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		age     time.Duration
+		unknown int
+	}{
+		{"at the bound", defaultChangeDeadline, 404},
+		{"above the bound", defaultChangeDeadline + time.Millisecond, 503},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			s := startBackend(t, answerOK)
+			f := startGatewayWith(t, func(f *fixture) { f.g.cfg.Age = func() time.Duration { return c.age } }, s)
+			status, _, header := f.sendWith(t, "POST", "/nowhere", "x")
+			g.Expect(status).To(Equal(c.unknown))
+			if c.unknown == 503 {
+				g.Expect(header.Get("Retry-After")).To(Equal("1.000"))
+			}
+			g.Expect(s.runs.Load()).To(BeZero())
+			status, _, _ = f.sendWith(t, "GET", "/get/a", "")
+			g.Expect(status).To(Equal(200))
+		})
+	}
+}
+
 // TestKeyArrivesDuringCheck guards against a key that is rejected because the configuration
 // that adds it took effect between the lookup and the check of the copy's age.
 func TestKeyArrivesDuringCheck(t *testing.T) {
