mirror: read the store when the copy is old and a source fails

The host asked three others in turn for the store's changes; the first was cut off from the store, the second had no newer copy, the third was frozen. It took 3.2 s, and changes must take effect within 2.5 s.

Change: once the copy of a host is too old for others to accept it and a source has failed, the host reads the store itself, if its next call is due, before it asks further hosts.

Result: TestOldCopyReadsStore asked 3 silent hosts before and asks 1.

--- a/internal/mirror/sync.go
+++ b/internal/mirror/sync.go
@@ -232,6 +232,10 @@
 		if time.Now().Before(s.suspects[src.Name]) {
 			continue
 		}
+		if tried > 0 && !triedStore && s.copyTooOld() && !time.Now().Before(s.retryAt) {
+			// Each further peer may be silent for peerTimeout, and changes are due.
+			break
+		}
 		tried++
 		err := s.fetchPeer(ctx, src)
 		if err == nil {
@@ -261,6 +265,13 @@
 	return storeRetryDelay
 }
 
+// copyTooOld reports whether other hosts would not accept the copy of this host.
+func (s *Syncer) copyTooOld() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.confirmed.IsZero() && time.Since(s.confirmed) > s.timing.MaxAge
+}
+
 // pauseAfterRead returns the pause after a read of the store by the host that reads it
 // for a region.
 func pauseAfterRead(hosts int) time.Duration {
