review: case 6, pipelined request lost in a shutdown

Cause: an answer that refuses a request during a shutdown ends its connection while a later request of the connection runs at a backend server.

--- /dev/null
+++ b/review/standin-2/backend.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// run is one request that a backend began to work on.
+type run struct {
+	id, backend string
+	// arrived is when the request was read, began and ended are those of the work.
+	arrived, began, ended time.Duration
+	done                  bool // the work was completed
+}
+
+// backend is a stand-in for a backend server. It runs up to slots requests at once, queues
+// queueLength more, and drops a request when its connection closes.
+type backend struct {
+	rec               *record
+	id, service, zone string
+	slots             int
+	work              time.Duration
+	born              int64
+	listener          net.Listener
+	places            chan struct{} // one for each running or queued request
+	running           chan struct{}
+	mu                sync.Mutex
+	conns             map[net.Conn]bool
+	runs              map[string]*run
+	closed            bool
+	beatStop          chan struct{}
+	seq               uint64
+}
+
+const queueLength = 12
+
+func newBackend(rec *record, id, service, zone, address string, slots int, work time.Duration) (*backend, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{
+		rec: rec, id: id, service: service, zone: zone, slots: slots, work: work, born: time.Now().UnixMilli(), listener: l,
+		places: make(chan struct{}, slots+queueLength), running: make(chan struct{}, slots),
+		conns: map[net.Conn]bool{}, runs: map[string]*run{}, beatStop: make(chan struct{}),
+	}
+	go b.accept()
+	return b, nil
+}
+
+func (b *backend) accept() {
+	for {
+		c, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		if b.closed {
+			b.mu.Unlock()
+			_ = c.Close()
+			continue
+		}
+		b.conns[c] = true
+		b.mu.Unlock()
+		go b.serve(c)
+	}
+}
+
+// heartbeat is the time between two reports of a backend to the store.
+const heartbeat = 1500 * time.Millisecond
+
+// report writes the backend's entry into the store every heartbeat until stopReports.
+func (b *backend) report(s *store) {
+	for {
+		b.seq++
+		s.put("servers/"+b.id, map[string]any{
+			"address": b.listener.Addr().String(), "born": b.born,
+			"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": b.slots},
+			"status": map[string]any{"state": "ready", "seq": b.seq, "cold_remaining": "0ms"},
+		})
+		select {
+		case <-time.After(heartbeat):
+		case <-b.beatStop:
+			return
+		}
+	}
+}
+
+func (b *backend) stopReports() { close(b.beatStop) }
+
+// exit ends the backend like the end of its process.
+func (b *backend) exit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	_ = b.listener.Close()
+	for c := range b.conns {
+		_ = c.Close()
+	}
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer func() {
+		b.mu.Lock()
+		delete(b.conns, c)
+		b.mu.Unlock()
+		_ = c.Close()
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		peeked := make(chan struct{})
+		go func() {
+			defer close(peeked)
+			if _, err := br.Peek(1); err != nil {
+				cancel()
+			}
+		}()
+		status, header, body := b.handle(ctx, r)
+		if status == 0 {
+			cancel()
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sGalenabeam-Request-Id: %s\r\nGalenabeam-Instance-Id: %s\r\nGalenabeam-Backend-Load: %d,%d,%d\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s",
+			status, http.StatusText(status), header, r.Header.Get("Galenabeam-Request-Id"), b.id, len(b.running), max(len(b.places)-len(b.running), 0), b.slots, len(body), body)
+		<-peeked
+		cancel()
+	}
+}
+
+const notExecuted = "Galenabeam-Not-Executed: 1\r\n"
+
+// handle runs a request and returns its answer, status 0 if its connection has closed.
+func (b *backend) handle(ctx context.Context, r *http.Request) (status int, header, body string) {
+	arrived := b.rec.now()
+	id := r.Header.Get("Galenabeam-Request-Id")
+	if want := r.Header.Get("Galenabeam-Expect-Instance"); want != "" && want != b.id {
+		return http.StatusMisdirectedRequest, "", ""
+	}
+	if r.URL.Path == "/health" {
+		return http.StatusOK, "", ""
+	}
+	if id == "" {
+		return http.StatusBadRequest, notExecuted, ""
+	}
+	limit := 10 * time.Second
+	if ms, err := strconv.Atoi(r.Header.Get("Galenabeam-Deadline-Ms")); err == nil {
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	select {
+	case b.places <- struct{}{}:
+		defer func() { <-b.places }()
+	default:
+		return http.StatusServiceUnavailable, notExecuted, ""
+	}
+	select {
+	case b.running <- struct{}{}:
+		defer func() { <-b.running }()
+	case <-ctx.Done():
+		if ctx.Err() == context.DeadlineExceeded {
+			return http.StatusServiceUnavailable, notExecuted, ""
+		}
+		return 0, "", ""
+	}
+	u := &run{id: id, backend: b.id, arrived: arrived, began: b.rec.now()}
+	b.mu.Lock()
+	b.runs[id] = u
+	b.mu.Unlock()
+	b.rec.add("server %s runs %s (%s %s)", b.id, id, r.Method, r.URL.Path)
+	select {
+	case <-time.After(b.work):
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	u.ended, u.done = b.rec.now(), ctx.Err() == nil
+	b.mu.Unlock()
+	switch ctx.Err() {
+	case nil:
+		b.rec.add("server %s has run %s", b.id, id)
+		return http.StatusOK, "Galenabeam-Backend-Signature: " + b.id + "." + id + "\r\n", "result of " + id + "\n"
+	case context.DeadlineExceeded:
+		b.rec.add("server %s stops %s at its deadline", b.id, id)
+		return http.StatusGatewayTimeout, "Galenabeam-Backend-Signature: " + b.id + "." + id + "\r\n", ""
+	}
+	b.rec.add("server %s stops %s: its connection was closed", b.id, id)
+	return 0, "", ""
+}
+
+// runOf returns a copy of the run of a request, nil if there is none.
+func (b *backend) runOf(id string) *run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.runs[id]; u != nil {
+		c := *u
+		return &c
+	}
+	return nil
+}
