review: case 8, stale limits on idle connections

Cause: a connection of a caller takes the limits of the configuration before it waits for a request, so that a request after a change is checked against the earlier version.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -36,6 +36,11 @@
 
 // configuration returns the JSON of a configuration.
 func configuration(version int, routes []route, services ...string) map[string]any {
+	return limitedConfiguration(version, 64<<20, routes, services...)
+}
+
+// limitedConfiguration is configuration with a limit of request bodies in bytes.
+func limitedConfiguration(version, maxBody int, routes []route, services ...string) map[string]any {
 	var rules, clusters []any
 	for _, r := range routes {
 		rules = append(rules, map[string]any{
@@ -51,7 +56,7 @@
 	}
 	return map[string]any{
 		"version":   fmt.Sprintf("r%d", version),
-		"limits":    map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
+		"limits":    map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBody, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"listeners": []any{map[string]any{"hostname": hostName, "rules": rules}}, "clusters": clusters,
 	}
 }
@@ -125,6 +130,7 @@
 	"cut-watch":          runCutWatch,
 	"slow-reader":        runSlowReader,
 	"unread-answer":      runUnreadAnswer,
+	"stale-limits":       runStaleLimits,
 }
 
 func main() {
