--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -32,17 +32,20 @@
 	// exportBytes is the size of the answers to paths under /export/, which have no length
 	// and end with their connection; 0 if there are none.
 	exportBytes int
-	born        int64
-	listener    net.Listener
-	places      chan struct{} // one for each running or queued request
-	running     chan struct{}
-	mu          sync.Mutex
-	conns       map[net.Conn]bool
-	runs        map[string]*run
-	closed      bool
-	loadSuffix  string // the fourth figure of the load, with its comma, "" if there is none
-	beatStop    chan struct{}
-	seq         uint64
+	// exportTime is the time over which an export is sent evenly, with its length; 0 sends it
+	// at once, without a length.
+	exportTime time.Duration
+	born       int64
+	listener   net.Listener
+	places     chan struct{} // one for each running or queued request
+	running    chan struct{}
+	mu         sync.Mutex
+	conns      map[net.Conn]bool
+	runs       map[string]*run
+	closed     bool
+	loadSuffix string // the fourth figure of the load, with its comma, "" if there is none
+	beatStop   chan struct{}
+	seq        uint64
 }
 
 const queueLength = 12
@@ -157,6 +160,10 @@
 // answer is not read for unreadLimit.
 func (b *backend) export(c net.Conn, r *http.Request, header string) {
 	id := r.Header.Get("Galenabeam-Request-Id")
+	if b.exportTime > 0 {
+		b.exportSlowly(c, id, header)
+		return
+	}
 	text := "HTTP/1.1 200 OK\r\n" + header + "Galenabeam-Request-Id: " + id + "\r\nConnection: close\r\n\r\n" + exportBody(id, b.exportBytes)
 	for len(text) > 0 {
 		n := min(len(text), 64<<10)
@@ -173,6 +180,25 @@
 	b.mu.Unlock()
 }
 
+// exportSlowly sends a whole answer evenly over exportTime and closes the connection.
+func (b *backend) exportSlowly(c net.Conn, id, header string) {
+	const parts = 50
+	body := exportBody(id, b.exportBytes)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sGalenabeam-Request-Id: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", header, id, len(body))
+	if _, err := io.WriteString(c, head); err != nil {
+		return
+	}
+	start := time.Now()
+	for n := range parts {
+		time.Sleep(time.Until(start.Add(b.exportTime * time.Duration(n+1) / parts)))
+		if _, err := io.WriteString(c, body[len(body)*n/parts:len(body)*(n+1)/parts]); err != nil {
+			b.rec.add("server %s cannot send the rest of the answer to %s after %d of %d parts: %v", b.id, id, n, parts, err)
+			return
+		}
+	}
+	b.rec.add("server %s has sent the whole answer to %s", b.id, id)
+}
+
 // unreadLimit is the time after which a backend cuts off an answer that is not read.
 const unreadLimit = 5 * time.Second
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -131,6 +131,7 @@
 	"slow-reader":        runSlowReader,
 	"unread-answer":      runUnreadAnswer,
 	"stale-limits":       runStaleLimits,
+	"long-answer":        runLongAnswer,
 }
 
 func main() {
