review: cases 6 and 7, wrong services run requests

Cause: an entry of a backend server without its start counts as complete; the path of a request is taken from net/url, which decodes an encoded slash beside some characters. Added: review/6 and review/7 with scripts.

--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -248,7 +248,7 @@
 	b.mu.Lock()
 	b.runs[id] = u
 	b.mu.Unlock()
-	b.rec.add("server %s runs %s (%s %s)", b.id, id, r.Method, r.URL.Path)
+	b.rec.add("server %s runs %s (%s %s)", b.id, id, r.Method, r.RequestURI)
 	select {
 	case <-time.After(b.work):
 	case <-ctx.Done():
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -132,6 +132,8 @@
 	"unread-answer":      runUnreadAnswer,
 	"stale-limits":       runStaleLimits,
 	"long-answer":        runLongAnswer,
+	"odd-born":           runOddBorn,
+	"encoded-path":       runEncodedPath,
 }
 
 func main() {
