--- a/review/standin-2/oddborn.go
+++ b/review/standin-2/oddborn.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
 	"os"
 	"sync"
@@ -10,7 +12,7 @@
 // runOddBorn: another writer leaves one entry under the id of a backend of talnabrunnur. It has
 // all fields but `born`, and names the service yfirlysingar. With ODD=null, `born` is null; with
 // ODD=spelling, it is there, but the field `address` is missing and another one is named
-// `Address`. The next report of the backend replaces the entry.
+// `Address`; with ODD=bytes, all fields are there, but one has a byte that isn't UTF-8. The next report of the backend replaces the entry.
 func runOddBorn(rec *record, root, dir string, trouble bool) (bool, error) {
 	const deadline = 4 * time.Second
 	routes := []route{
@@ -71,7 +73,17 @@
 			entry["born"], entry["Address"] = b.born, entry["address"]
 			delete(entry, "address")
 		}
-		d.store.put("servers/"+b.id, entry)
+		if os.Getenv("ODD") == "bytes" {
+			entry["born"] = b.born
+		}
+		raw, err := json.Marshal(entry)
+		if err != nil {
+			return false, err
+		}
+		if os.Getenv("ODD") == "bytes" {
+			raw = bytes.Replace(raw, []byte(`"v1"`), []byte("\"v\xff\""), 1)
+		}
+		d.store.putBytes("servers/"+b.id, raw)
 		rec.say("another writer leaves an odd entry under servers/%s at %.3f s", b.id, rec.now().Seconds())
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -70,6 +70,11 @@
 	if err != nil {
 		panic(err)
 	}
+	s.putBytes(key, raw)
+}
+
+// putBytes is put for a value that may be no JSON.
+func (s *store) putBytes(key string, raw []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.write([]storeItem{{Key: key, Value: raw}}, nil)
