gateway: log requests that the host cuts with their connection

A request that was cut because an earlier answer had ended its connection was logged as "caller_left", although its caller still waited. The outcome is now "connection_ended".

TestDeadlineBeforeToken checks the outcome.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -14,7 +14,7 @@
 // writeAnswers writes the answers of a connection in the order of its requests. When
 // the connection ends, it cancels the requests in progress. After a complete answer, it
 // closes only the sending side; see linger.
-func (c *frontConn) writeAnswers(cancel context.CancelFunc) {
+func (c *frontConn) writeAnswers(cancel context.CancelCauseFunc) {
 	bw := bufio.NewWriterSize(c.nc, writeBuffer)
 	connEnded := false
 	for ex := range c.queue {
@@ -37,7 +37,7 @@
 		close(ex.written)
 		if ended && !connEnded {
 			connEnded = true
-			cancel()
+			cancel(errConnEnded)
 			if !complete {
 				_ = c.nc.Close()
 			}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -392,7 +392,7 @@
 // answerRefused answers a request that was refused before the first attempt.
 func (g *Gateway) answerRefused(ctx context.Context, pr *pendingRequest, dec decision) (*Answer, string) {
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &Answer{Abort: true}, "caller_left"
+		return answerAbandoned(ctx)
 	}
 	pr.attemptRecords = append(pr.attemptRecords, attemptRecord{DecidedBy: dec.decidedBy, Load: dec.Load, Busy: dec.Busy, Wait: toMillis(dec.Wait), Service: toMillis(dec.Service), Result: string(dec.Refused)})
 	if dec.Refused == dispatch.Late && g.endsBefore(pr.deadline) {
@@ -401,11 +401,20 @@
 	return refusal(dec.RetryAfter, string(dec.Refused)), string(dec.Refused)
 }
 
+// answerAbandoned answers a request whose caller gets no answer, because it has
+// disconnected or an earlier answer has ended the connection.
+func answerAbandoned(ctx context.Context) (*Answer, string) {
+	if errors.Is(context.Cause(ctx), errConnEnded) {
+		return &Answer{Abort: true}, "connection_ended"
+	}
+	return &Answer{Abort: true}, "caller_left"
+}
+
 // answerExpired answers a request whose deadline has passed with 504, and ends the
-// connection if the caller has disconnected. The request may have run.
+// connection if the caller gets no answer. The request may have run.
 func (g *Gateway) answerExpired(ctx context.Context, pr *pendingRequest) (*Answer, string) {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &Answer{Abort: true}, "caller_left"
+		return answerAbandoned(ctx)
 	}
 	return failure(http.StatusGatewayTimeout, "no answer within the time of the request"), "timeout"
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -42,6 +42,13 @@
 	HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 }
 
+// Causes of the end of a request's context other than its deadline.
+var (
+	errCallerLeft = errors.New("caller has disconnected")
+	// errConnEnded: an earlier answer ended the connection.
+	errConnEnded = errors.New("connection ended with an earlier answer")
+)
+
 // Handler answers one request. It must return soon after ctx is done.
 type Handler interface {
 	Serve(ctx context.Context, r *Request) *Answer
@@ -256,7 +263,7 @@
 }
 
 func (c *frontConn) serve() {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -266,11 +273,11 @@
 	if c.hasUnanswered() {
 		// The caller has disconnected or closed its sending side, and is assumed not to
 		// wait for the answers.
-		cancel()
+		cancel(errCallerLeft)
 	}
 	close(c.queue)
 	<-written
-	cancel()
+	cancel(nil)
 	c.linger()
 	_ = c.nc.Close()
 	c.front.ConnLimit.Close(c)
--- a/internal/gateway/quota_attempts_test.go
+++ b/internal/gateway/quota_attempts_test.go
@@ -207,6 +207,11 @@
 			cancel()
 			return ctx, cancel
 		}},
+		{"an earlier answer has ended the connection", "connection_ended", true, func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancelCause(context.Background())
+			cancel(errConnEnded)
+			return ctx, func() { cancel(nil) }
+		}},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
