gateway: keep a connection until all its requests are answered

The refusal of a request that is expected to outlast the host demands the end of the connection. frontConn.closesAfter followed any such demand at once, and writeAnswers then cancelled all requests in progress; only an answer that the shutdown itself made the last one waited for them. The log shows the cut requests as "connection_ended" 401 ms after their start, when the refusals of outcome "shutdown" were written.

The demand is now kept with the connection, which ends with the answer behind which no request was read. A demand comes either with a refusal, behind which the stream of requests stays intact, or with a request behind which nothing is read, so waiting is always possible.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -12,8 +12,8 @@
 )
 
 // writeAnswers writes the answers of a connection in the order of its requests. When
-// the connection ends, it cancels the requests in progress. After a complete answer, it
-// closes only the sending side; see linger.
+// the connection ends with an incomplete answer, it cancels the requests in progress. After a
+// complete one, there are none, and it closes only the sending side; see linger.
 func (c *frontConn) writeAnswers(cancel context.CancelCauseFunc) {
 	bw := bufio.NewWriterSize(c.nc, writeBuffer)
 	connEnded := false
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -178,6 +178,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.setTable(t, change, set)
+}
+
+// setTable sets a new configuration: that of the fixture, changed by change if it is not nil,
+// with the workspaces, if set is not nil.
+func (f *fixture) setTable(t *testing.T, change func(routes []routetable.Route), set *workspace.Set) {
+	t.Helper()
 	routes := testRoutes()
 	if change != nil {
 		change(routes)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -148,6 +148,7 @@
 	mu         sync.Mutex
 	pending    int       // requests whose answers are not completed
 	reading    bool      // a request arrives
+	closing    bool      // an answer demanded the end of the connection
 	finished   bool      // no further request is accepted
 	lastAnswer time.Time // when the latest answer was completed
 
@@ -250,12 +251,14 @@
 }
 
 // closesAfter reports whether the connection ends with the next answer, and then lets
-// it accept no further request: the answer demands it, or the host is shutting down
-// and no other request was read.
+// it accept no further request: the answer or an earlier one demands it, or the host is
+// shutting down. The connection does not end while other requests that were read are
+// unanswered: backend servers may run them.
 func (c *frontConn) closesAfter(a *Answer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if a.Close || c.front.draining.Load() && c.pending == 1 {
+	c.closing = c.closing || a.Close
+	if c.pending == 1 && (c.closing || c.front.draining.Load()) {
 		c.finished = true
 		return true
 	}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -67,7 +67,8 @@
 	Done func(complete bool)
 	// Abort ends the connection without an answer.
 	Abort bool
-	// Close ends the connection after the answer.
+	// Close ends the connection after the answer, or after those to requests that were read
+	// behind it. Front sets it to whether the connection ends with this answer.
 	Close bool
 	// SkipBody is set if nothing has read Request.Rest or will, so that a short one is
 	// dropped and the connection kept.
