gateway: apply the limits in force when a request arrives

readRequests took the limits before it waited for the first byte of the next request and checked the request with them, up to idle_timeout later. The limit of the header and its time were stale in the same way, also on new and pipelined connections, and a raised idle_timeout did not hold for connections that were already idle.

The limits are now taken once the first byte is read; the read limit below the buffer counts what that read fetched. The end of the idle time is compared with the timeout then in force.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -200,10 +200,15 @@
 
 // setBodyLimit sets the configuration's limit of a request's body, in bytes.
 func (f *fixture) setBodyLimit(limit int64) {
+	f.setLimits(func(l *routetable.Limits) { l.BodyBytes = limit })
+}
+
+// setLimits sets a new configuration with other limits.
+func (f *fixture) setLimits(change func(l *routetable.Limits)) {
 	s := f.g.Snapshot()
 	table := *s.Table
 	table.Version++
-	table.Limits.BodyBytes = limit
+	change(&table.Limits)
 	f.g.SetSnapshot(s.WithTable(&table))
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -91,7 +91,7 @@
 			}
 			return err
 		}
-		fc := &frontConn{front: f, nc: c, headerLimit: &io.LimitedReader{R: c}, queue: make(chan *exchange, maxPipelined)}
+		fc := &frontConn{front: f, nc: c, headerLimit: &io.LimitedReader{R: c}, queue: make(chan *exchange, maxPipelined), idleSince: time.Now()}
 		fc.br = bufio.NewReaderSize(fc.headerLimit, readBuffer)
 		if !f.ConnLimit.Open(fc) {
 			// All connections have requests. The caller's is not read, so it may be sent
@@ -145,12 +145,12 @@
 	br          *bufio.Reader
 	queue       chan *exchange
 
-	mu         sync.Mutex
-	pending    int       // requests whose answers are not completed
-	reading    bool      // a request arrives
-	closing    bool      // an answer demanded the end of the connection
-	finished   bool      // no further request is accepted
-	lastAnswer time.Time // when the latest answer was completed
+	mu        sync.Mutex
+	pending   int       // requests whose answers are not completed
+	reading   bool      // a request arrives
+	closing   bool      // an answer demanded the end of the connection
+	finished  bool      // no further request is accepted
+	idleSince time.Time // when the connection was accepted or its latest answer completed
 
 	// lingerTimer closes the connection after lingerTime. It is nil until the sending side
 	// is closed.
@@ -200,7 +200,7 @@
 
 // expectRequest sets the read deadline for the first byte of the next request and
 // reports whether the connection accepts one.
-func (c *frontConn) expectRequest(limits routetable.Limits) bool {
+func (c *frontConn) expectRequest(idleTimeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.finished {
@@ -210,11 +210,11 @@
 	if c.pending == 0 {
 		c.front.ConnLimit.Idle(c)
 	}
-	idle := limits.IdleTimeout
-	if c.pending == 0 && !c.lastAnswer.IsZero() {
-		idle -= time.Since(c.lastAnswer)
+	left := idleTimeout
+	if c.pending == 0 {
+		left -= time.Since(c.idleSince)
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(max(idle, time.Millisecond)))
+	_ = c.nc.SetReadDeadline(time.Now().Add(max(left, time.Millisecond)))
 	return true
 }
 
@@ -238,7 +238,7 @@
 	defer c.mu.Unlock()
 	c.pending--
 	c.front.inFlight.Add(-1)
-	c.lastAnswer = time.Now()
+	c.idleSince = time.Now()
 	if endsConn {
 		c.finished = true
 	}
@@ -332,11 +332,12 @@
 // or the connection accepts no more.
 func (c *frontConn) readRequests(ctx context.Context) {
 	for {
-		limits := c.front.handler.Limits()
-		if !c.awaitRequest(limits) {
+		if !c.awaitRequest() {
 			return
 		}
-		ex, errorAnswer := c.readRequest(limits)
+		// The limits in force when the request arrives apply, however long the connection was
+		// idle before.
+		ex, errorAnswer := c.readRequest(c.front.handler.Limits())
 		if ex == nil && errorAnswer == nil {
 			return
 		}
@@ -377,11 +378,12 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the caller
-// disconnected, the idle timeout passed, or no more requests are accepted.
-func (c *frontConn) awaitRequest(limits routetable.Limits) bool {
+// disconnected, the idle timeout in force at that time passed, or no more requests are
+// accepted.
+func (c *frontConn) awaitRequest() bool {
 	for {
-		c.headerLimit.N = limits.HeaderBytes + readBuffer
-		if !c.expectRequest(limits) {
+		c.headerLimit.N = readBuffer // readRequest bounds the header
+		if !c.expectRequest(c.front.handler.Limits().IdleTimeout) {
 			return false
 		}
 		_, err := c.br.Peek(1)
@@ -392,14 +394,20 @@
 		if !errors.As(err, &ne) || !ne.Timeout() {
 			return false
 		}
-		c.mu.Lock()
-		expired := c.pending == 0 && (c.finished || c.lastAnswer.IsZero() || time.Since(c.lastAnswer) >= limits.IdleTimeout)
-		if expired {
-			c.finished = true
-		}
-		c.mu.Unlock()
-		if expired {
+		if c.expire(c.front.handler.Limits().IdleTimeout) {
 			return false
 		}
 	}
 }
+
+// expire lets the connection accept no further request if it has been idle for idleTimeout
+// or accepts none already, and reports whether it did.
+func (c *frontConn) expire(idleTimeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 || !c.finished && time.Since(c.idleSince) < idleTimeout {
+		return false
+	}
+	c.finished = true
+	return true
+}
--- a/internal/gateway/front_request.go
+++ b/internal/gateway/front_request.go
@@ -15,6 +15,7 @@
 // readRequest reads one request. It returns an answer instead if the request cannot
 // be served, and nil for both if the caller disconnected.
 func (c *frontConn) readRequest(limits routetable.Limits) (*exchange, *Answer) {
+	c.headerLimit.N = limits.HeaderBytes + readBuffer - int64(c.br.Buffered())
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	hr, err := http.ReadRequest(c.br)
 	if err != nil {
