edge: forward the path as sent

Both use requesttarget.Target. The client sends the path as it is, except one that begins with "//", which net/http would send as an absolute URL; such a path stays as it was.

edge.TestTargetAsSent and backend.TestTargetAsSent failed before.

--- a/internal/adapter/backend/client.go
+++ b/internal/adapter/backend/client.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/galenabeam/galenabeam/internal/httpapi"
 	"github.com/galenabeam/galenabeam/internal/outcome"
+	"github.com/galenabeam/galenabeam/internal/requesttarget"
 )
 
 // Limits of the connections to one backend server.
@@ -168,6 +170,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if path := requesttarget.Parse(r.Path).Path; !strings.HasPrefix(path, "//") {
+		// The path is sent as it is. net/http would send one that begins with "//" as an
+		// absolute URL.
+		req.URL.Opaque = path
+	}
 	if r.Header != nil {
 		req.Header = r.Header
 	}
--- a/internal/adapter/backend/client_test.go
+++ b/internal/adapter/backend/client_test.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// TestTargetAsSent guards against a request line that is not the path and query to send, byte
+// for byte.
+func TestTargetAsSent(t *testing.T) {
+	for _, target := range []string{"/work", "/a%2Fb|c?d|e", "/a%2Fb^{}\u00e9", "/a%2fb%7C?", "//a/../b?", "/?a"} {
+		g := NewWithT(t)
+		var got string
+		s := startScriptedServer(t, nil, func(_ *scriptedServer, c net.Conn, r *http.Request, _ int) bool {
+			got = r.RequestURI
+			return reply("HTTP/1.1 200 OK\nContent-Length: 0\n\n")(nil, c, r, 0)
+		})
+		r := post(s.l.Addr().String())
+		r.Path = target
+		client := NewClient()
+		client.Do(context.Background(), r)
+		client.Close()
+		g.Expect(got).To(Equal(target))
+	}
+}
+
 // TestDoNothingSent guards against the outcome "unknown" for a request of which
 // nothing was sent, and against a connection attempt that counts as an execution.
 func TestDoNothingSent(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/galenabeam/galenabeam/internal/ledger"
 	"github.com/galenabeam/galenabeam/internal/outcome"
 	"github.com/galenabeam/galenabeam/internal/peer"
+	"github.com/galenabeam/galenabeam/internal/requesttarget"
 	"github.com/galenabeam/galenabeam/internal/retry"
 	"github.com/galenabeam/galenabeam/internal/view"
 )
@@ -136,7 +137,7 @@
 	mux.HandleFunc("GET "+httpapi.PathLookup, e.serveLookup)
 	return http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 		setWriteDeadline(w, time.Now().Add(answerTimeout))
-		if strings.HasPrefix(in.URL.EscapedPath(), httpapi.PathRun) {
+		if strings.HasPrefix(requesttarget.Parse(in.RequestURI).Path, httpapi.PathRun) {
 			e.serveRun(w, in)
 			return
 		}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -16,6 +16,7 @@
 	"github.com/galenabeam/galenabeam/internal/httpapi"
 	"github.com/galenabeam/galenabeam/internal/ledger"
 	"github.com/galenabeam/galenabeam/internal/outcome"
+	"github.com/galenabeam/galenabeam/internal/requesttarget"
 	"github.com/galenabeam/galenabeam/internal/view"
 )
 
@@ -118,15 +119,13 @@
 		o := outcome.Refuse(outcome.ReasonNoConfig, e.cfg.LookupTTL)
 		return r, &o
 	}
-	name, path, _ := strings.Cut(strings.TrimPrefix(in.URL.EscapedPath(), httpapi.PathRun), "/")
+	target := requesttarget.Parse(in.RequestURI)
+	name, path, _ := strings.Cut(strings.TrimPrefix(target.Path, httpapi.PathRun), "/")
 	var ok bool
 	if r.service, ok = s.Service(name); !ok {
 		return refuse(outcome.ReasonNoService, "service "+quote(name)+" is not configured")
 	}
-	r.path = "/" + path
-	if in.URL.RawQuery != "" {
-		r.path += "?" + in.URL.RawQuery
-	}
+	r.path = "/" + path + target.Query
 	rank := in.Header.Get(httpapi.HeaderRank)
 	if r.rank, ok = s.Rank(rank); !ok {
 		return refuse(outcome.ReasonNoRank, "rank "+quote(rank)+" is not configured")
--- a/internal/edge/request_test.go
+++ b/internal/edge/request_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// TestTargetAsSent guards against a path that is encoded anew on its way to the backend
+// server because it holds a byte that should have been encoded.
+func TestTargetAsSent(t *testing.T) {
+	for _, target := range []string{"/a%2Fb|c?d|e", "/a%2Fb^{}\u00e9", "/a%2fb%7C?"} {
+		for _, form := range []string{"", "http://h"} {
+			g := NewWithT(t)
+			n := newTestEdge(t, 7)
+			var got string
+			n.backends.do = func(_ context.Context, r backend.Request, _ int) backend.Answer {
+				got = r.Path
+				return backend.Answer{Outcome: outcome.Success(), Response: newResponse("", 204)}
+			}
+			resp, conn, err := n.sendRaw("GET " + form + "/v1/run/tables" + target + " HTTP/1.1\r\nHost: h\r\nGalenabeam-Rank: lookup\r\n\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(conn.Close()).To(Succeed())
+			g.Expect(resp.StatusCode).To(Equal(204), "%s", target)
+			g.Expect(got).To(Equal(target))
+		}
+	}
+}
+
 // TestSlowSender guards against a caller that sends its body too slowly and
 // thereby holds a slot or a connection beyond its deadline, or makes a healthy
 // backend server count as failed.
