--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -200,10 +200,12 @@
 
 // oddEntries are entries that another writer leaves among those of the servers.
 var oddEntries = []string{
-	`{"address":"127.0.0.1:99999","info":{"service":"s","version":"v1","zone":"z0","slots":4},"status":{"state":"ready","seq":1,"cold_remaining":"0ms"}}`,
-	`{"address":"127.0.0.1:1","info":{"service":"s","version":"v1","zone":"z0","slots":9223372036854775807},"status":{"state":"ready","seq":1,"cold_remaining":"0ms"}}`,
-	`{"address":"127.0.0.1:1","info":{"service":"s","zone":"z0","slots":4},"status":{"state":"ready"}}`,
-	`{"address":"127.0.0.1:1","info":{"service":"s","version":"v1","zone":"z0","slots":4},"status":{"state":"ready","seq":1,"cold_remaining":"2562047h"}}`,
+	`{"address":"127.0.0.1:99999","born":1,"info":{"service":"s","version":"v1","zone":"z0","slots":4},"status":{"state":"ready","seq":1,"cold_remaining":"0ms"}}`,
+	`{"address":"127.0.0.1:1","born":1,"info":{"service":"s","version":"v1","zone":"z0","slots":9223372036854775807},"status":{"state":"ready","seq":1,"cold_remaining":"0ms"}}`,
+	`{"address":"127.0.0.1:1","born":1,"info":{"service":"s","zone":"z0","slots":4},"status":{"state":"ready"}}`,
+	`{"address":"127.0.0.1:1","born":1,"info":{"service":"s","version":"v1","zone":"z0","slots":4},"status":{"state":"ready","seq":1,"cold_remaining":"2562047h"}}`,
+	`{"address":"127.0.0.1:1","info":{"service":"s","version":"v1","zone":"z0","slots":4},"status":{"state":"ready","seq":1,"cold_remaining":"0ms"}}`,
+	`{"Address":"127.0.0.1:1","born":1,"info":{"service":"s","version":"v1","zone":"z0","slots":4},"status":{"state":"ready","seq":1,"cold_remaining":"0ms"}}`,
 	`{"info":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + `}`,
 	`17`,
 }
