soak: send requests behind unanswered ones

The callers of the soak waited for each answer, so that no run showed a request that is cut because an earlier one ends its connection.

One request in six that is not large is now followed by one to three idempotent ones at once; large ones may be cut, and with them what is behind them. Checks are unchanged and apply to each request.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -21,6 +21,8 @@
 	callerTimeout = 4 * time.Second
 	// requestPause is the time between an answer and the caller's next request.
 	requestPause = 25 * time.Millisecond
+	// maxPipelined bounds the requests that a caller sends behind another one.
+	maxPipelined = 3
 )
 
 // request is one request and what its caller observed.
@@ -126,20 +128,57 @@
 	}
 }
 
-// send sends and records one request. It reports whether the connection remains
-// usable.
+// send sends and records a request, at times with idempotent ones behind it before it is
+// answered. It reports whether the connection remains usable.
 func (c *caller) send(conn net.Conn, in *bufio.Reader, h *host, incarnation int) bool {
+	first, text := c.newRequest(h, incarnation, c.rng.Intn(5))
+	requests := []*request{first}
+	// Large answers and uploads may be cut, and with them the requests behind them.
+	if !first.large && !c.greedy && c.rng.Intn(6) == 0 {
+		for range 1 + c.rng.Intn(maxPipelined) {
+			r, more := c.newRequest(h, incarnation, idempotentKind)
+			if r.large {
+				break
+			}
+			requests, text = append(requests, r), text+more
+		}
+	}
+	defer func() {
+		for _, r := range requests {
+			if r.ended.IsZero() {
+				r.ended = time.Now()
+			}
+			c.requestLog.add(r)
+		}
+	}()
+	_ = conn.SetDeadline(first.sent.Add(callerTimeout))
+	if first.write(conn, text) != nil {
+		return false
+	}
+	for _, r := range requests {
+		if !c.receive(in, r) {
+			return false
+		}
+	}
+	return true
+}
+
+// idempotentKind is a kind of newRequest that is always idempotent.
+const idempotentKind = 1
+
+// newRequest returns a request of one of five kinds, and its text.
+func (c *caller) newRequest(h *host, incarnation, kind int) (*request, string) {
 	c.requestCount++
 	r := &request{id: fmt.Sprintf("%s-%d", c.name, c.requestCount), host: h, incarnation: incarnation, sent: time.Now()}
 	method, body := http.MethodGet, ""
-	switch c.rng.Intn(5) {
+	switch kind {
 	case 0:
 		if r.probeVersion = c.probeVersion(); r.probeVersion > 0 {
 			r.path, r.idempotent = fmt.Sprintf("/v%d/", r.probeVersion), true
 			break
 		}
 		fallthrough
-	case 1, 2:
+	case idempotentKind, 2:
 		r.path, r.idempotent = "/get/x", true
 	default:
 		method, r.path, body = http.MethodPost, "/post/x", fmt.Sprintf("body of %s", r.id)
@@ -149,13 +188,12 @@
 	if r.path == largePath || r.severed {
 		r.expected = brief(expectedAnswer(r.id, body) + largeFiller)
 	}
-	defer func() { r.ended = time.Now(); c.requestLog.add(r) }()
-	_ = conn.SetDeadline(r.sent.Add(callerTimeout))
-	err := r.write(conn, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Affinity-Key: %d\r\nGalenabeam-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		method, r.path, r.id, c.rng.Intn(20), callerTimeout.Milliseconds(), c.credentialLines(r), len(body), body))
-	if err != nil {
-		return false
-	}
+	return r, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Affinity-Key: %d\r\nGalenabeam-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, r.path, r.id, c.rng.Intn(20), callerTimeout.Milliseconds(), c.credentialLines(r), len(body), body)
+}
+
+// receive reads the answer to a request. It reports whether the connection remains usable.
+func (c *caller) receive(in *bufio.Reader, r *request) bool {
 	if c.readPause = 0; r.slow && !r.severed {
 		c.readPause = slowPause
 	}
@@ -169,6 +207,7 @@
 	if err != nil {
 		return false
 	}
+	r.ended = time.Now()
 	if r.status = resp.StatusCode; r.status == 0 {
 		r.status = noStatus
 	}
