review: case 11, a truncated answer after a freeze

Cause: checkEnd counts the time for which an answer that ends with its connection was left unread from the reading of its head. A freeze before that is not counted, so that an answer which the server cut off meanwhile passes for a whole one.

--- /dev/null
+++ b/review/standin-3/backend.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is a request that a backend server has got.
+type run struct {
+	id      string
+	at      time.Time
+	backend string
+}
+
+// backend is a stand-in for a backend server. It serves one request at a time on a connection.
+type backend struct {
+	id, service, zone string
+	slots             int
+	work              time.Duration
+	// queue bounds the requests that wait for a slot; further ones are rejected.
+	queue int
+	// answer writes the answer to a request that has run; nil writes a body of bodySize bytes
+	// with its length.
+	answer   func(c net.Conn, r *http.Request, id string)
+	bodySize int
+
+	listener net.Listener
+	slot     chan struct{}
+	waiting  atomic.Int32
+	mu       sync.Mutex
+	runs     []run
+	rejected int
+}
+
+// start listens on a free port of a loopback IP.
+func (b *backend) start(ip string) error {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return err
+	}
+	b.listener, b.slot = l, make(chan struct{}, b.slots)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return nil
+}
+
+// register writes the entry of the server to the store.
+func (b *backend) register(s *store, state string, cold time.Duration, born time.Time) {
+	s.write("servers/"+b.id, map[string]any{
+		"address": b.listener.Addr().String(), "born": born.UnixMilli(),
+		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": b.slots},
+		"status": map[string]any{"state": state, "seq": 1, "cold_remaining": fmt.Sprintf("%dms", cold.Milliseconds())},
+	})
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !b.handle(c, r) {
+			return
+		}
+	}
+}
+
+// handle answers one request and reports whether the connection stays open.
+func (b *backend) handle(c net.Conn, r *http.Request) bool {
+	id := r.Header.Get("Galenabeam-Request-Id")
+	if expected := r.Header.Get("Galenabeam-Expect-Instance"); expected != "" && expected != b.id {
+		return writeHead(c, 421, id, "Galenabeam-Instance-Id: "+b.id+"\r\nContent-Length: 0\r\n") == nil
+	}
+	b.mu.Lock()
+	b.runs = append(b.runs, run{id, time.Now(), b.id})
+	b.mu.Unlock()
+	if int(b.waiting.Add(1)) > b.slots+b.queue {
+		b.waiting.Add(-1)
+		b.mu.Lock()
+		b.rejected++
+		b.mu.Unlock()
+		return writeHead(c, 503, id, "Galenabeam-Not-Executed: 1\r\nContent-Length: 0\r\n") == nil
+	}
+	b.slot <- struct{}{}
+	time.Sleep(b.work)
+	load := fmt.Sprintf("Galenabeam-Backend-Load: %d,%d,%d\r\n", len(b.slot), max(int(b.waiting.Load())-len(b.slot), 0), b.slots)
+	<-b.slot
+	b.waiting.Add(-1)
+	if b.answer != nil {
+		b.answer(c, r, id)
+		return false
+	}
+	body := bodyOf(id, b.bodySize)
+	if writeHead(c, 200, id, load+fmt.Sprintf("Galenabeam-Backend-Signature: %s\r\nContent-Length: %d\r\n", signature(id), len(body))) != nil {
+		return false
+	}
+	_, err := c.Write(body)
+	return err == nil
+}
+
+func writeHead(c net.Conn, status int, id, lines string) error {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nGalenabeam-Request-Id: %s\r\n%s\r\n", status, http.StatusText(status), id, lines)
+	return err
+}
+
+// signature is what the server puts into Galenabeam-Backend-Signature.
+func signature(id string) string { return "sig." + id }
+
+// bodyOf returns the body of the answer to a request.
+func bodyOf(id string, size int) []byte {
+	return bytes.Repeat([]byte(id+"."), size/(len(id)+1)+1)[:size]
+}
+
+// taken returns the requests that the server got so far, and how many it rejected.
+func (b *backend) taken() ([]run, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]run(nil), b.runs...), b.rejected
+}
