--- a/review/standin-3/freeze.go
+++ b/review/standin-3/freeze.go
@@ -13,9 +13,9 @@
 	// freezeTime is the for_s of node_freeze in the site file.
 	freezeTime = 4 * time.Second
 	// unreadTime is the time without progress after which the server cuts off its answer.
-	unreadTime = 2500 * time.Millisecond
+	unreadTime = 3 * time.Second
 	// unframedBytes exceeds what the sockets of the server and the host hold.
-	unframedBytes = 400_000
+	unframedBytes = 300_000
 	// freezeRounds is the number of requests, each with a freeze of its own.
 	freezeRounds = 3
 )
@@ -27,7 +27,7 @@
 	b := &backend{id: "i-1", service: "huvo11a", zone: "sandgerdi", slots: 4, queue: 12}
 	b.answer = func(c net.Conn, _ *http.Request, id string) {
 		started <- id
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(400 * time.Millisecond)
 		written, whole := writeUnframed(c, id)
 		t.note("server: request %s: wrote %d of %d bytes of the body, whole: %v", id, written, unframedBytes, whole)
 	}
@@ -79,14 +79,14 @@
 // writeUnframed writes an answer that ends with its connection. It ends the connection early
 // if nothing was read for unreadTime.
 func writeUnframed(c net.Conn, id string) (int, bool) {
-	_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
+	_ = c.(*net.TCPConn).SetWriteBuffer(8 << 10)
 	if writeHead(c, 200, id, "Galenabeam-Backend-Signature: "+signature(id)+"\r\nConnection: close\r\n") != nil {
 		return 0, false
 	}
 	body, written := bodyOf(id, unframedBytes), 0
 	for written < len(body) {
 		_ = c.SetWriteDeadline(time.Now().Add(unreadTime))
-		n, err := c.Write(body[written:min(written+4096, len(body))])
+		n, err := c.Write(body[written:min(written+2048, len(body))])
 		written += n
 		if err != nil {
 			return written, false
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -77,15 +77,15 @@
 	if h.log, err = os.OpenFile(filepath.Join(p.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return err
 	}
-	h.cmd = exec.Command("target/galenabeamd", "-platform")
-	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.dir, "LANG=C", "GALENABEAM_BOOT=" + h.settings}
-	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
-	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := h.cmd.Start(); err != nil {
+	cmd := exec.Command("target/galenabeamd", "-platform")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.dir, "LANG=C", "GALENABEAM_BOOT=" + h.settings}
+	cmd.Stdout, cmd.Stderr = h.log, h.log
+	if err := cmd.Start(); err != nil {
 		return err
 	}
-	h.ended = make(chan struct{})
-	go func(cmd *exec.Cmd, ended chan struct{}) { _ = cmd.Wait(); close(ended) }(h.cmd, h.ended)
+	ended := make(chan struct{})
+	go func() { _ = cmd.Wait(); close(ended) }()
+	h.cmd, h.ended = cmd, ended
 	return nil
 }
 
