--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -32,6 +32,8 @@
 	bodySize int
 
 	listener net.Listener
+	// proxy is the address to register instead of that of listener, "" if there is none.
+	proxy    string
 	slot     chan struct{}
 	waiting  atomic.Int32
 	mu       sync.Mutex
@@ -60,8 +62,12 @@
 
 // register writes the entry of the server to the store.
 func (b *backend) register(s *store, state string, cold time.Duration, born time.Time) {
+	address := b.listener.Addr().String()
+	if b.proxy != "" {
+		address = b.proxy
+	}
 	s.write("servers/"+b.id, map[string]any{
-		"address": b.listener.Addr().String(), "born": born.UnixMilli(),
+		"address": address, "born": born.UnixMilli(),
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": b.slots},
 		"status": map[string]any{"state": state, "seq": 1, "cold_remaining": fmt.Sprintf("%dms", cold.Milliseconds())},
 	})
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -46,6 +46,7 @@
 // cases returns whether the rule was broken.
 var cases = map[string]func(*trial) (bool, error){
 	"freeze-unframed": freezeUnframed,
+	"cut-unframed":    cutUnframed,
 }
 
 func main() {
