--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -7,18 +7,10 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// run is a request that a backend server has got.
-type run struct {
-	id      string
-	at      time.Time
-	backend string
-}
-
 // backend is a stand-in for a backend server. It serves one request at a time on a connection.
 type backend struct {
 	id, service, zone string
@@ -33,12 +25,9 @@
 
 	listener net.Listener
 	// proxy is the address to register instead of that of listener, "" if there is none.
-	proxy    string
-	slot     chan struct{}
-	waiting  atomic.Int32
-	mu       sync.Mutex
-	runs     []run
-	rejected int
+	proxy   string
+	slot    chan struct{}
+	waiting atomic.Int32
 }
 
 // start listens on a free port of a loopback IP.
@@ -96,14 +85,8 @@
 	if expected := r.Header.Get("Galenabeam-Expect-Instance"); expected != "" && expected != b.id {
 		return writeHead(c, 421, id, "Galenabeam-Instance-Id: "+b.id+"\r\nContent-Length: 0\r\n") == nil
 	}
-	b.mu.Lock()
-	b.runs = append(b.runs, run{id, time.Now(), b.id})
-	b.mu.Unlock()
 	if int(b.waiting.Add(1)) > b.slots+b.queue {
 		b.waiting.Add(-1)
-		b.mu.Lock()
-		b.rejected++
-		b.mu.Unlock()
 		return writeHead(c, 503, id, "Galenabeam-Not-Executed: 1\r\nContent-Length: 0\r\n") == nil
 	}
 	b.slot <- struct{}{}
@@ -135,10 +118,3 @@
 func bodyOf(id string, size int) []byte {
 	return bytes.Repeat([]byte(id+"."), size/(len(id)+1)+1)[:size]
 }
-
-// taken returns the requests that the server got so far, and how many it rejected.
-func (b *backend) taken() ([]run, int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]run(nil), b.runs...), b.rejected
-}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -120,13 +120,6 @@
 	s.put(key, raw, 0)
 }
 
-// delete removes an item as the operator or a backend server does.
-func (s *store) delete(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remove(key)
-}
-
 // count returns the number of items with a prefix.
 func (s *store) count(prefix string) int {
 	s.mu.Lock()
