--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -15,13 +15,16 @@
 type backend struct {
 	id, service, zone string
 	slots             int
-	work              time.Duration
 	// queue bounds the requests that wait for a slot; further ones are rejected.
 	queue int
 	// answer writes the answer to a request that has run; nil writes a body of bodySize bytes
 	// with its length.
 	answer   func(c net.Conn, r *http.Request, id string)
 	bodySize int
+	// workOf returns the work of a request by its path; nil stands for none.
+	workOf func(path string) time.Duration
+	// answered is called with the id of a request once its answer was written; it may be nil.
+	answered func(id string)
 
 	listener net.Listener
 	// proxy is the address to register instead of that of listener, "" if there is none.
@@ -90,7 +93,9 @@
 		return writeHead(c, 503, id, "Galenabeam-Not-Executed: 1\r\nContent-Length: 0\r\n") == nil
 	}
 	b.slot <- struct{}{}
-	time.Sleep(b.work)
+	if b.workOf != nil {
+		time.Sleep(b.workOf(r.URL.Path))
+	}
 	load := fmt.Sprintf("Galenabeam-Backend-Load: %d,%d,%d\r\n", len(b.slot), max(int(b.waiting.Load())-len(b.slot), 0), b.slots)
 	<-b.slot
 	b.waiting.Add(-1)
@@ -103,6 +108,9 @@
 		return false
 	}
 	_, err := c.Write(body)
+	if err == nil && b.answered != nil {
+		b.answered(id)
+	}
 	return err == nil
 }
 
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -47,6 +47,7 @@
 var cases = map[string]func(*trial) (bool, error){
 	"freeze-unframed": freezeUnframed,
 	"cut-unframed":    cutUnframed,
+	"answer-behind":   answerBehindLong,
 }
 
 func main() {
