--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/11 and following start.
+# Builds the program that the scripts of the cases 11 to 13 start. It needs no network.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -o target/review-3/ ./review/standin-3
+cd "$(dirname "$0")/standin-3"
+go build -o ../../target/review-cases-3 .
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -1,4 +1,4 @@
-// Command standin-3 runs the cases of the third review. It starts entry hosts with the command
+// Command review-cases-3 runs the cases of the third review. It starts entry hosts with the command
 // of the deploy file, and stand-ins for the platform's store, backend servers and clients, all
 // on loopback addresses. It exits with 1 if the rule was broken, 0 if it held, and 2 if the
 // case could not run. With TROUBLE=0 in the environment it leaves out the disruption.
@@ -7,9 +7,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -20,6 +22,9 @@
 	exitFailed = 2
 )
 
+// maxTime bounds the run of a case.
+const maxTime = 100 * time.Second
+
 // record is the file record.txt of a case.
 type record struct {
 	mu      sync.Mutex
@@ -52,7 +57,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-cases-3 CASE FOLDER")
 		os.Exit(exitFailed)
 	}
 	os.Exit(execute(os.Args[1], os.Args[2]))
@@ -71,6 +76,15 @@
 		t.note("could not run: %v", err)
 		return exitFailed
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	time.AfterFunc(maxTime, func() { signals <- syscall.SIGTERM })
+	go func() {
+		<-signals
+		t.note("could not run: interrupted")
+		t.stop()
+		os.Exit(exitFailed)
+	}()
 	broken, err := cases[name](t)
 	t.stop()
 	switch {
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -198,6 +198,9 @@
 // stop ends all processes and removes the temporary folder.
 func (p *platform) stop() {
 	for _, h := range p.hosts {
+		if h.cmd == nil {
+			continue // it could not be started
+		}
 		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
 		<-h.ended
@@ -207,9 +210,7 @@
 		_ = b.listener.Close()
 	}
 	_ = p.store.server.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(p.dir)
-	}
+	_ = os.RemoveAll(p.dir)
 }
 
 // route is a rule of the configuration.
