gateway, platform: answer requests that outlast a shutdown

Callers sent a long and a short idempotent request on one connection to a host that shut down.

Cause: answers are written in the order of the requests, and nothing ended a request that still ran when the host ended, so that the answers behind it were lost with it. The host's log shows "request answered" for the short requests 3.1 s after "shutting down".

They are answered with 504, or with 503 while they wait for a token, and start no further attempt.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -61,7 +61,11 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return attempts.expire(ctx)
+			attempts.recordRunning()
+			return g.answerExpired(ctx, pr)
+		case <-pr.request.ending():
+			attempts.recordRunning()
+			return answerEnded()
 		case <-hedge.C:
 			second, ok := g.hedge(ctx, pr, budget, lateHedge)
 			if ok {
@@ -102,6 +106,9 @@
 		a.end()
 		return s.g.answerExpired(ctx, s.pr)
 	}
+	if s.pr.request.isEnding() {
+		return s.g.answerFailed(s.pr, a, s.anyMayHaveRun, decision{})
+	}
 	kind := freshAttempt
 	if s.anyMayHaveRun {
 		kind = retryAttempt
@@ -115,12 +122,11 @@
 	return nil, ""
 }
 
-// expire answers the request while attempts are in progress, and records them.
-func (s *attemptSet) expire(ctx context.Context) (*Answer, string) {
+// recordRunning records the attempts that are in progress when the request is answered.
+func (s *attemptSet) recordRunning() {
 	for _, a := range s.active {
 		s.g.recordAttempt(s.pr, a, "running")
 	}
-	return s.g.answerExpired(ctx, s.pr)
 }
 
 // abandon cancels the attempts that are in progress.
@@ -419,6 +425,12 @@
 	return failure(http.StatusGatewayTimeout, "no answer within the time of the request"), "timeout"
 }
 
+// answerEnded answers a request that runs when the host ends with 504, and returns its
+// outcome. The request may have run.
+func answerEnded() (*Answer, string) {
+	return failure(http.StatusGatewayTimeout, "host has shut down before the answer arrived"), "host_ended"
+}
+
 // answerFailed answers a request after its last attempt failed: with the error
 // answer of that attempt, if there is one; with 413, if the body is too large, or the end
 // of the connection, if it broke off; with 502, if an attempt may have run it; with 401, if
--- a/internal/gateway/connlimit_test.go
+++ b/internal/gateway/connlimit_test.go
@@ -125,7 +125,7 @@
 			g := NewWithT(t)
 			near, far := net.Pipe()
 			defer func() { _, _ = near.Close(), far.Close() }()
-			conn := &frontConn{front: NewFront(nil), nc: near, pending: c.pending, reading: c.reading}
+			conn := &frontConn{front: NewFront(nil), nc: near, open: make([]*exchange, c.pending), reading: c.reading}
 			g.Expect(conn.CloseIdle()).To(Equal(c.want))
 			g.Expect(conn.finished).To(Equal(c.want), "accepts no further request")
 		})
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,8 @@
 	errConnEnded = errors.New("connection ended with an earlier answer")
 )
 
-// Handler answers one request. It must return soon after ctx is done.
+// Handler answers one request. It must return soon after ctx or r.Ending is done, in the
+// second case with an answer.
 type Handler interface {
 	Serve(ctx context.Context, r *Request) *Answer
 	// NeedsBody reports whether the body of a request, which has not been read, is
@@ -121,6 +123,36 @@
 	}
 }
 
+// ReleaseAnswers ends the running requests that hold back an answer: one to a later request
+// of their connection is ready. Call it repeatedly while a shutdown nears its end. It returns
+// the number of requests that it ended.
+func (f *Front) ReleaseAnswers() int { return f.endRequests((*frontConn).countHolding) }
+
+// EndRequests ends all running requests, so that their callers get an answer while the host
+// can still send one. It returns the number of requests that it ended.
+func (f *Front) EndRequests() int {
+	return f.endRequests(func(c *frontConn) int { return len(c.open) })
+}
+
+// endRequests ends the running ones of the first open requests of each connection, as many as
+// count returns, which is called with the connection's lock held.
+func (f *Front) endRequests(count func(*frontConn) int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ended := 0
+	for c := range f.conns {
+		c.mu.Lock()
+		for _, ex := range c.open[:count(c)] {
+			if !ex.answered() && !ex.request.isEnding() {
+				ex.end()
+				ended++
+			}
+		}
+		c.mu.Unlock()
+	}
+	return ended
+}
+
 // InFlight returns the number of requests that were read, completely or up to 1 MiB of
 // their bodies, and whose answers are not written yet.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
@@ -130,10 +162,25 @@
 
 // exchange is a request and its answer.
 type exchange struct {
-	request *Request
+	request *Request // nil if it could not be read completely
 	answer  *Answer
-	done    chan struct{} // closed when answer is set
-	written chan struct{} // closed when the answer is written or dropped
+	end     context.CancelFunc // of request.Ending
+	done    chan struct{}      // closed when answer is set
+	written chan struct{}      // closed when the answer is written or dropped
+}
+
+func newExchange() *exchange {
+	return &exchange{done: make(chan struct{}), written: make(chan struct{})}
+}
+
+// answered reports whether the answer is known.
+func (ex *exchange) answered() bool {
+	select {
+	case <-ex.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // frontConn is a connection of a caller. One goroutine reads requests, another
@@ -146,11 +193,11 @@
 	queue       chan *exchange
 
 	mu        sync.Mutex
-	pending   int       // requests whose answers are not completed
-	reading   bool      // a request arrives
-	closing   bool      // an answer demanded the end of the connection
-	finished  bool      // no further request is accepted
-	idleSince time.Time // when the connection was accepted or its latest answer completed
+	open      []*exchange // in the order of the requests; the answers are not completed
+	reading   bool        // a request arrives
+	closing   bool        // an answer demanded the end of the connection
+	finished  bool        // no further request is accepted
+	idleSince time.Time   // when the connection was accepted or its latest answer completed
 
 	// lingerTimer closes the connection after lingerTime. It is nil until the sending side
 	// is closed.
@@ -168,7 +215,7 @@
 
 // closeIfIdleLocked is closeIfIdle for callers that hold c.mu.
 func (c *frontConn) closeIfIdleLocked() {
-	if c.pending == 0 && c.lingerTimer == nil {
+	if len(c.open) == 0 && c.lingerTimer == nil {
 		c.finished = true
 		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -178,7 +225,7 @@
 func (c *frontConn) CloseIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 || c.reading {
+	if len(c.open) > 0 || c.reading {
 		return false
 	}
 	c.closeIfIdleLocked()
@@ -198,6 +245,17 @@
 	return true
 }
 
+// countHolding returns the number of open requests before the last one with an answer to
+// write, 0 if there is none. The caller holds c.mu.
+func (c *frontConn) countHolding() int {
+	for i, ex := range slices.Backward(c.open) {
+		if ex.answered() && !ex.answer.Abort {
+			return i
+		}
+	}
+	return 0
+}
+
 // expectRequest sets the read deadline for the first byte of the next request and
 // reports whether the connection accepts one.
 func (c *frontConn) expectRequest(idleTimeout time.Duration) bool {
@@ -207,42 +265,42 @@
 		return false
 	}
 	c.reading = false
-	if c.pending == 0 {
+	if len(c.open) == 0 {
 		c.front.ConnLimit.Idle(c)
 	}
 	left := idleTimeout
-	if c.pending == 0 {
+	if len(c.open) == 0 {
 		left -= time.Since(c.idleSince)
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(max(left, time.Millisecond)))
 	return true
 }
 
-// admit counts a request that was read, unless the connection accepts no further
-// request, and reports whether it did.
-func (c *frontConn) admit() bool {
+// admit adds a request that was read to the open ones, unless the connection accepts no
+// further request, and reports whether it did.
+func (c *frontConn) admit(ex *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.finished {
 		return false
 	}
-	c.pending++
+	c.open = append(c.open, ex)
 	c.front.inFlight.Add(1)
 	return true
 }
 
-// completeAnswer counts an answer as written or dropped. endsConn is true if the
-// connection ends with it.
+// completeAnswer removes the first open request, whose answer was written or dropped.
+// endsConn is true if the connection ends with it.
 func (c *frontConn) completeAnswer(endsConn bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending--
+	c.open = slices.Delete(c.open, 0, 1)
 	c.front.inFlight.Add(-1)
 	c.idleSince = time.Now()
 	if endsConn {
 		c.finished = true
 	}
-	if c.pending == 0 && !c.reading && !c.finished {
+	if len(c.open) == 0 && !c.reading && !c.finished {
 		c.front.ConnLimit.Idle(c)
 	}
 	if c.front.closingIdle.Load() {
@@ -258,7 +316,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = c.closing || a.Close
-	if c.pending == 1 && (c.closing || c.front.draining.Load()) {
+	if len(c.open) == 1 && (c.closing || c.front.draining.Load()) {
 		c.finished = true
 		return true
 	}
@@ -325,7 +383,7 @@
 func (c *frontConn) hasUnanswered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending > 0 && !c.finished
+	return len(c.open) > 0 && !c.finished
 }
 
 // readRequests reads requests and starts serving them until the caller disconnects
@@ -342,10 +400,11 @@
 			return
 		}
 		if errorAnswer != nil {
-			ex = &exchange{answer: errorAnswer, done: make(chan struct{}), written: make(chan struct{})}
+			ex = newExchange()
+			ex.answer = errorAnswer
 			close(ex.done)
 		}
-		if !c.admit() {
+		if !c.admit(ex) {
 			return
 		}
 		if errorAnswer == nil {
@@ -405,7 +464,7 @@
 func (c *frontConn) expire(idleTimeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 || !c.finished && time.Since(c.idleSince) < idleTimeout {
+	if len(c.open) > 0 || !c.finished && time.Since(c.idleSince) < idleTimeout {
 		return false
 	}
 	c.finished = true
--- a/internal/gateway/front_request.go
+++ b/internal/gateway/front_request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -35,7 +36,10 @@
 	} else if errorAnswer, ok := c.readBody(r, limits); !ok || errorAnswer != nil {
 		return nil, errorAnswer
 	}
-	return &exchange{request: r, done: make(chan struct{}), written: make(chan struct{})}, nil
+	ex := newExchange()
+	ex.request = r
+	r.Ending, ex.end = context.WithCancel(context.Background())
+	return ex, nil
 }
 
 // closeAfter makes the connection end with the answer a.
@@ -115,9 +119,9 @@
 func (c *frontConn) sendContinue() {
 	for {
 		c.mu.Lock()
-		pending := c.pending
+		open := len(c.open)
 		c.mu.Unlock()
-		if pending == 0 {
+		if open == 0 {
 			break
 		}
 		time.Sleep(time.Millisecond)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -55,10 +56,35 @@
 	Length int64
 	// Received is the time at which the header was complete.
 	Received time.Time
+	// Ending is done when the host ends and the request must be answered at once; nil if
+	// that does not happen.
+	Ending context.Context
 	// reserved is the memory of Body in bytes that is taken from Front.bodies.
 	reserved int64
 }
 
+// ending returns a channel that is closed when Ending is done, nil without Ending.
+func (r *Request) ending() <-chan struct{} {
+	if r.Ending == nil {
+		return nil
+	}
+	return r.Ending.Done()
+}
+
+// isEnding reports whether Ending is done.
+func (r *Request) isEnding() bool { return r.Ending != nil && r.Ending.Err() != nil }
+
+// untilEnding returns a context that is also done when Ending is, for waits before the
+// request is sent. The returned function releases it.
+func (r *Request) untilEnding(ctx context.Context) (context.Context, func()) {
+	if r.Ending == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.Ending, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 // Answer is the answer to a Request.
 type Answer struct {
 	Status int
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -184,13 +184,18 @@
 	if !g.needsToken(pr) {
 		return nil, ""
 	}
-	r := g.quotas.acquire(ctx, pr.workspace.Name, pr.quotaLimit(), g.quotas.tokenWait(pr))
+	waitCtx, release := pr.request.untilEnding(ctx)
+	defer release()
+	r := g.quotas.acquire(waitCtx, pr.workspace.Name, pr.quotaLimit(), g.quotas.tokenWait(pr))
 	if r.Verdict == quota.Granted {
 		pr.token, pr.hasToken = r.Token, true
 	}
 	if r.Verdict == quota.NoIssuer && errors.Is(ctx.Err(), context.Canceled) {
 		return g.answerExpired(ctx, pr)
 	}
+	if r.Verdict == quota.NoIssuer && pr.request.isEnding() {
+		return refusalByShutdown()
+	}
 	return answerWithoutToken(r)
 }
 
--- a/internal/gateway/quota_attempts_test.go
+++ b/internal/gateway/quota_attempts_test.go
@@ -219,7 +219,7 @@
 			f := startLimited(t, false, w)
 			ctx, cancel := c.ctx()
 			defer cancel()
-			_, answer, outcome := f.g.begin(ctx, &pendingRequest{workspace: &w.Workspace, objective: time.Now().Add(time.Second)})
+			_, answer, outcome := f.g.begin(ctx, &pendingRequest{request: &Request{}, workspace: &w.Workspace, objective: time.Now().Add(time.Second)})
 			g.Expect(outcome).To(Equal(c.outcome))
 			g.Expect(answer.Abort).To(Equal(c.abort))
 			if !c.abort {
