soak: send requests that outlast a shutdown

Cause: callers of the soak leave a host with their first answer after SIGTERM, and their requests are short. Ready answers lost at the end of a shutdown were never seen there.

With each graceful shutdown a caller now keeps its connection, and then sends a request that runs longer than the process, with short ones behind it.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -106,7 +106,7 @@
 		a.end()
 		return s.g.answerExpired(ctx, s.pr)
 	}
-	if s.pr.request.isEnding() {
+	if s.pr.request.isEnding() { // a further attempt would be cut
 		return s.g.answerFailed(s.pr, a, s.anyMayHaveRun, decision{})
 	}
 	kind := freshAttempt
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -164,6 +164,9 @@
 	if b.slow.Load() {
 		time.Sleep(10 * serviceTime)
 	}
+	if r.URL.Path == outlastPath {
+		time.Sleep(outlastTime)
+	}
 	b.work()
 	signature := "Galenabeam-Backend-Signature: " + b.id + "\r\n" + b.loadLine()
 	if b.leaving.Load() {
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -148,14 +148,7 @@
 			requests, text = append(requests, r), text+more
 		}
 	}
-	defer func() {
-		for _, r := range requests {
-			if r.ended.IsZero() {
-				r.ended = time.Now()
-			}
-			c.requestLog.add(r)
-		}
-	}()
+	defer c.record(requests)
 	_ = conn.SetDeadline(first.sent.Add(callerTimeout))
 	if first.write(conn, text) != nil {
 		return len(requests), false
@@ -168,6 +161,16 @@
 	return len(requests), true
 }
 
+// record adds requests to the log, when no more answers to them are read.
+func (c *caller) record(requests []*request) {
+	for _, r := range requests {
+		if r.ended.IsZero() {
+			r.ended = time.Now()
+		}
+		c.requestLog.add(r)
+	}
+}
+
 // idempotentKind is a kind of newRequest that is always idempotent.
 const idempotentKind = 1
 
@@ -193,8 +196,13 @@
 	if r.path == largePath || r.severed {
 		r.expected = brief(expectedAnswer(r.id, body) + largeFiller)
 	}
-	return r, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Affinity-Key: %d\r\nGalenabeam-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		method, r.path, r.id, c.rng.Intn(20), callerTimeout.Milliseconds(), c.credentialLines(r), len(body), body)
+	return r, c.text(r, method, body, callerTimeout)
+}
+
+// text returns a request as it is sent, with credentials that it adds to r.
+func (c *caller) text(r *request, method, body string, timeout time.Duration) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nGalenabeam-Request-Id: %s\r\nGalenabeam-Affinity-Key: %d\r\nGalenabeam-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, r.path, r.id, c.rng.Intn(20), timeout.Milliseconds(), c.credentialLines(r), len(body), body)
 }
 
 // receive reads the answer to a request. It reports whether the connection remains usable.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -25,7 +25,7 @@
 	}{
 		{"kill " + h.name, func() { h.kill(duration / 4) }},
 		{"freeze " + h.name, func() { h.freeze(duration) }},
-		{"replace " + h.name, h.replace},
+		{"replace " + h.name, func() { sr.replaceWithCaller(h, duration) }},
 		{"kill all hosts", func() {
 			var kills sync.WaitGroup
 			for _, h := range sr.hosts {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -208,12 +208,17 @@
 	service := []string{"s", "t"}[n%2]
 	var rules []string
 	rule := func(name, prefix, kind, service string) {
+		timeout := routeTimeout
+		if name == "long" {
+			timeout = longTimeout
+		}
 		rules = append(rules, fmt.Sprintf(`{"name":%q,"route_type":%q,"target_latency":"300ms","session_affinity":true,"public":%t,"match":{"prefix":%q},"action":{"service":%q,"timeout":"%dms","max_attempts":2}}`,
-			name, kind, name == "public", prefix, service, routeTimeout.Milliseconds()))
+			name, kind, name == "public", prefix, service, timeout.Milliseconds()))
 	}
 	rule("get", "/get/", "idempotent", service)
 	rule("post", "/post/", "non_idempotent", service)
 	rule("upload", "/upload/", "upload", service)
+	rule("long", "/long/", "idempotent", service)
 	rule("public", "/public/", "idempotent", service)
 	for i := 1; i <= n; i++ {
 		rule(fmt.Sprint("v", i), fmt.Sprintf("/v%d/", i), "idempotent", service)
