gateway, soak: share the start of a Front between tests

Cause: reading the diff. Two property tests start a Front in the same lines, and some comments were hard to follow.

Checks and behavior are unchanged.

--- a/internal/gateway/closingconn_test.go
+++ b/internal/gateway/closingconn_test.go
@@ -100,15 +100,7 @@
 			g := NewWithT(t)
 			rng := rand.New(rand.NewPCG(uint64(seed), 0))
 			h := &closingHandler{}
-			front := NewFront(h)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			t.Cleanup(func() { _ = listener.Close() })
-			go func() { _ = front.Serve(listener) }()
-			c, err := net.Dial("tcp", listener.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
-			t.Cleanup(func() { _ = c.Close() })
-			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+			front, c := connectFront(t, h)
 
 			var sent []string // requests, written together up to each pause
 			for i := range requests {
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -241,15 +241,7 @@
 			g := NewWithT(t)
 			rng := rand.New(rand.NewPCG(uint64(seed), 1))
 			h := &endingHandler{}
-			front := NewFront(h)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			t.Cleanup(func() { _ = listener.Close() })
-			go func() { _ = front.Serve(listener) }()
-			c, err := net.Dial("tcp", listener.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
-			t.Cleanup(func() { _ = c.Close() })
-			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+			front, c := connectFront(t, h)
 			var raw strings.Builder
 			for i := range requests {
 				delay := rng.IntN(maxDelayMillis)
@@ -258,7 +250,7 @@
 				}
 				raw.WriteString(rawRequest("GET", fmt.Sprintf("/%d/%d", i, delay), fmt.Sprint("r", i), ""))
 			}
-			_, err = io.WriteString(c, raw.String())
+			_, err := io.WriteString(c, raw.String())
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Eventually(front.InFlight, "5s").Should(BeNumerically(">", 0))
 			front.Drain()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -170,6 +170,21 @@
 	return f
 }
 
+// connectFront starts a Front that passes requests to h, and returns it with a connection of a
+// caller.
+func connectFront(t *testing.T, h Handler) (*Front, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{front: NewFront(h), address: listener.Addr().String()}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() { _ = f.front.Serve(listener) }()
+	c, _ := f.dial(t)
+	return f.front, c
+}
+
 // setWorkspaces sets a new configuration: that of the fixture, changed by change if it is
 // not nil, with the workspaces.
 func (f *fixture) setWorkspaces(t *testing.T, change func(routes []routetable.Route), list ...workspace.Definition) {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -134,8 +134,8 @@
 	return f.endRequests(func(c *frontConn) int { return len(c.open) })
 }
 
-// endRequests ends the running ones of the first open requests of each connection, as many as
-// count returns, which is called with the connection's lock held.
+// endRequests ends those that run of the first open requests of each connection. count returns
+// the number of these first requests; it is called with the connection's lock held.
 func (f *Front) endRequests(count func(*frontConn) int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -193,7 +193,7 @@
 	queue       chan *exchange
 
 	mu        sync.Mutex
-	open      []*exchange // in the order of the requests; the answers are not completed
+	open      []*exchange // requests whose answers are not completed, in their order
 	reading   bool        // a request arrives
 	closing   bool        // an answer demanded the end of the connection
 	finished  bool        // no further request is accepted
--- a/internal/soak/shutdown_test.go
+++ b/internal/soak/shutdown_test.go
@@ -32,13 +32,13 @@
 	if sr.withWorkspaces() {
 		c.workspace = "steady"
 	}
-	var stopping, caller sync.WaitGroup
-	stopping.Add(1)
+	var ready, caller sync.WaitGroup
+	ready.Add(1)
 	caller.Go(func() {
 		incarnation := h.incarnation()
 		conn, err := net.DialTimeout("tcp", net.JoinHostPort(h.ip, "8001"), time.Second)
 		if err != nil {
-			stopping.Done()
+			ready.Done()
 			return
 		}
 		defer func() { _ = conn.Close() }()
@@ -47,13 +47,13 @@
 		for range usualRequests {
 			kept = kept && c.sendLong(conn, in, h, incarnation, longPath)
 		}
-		stopping.Done()
+		ready.Done()
 		time.Sleep(sendAfter)
 		if kept {
 			c.sendLong(conn, in, h, incarnation, longPath, outlastPath, longPath, longPath)
 		}
 	})
-	stopping.Wait()
+	ready.Wait()
 	h.replace()
 	caller.Wait()
 }
