gateway: test a streamed answer when requests end

Cause: no test showed that an answer of which the caller has a part goes on when the host ends its running requests.

Added: TestEndingKeepsStreamedAnswer.

--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -109,6 +109,44 @@
 	}
 }
 
+// TestEndingKeepsStreamedAnswer guards against an answer that is cut although its caller has a
+// part of it and the rest still arrives, because the host ends its running requests.
+func TestEndingKeepsStreamedAnswer(t *testing.T) {
+	g := NewWithT(t)
+	const size = 3 * maxBufferedAnswer
+	release := make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(releaseOnce)
+	server := startBackend(t, func(s *testBackend, conn net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get("X-Id") != "first" {
+			return answerOK(s, conn, r, body)
+		}
+		half := strings.Repeat("x", size/2)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nX-Id: first\r\nX-Signature: sig\r\nContent-Length: %d\r\n\r\n%s", size, half)
+		<-release
+		if err == nil {
+			_, err = io.WriteString(conn, half)
+		}
+		return err == nil
+	})
+	f := startGateway(t, server)
+	conn, in := f.dial(t)
+	f.front.Drain()
+	_, err := io.WriteString(conn, rawRequest("GET", "/get/a", "first", "")+rawRequest("GET", "/get/a", "second", ""))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = in.Peek(1) // the first answer is being written
+	g.Expect(err).NotTo(HaveOccurred())
+	f.front.CloseIdle()
+	f.front.ReleaseAnswers()
+	releaseOnce()
+	status, body, _ := readAnswer(in)
+	g.Expect(status).To(Equal(200))
+	g.Expect(body).To(HaveLen(size))
+	status, body, _ = readAnswer(in)
+	g.Expect(status).To(Equal(200))
+	g.Expect(body).To(Equal("answer to second "))
+}
+
 // TestNoAttemptForEndedRequest guards against an attempt that starts although the host has
 // ended the request and would cut it, and against a refusal of a request that may have run.
 func TestNoAttemptForEndedRequest(t *testing.T) {
